--- /dev/null
+++ b/core/event/event.go
@@ -0,0 +1,146 @@
+// Package event is the decision journal of a node: typed events with their
+// cause, kept in a ring of fixed size.
+//
+// An event says what was decided, about what, and why. The journal never
+// grows beyond its capacity; the number of events that fell out is counted, so
+// that a reader can tell a quiet node from a forgetful one.
+//
+// # Usage
+//
+//	j := event.NewJournal(event.Config{Node: "hafnar-1", Capacity: 4096})
+//	j.Add(event.Event{At: now, Kind: event.VersionApplied, Subject: "7", Cause: "pushed by hafnar-2"})
+//	events := j.Find("7")
+package event
+
+import (
+	"strings"
+	"sync"
+	"time"
+)
+
+// Kind is the type of a decision.
+type Kind string
+
+// Kinds of events.
+const (
+	NodeStarted     Kind = "node_started"
+	NodeReady       Kind = "node_ready"
+	NodeDraining    Kind = "node_draining"
+	NodePaused      Kind = "node_paused"
+	VersionApplied  Kind = "version_applied"
+	VersionRefused  Kind = "version_refused"
+	VersionForked   Kind = "version_forked"
+	StoreBackward   Kind = "store_backward"
+	StoreRepaired   Kind = "store_repaired"
+	StoreLost       Kind = "store_lost"
+	StoreBack       Kind = "store_back"
+	ReaderStarted   Kind = "reader_started"
+	ReaderStopped   Kind = "reader_stopped"
+	PeerJoined      Kind = "peer_joined"
+	PeerSuspected   Kind = "peer_suspected"
+	PeerRefuted     Kind = "peer_refuted"
+	PeerLeaving     Kind = "peer_leaving"
+	PeerDead        Kind = "peer_dead"
+	PeerChanged     Kind = "peer_changed"
+	CentreLost      Kind = "data_centre_lost"
+	CentreBack      Kind = "data_centre_back"
+	UpstreamReady   Kind = "upstream_ready"
+	UpstreamFailing Kind = "upstream_failing"
+	UpstreamBack    Kind = "upstream_back"
+	UpstreamEjected Kind = "upstream_ejected"
+	LimitChanged    Kind = "limit_changed"
+	RequestRefused  Kind = "request_refused"
+	RequestMoved    Kind = "request_moved"
+	RequestUnknown  Kind = "request_unknown"
+	RequestFenced   Kind = "request_fenced"
+	RequestReplayed Kind = "request_replayed"
+	StandingLost    Kind = "standing_lost"
+	StandingGained  Kind = "standing_gained"
+	FrameDropped    Kind = "frame_dropped"
+)
+
+// Event is one decision.
+type Event struct {
+	At      time.Time `json:"at"`
+	Node    string    `json:"node"`
+	Kind    Kind      `json:"kind"`
+	Subject string    `json:"subject"`            // version number, node, data centre or request id
+	Trace   string    `json:"trace_id,omitempty"` // W3C trace id, if a call was involved
+	Cause   string    `json:"cause"`
+}
+
+// Config configures a Journal.
+type Config struct {
+	Node     string
+	Capacity int // events kept
+	// Observe, if set, is called with each event, for logs and counters. It
+	// must not block.
+	Observe func(Event)
+}
+
+// Journal is a bounded ring of events. It is safe for concurrent use.
+type Journal struct {
+	cfg     Config
+	mu      sync.Mutex
+	ring    []Event
+	next    int
+	dropped uint64
+}
+
+const defaultCapacity = 4096
+
+// NewJournal returns an empty journal.
+func NewJournal(cfg Config) *Journal {
+	if cfg.Capacity <= 0 {
+		cfg.Capacity = defaultCapacity
+	}
+	return &Journal{cfg: cfg}
+}
+
+// Add appends e, filling in the node, and drops the oldest event if the
+// journal is full.
+func (j *Journal) Add(e Event) {
+	e.Node = j.cfg.Node
+	j.mu.Lock()
+	if len(j.ring) < j.cfg.Capacity {
+		j.ring = append(j.ring, e)
+	} else {
+		j.ring[j.next] = e
+		j.next = (j.next + 1) % len(j.ring)
+		j.dropped++
+	}
+	j.mu.Unlock()
+	if j.cfg.Observe != nil {
+		j.cfg.Observe(e)
+	}
+}
+
+// Dropped returns the number of events that fell out of the ring.
+func (j *Journal) Dropped() uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.dropped
+}
+
+// Find returns the events about subject, oldest first. A subject is compared
+// with the event's subject and trace id, and looked for in its cause. An empty
+// subject finds all events.
+func (j *Journal) Find(subject string) []Event {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var out []Event
+	for i := range j.ring {
+		e := j.ring[(j.next+i)%len(j.ring)]
+		if e.about(subject) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (e Event) about(subject string) bool {
+	if subject == "" || e.Subject == subject || e.Trace == subject {
+		return true
+	}
+	return len(subject) > 2 && strings.Contains(e.Cause, subject)
+}
--- /dev/null
+++ b/core/member/record.go
@@ -0,0 +1,95 @@
+package member
+
+import (
+	"cmp"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// State is what is believed of a member.
+type State int
+
+// States, in the order in which they override each other at the same
+// incarnation.
+const (
+	Alive State = iota
+	Suspect
+	Leaving // it has announced its stop and takes no new work
+	Dead    // it failed, or has stopped after leaving
+)
+
+// String returns the name of the state.
+func (s State) String() string {
+	return [...]string{"alive", "suspect", "leaving", "dead"}[s]
+}
+
+// Record is one claim about a member. It is immutable.
+type Record struct {
+	ID          string `json:"id"`
+	Addr        string `json:"addr"` // address for peers, host:port
+	DataCentre  string `json:"data_centre"`
+	Service     string `json:"service"`
+	Incarnation uint64 `json:"incarnation"`
+	State       State  `json:"state"`
+	Ready       bool   `json:"ready"` // its backend server is announced and not failing
+	Slots       int    `json:"slots"`
+	Since       int64  `json:"since"` // start of the process, Unix milliseconds
+	Accuser     string `json:"accuser,omitempty"`
+	// Left marks a dead member that stopped by its own will. It does not count
+	// for the roster, see Table.Standing.
+	Left bool `json:"left,omitempty"`
+}
+
+// WithState returns r in state s, claimed by accuser.
+func (r Record) WithState(s State, accuser string) Record {
+	r.State = s
+	r.Accuser = accuser
+	return r
+}
+
+// WithIncarnation returns r with incarnation n.
+func (r Record) WithIncarnation(n uint64) Record {
+	r.Incarnation = n
+	return r
+}
+
+// WithUpstream returns r with the state of its backend server.
+func (r Record) WithUpstream(ready bool, slots int) Record {
+	r.Ready = ready
+	r.Slots = slots
+	return r
+}
+
+// TakesWork reports whether new work may be sent to the member.
+func (r Record) TakesWork() bool {
+	return r.Ready && (r.State == Alive || r.State == Suspect)
+}
+
+// Up reports whether the member is believed to be running.
+func (r Record) Up() bool { return r.State != Dead }
+
+// overrides reports whether r is to replace o.
+func (r Record) overrides(o Record) bool {
+	return cmp.Or(cmp.Compare(r.Incarnation, o.Incarnation), cmp.Compare(r.State, o.State)) > 0
+}
+
+// hash digests the parts of a record in which tables have to agree.
+func (r Record) hash() uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s|%d|%d", r.ID, r.Incarnation, r.State))
+}
+
+// Validate returns an error if a record that came from a peer can't be right.
+func (r Record) Validate() error {
+	switch {
+	case r.ID == "" || len(r.ID) > maxIDBytes:
+		return fmt.Errorf("member id has %d bytes", len(r.ID))
+	case len(r.Addr) > maxIDBytes || len(r.Service) > maxIDBytes || len(r.DataCentre) > maxIDBytes:
+		return fmt.Errorf("record of member %q has an oversized field", r.ID)
+	case r.State < Alive || r.State > Dead:
+		return fmt.Errorf("member %q has unknown state %d", r.ID, r.State)
+	case r.Slots < 0 || r.Slots > maxSlots:
+		return fmt.Errorf("member %q claims %d slots", r.ID, r.Slots)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/vers/track.go
@@ -0,0 +1,145 @@
+package vers
+
+import (
+	"fmt"
+	"strings"
+
+	"tanagerchute/core/config"
+)
+
+// Kind is the kind of a decision about an offered version.
+type Kind int
+
+// Kinds of decisions.
+const (
+	Applied  Kind = iota // the version is now in force
+	Same                 // it was in force already
+	Stale                // an older version, ignored
+	Refused              // damaged, or not a valid document
+	Forked               // it contradicts the history of the version in force
+	Backward             // the store offers less than it once accepted
+)
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	return [...]string{"applied", "same", "stale", "refused", "forked", "backward"}[k]
+}
+
+// Decision is what was decided about an offered version, and why.
+type Decision struct {
+	Kind  Kind
+	Cause string
+}
+
+// historySize is the number of versions a tracker keeps to serve deltas.
+const historySize = 8
+
+// maxRefusals bounds the refused versions that a tracker remembers.
+const maxRefusals = 64
+
+// Tracker is the state machine of the version in force at one node.
+//
+// Invariant: the number of the version in force never decreases, and each
+// version in force has passed Verify and config.Parse.
+type Tracker struct {
+	deployment string
+	cur        Snapshot
+	history    []Version // the newest last, the one in force included
+	refused    map[string]string
+	refusals   []string // digests in refused, oldest first
+}
+
+// NewTracker returns a tracker without a version.
+func NewTracker(deployment string) *Tracker {
+	return &Tracker{deployment: deployment, refused: map[string]string{}}
+}
+
+// Current returns the version in force. Its number is 0 if there is none.
+func (t *Tracker) Current() Snapshot { return t.cur }
+
+// Kept returns the version with the given digest if it is still held.
+func (t *Tracker) Kept(digest string) (Version, bool) {
+	for _, v := range t.history {
+		if v.Digest == digest {
+			return v, true
+		}
+	}
+	return Version{}, false
+}
+
+// Wants reports whether the version named by s should be fetched.
+func (t *Tracker) Wants(s Stamp) bool {
+	_, bad := t.refused[s.Digest]
+	return s.After(t.cur.Version.Stamp()) && !bad
+}
+
+// OfferHead decides on a version that the store holds as its newest. Unlike a
+// peer, which may simply be behind, a store that offers less than the version
+// in force has lost an accepted version.
+func (t *Tracker) OfferHead(v Version) Decision {
+	d := t.Offer(v)
+	if d.Kind == Stale {
+		d.Kind = Backward
+		d.Cause = fmt.Sprintf("store holds version %d, version %d is in force", v.Number, t.cur.Version.Number)
+	}
+	return d
+}
+
+// Offer decides on a version from any source and puts it in force if it is to
+// be applied.
+func (t *Tracker) Offer(v Version) Decision {
+	cur := t.cur.Version
+	switch {
+	case v.Number < cur.Number:
+		return Decision{Stale, fmt.Sprintf("version %d is older than version %d in force", v.Number, cur.Number)}
+	case v.Number == cur.Number && v.Digest == cur.Digest:
+		return Decision{Same, "in force already"}
+	case v.Number == cur.Number:
+		return Decision{Forked, fmt.Sprintf("version %d has digest %.12s here and %.12s there", v.Number, cur.Digest, v.Digest)}
+	case cur.Number > 0 && v.Number == cur.Number+1 && v.Parent != cur.Digest:
+		return Decision{Forked, fmt.Sprintf("version %d has parent %.12s, version %d in force is %.12s", v.Number, v.Parent, cur.Number, cur.Digest)}
+	}
+	if why, ok := t.refused[v.Digest]; ok {
+		return Decision{Refused, why}
+	}
+	if err := v.Verify(); err != nil {
+		// The digest is not the digest of what was sent: the damage may be on
+		// the way, so the version itself is not remembered as refused.
+		return Decision{Refused, err.Error()}
+	}
+	doc, err := t.parse(v)
+	if err != nil {
+		t.remember(v.Digest, err.Error())
+		return Decision{Refused, err.Error()}
+	}
+	t.apply(Snapshot{Version: v, Doc: doc})
+	return Decision{Applied, fmt.Sprintf("follows version %d", cur.Number)}
+}
+
+func (t *Tracker) parse(v Version) (*config.Document, error) {
+	doc, err := config.Parse(fmt.Sprintf("version %d", v.Number), v.Content)
+	if err != nil {
+		return nil, fmt.Errorf("version %d is not valid: %s", v.Number, strings.ReplaceAll(err.Error(), "\n", "; "))
+	}
+	if doc.Deployment != t.deployment {
+		return nil, fmt.Errorf("version %d is for deployment %q, not %q", v.Number, doc.Deployment, t.deployment)
+	}
+	return doc, nil
+}
+
+func (t *Tracker) apply(s Snapshot) {
+	t.cur = s
+	t.history = append(t.history, s.Version)
+	if len(t.history) > historySize {
+		t.history = append([]Version(nil), t.history[1:]...)
+	}
+}
+
+func (t *Tracker) remember(digest, why string) {
+	if len(t.refusals) == maxRefusals {
+		delete(t.refused, t.refusals[0])
+		t.refusals = t.refusals[1:]
+	}
+	t.refused[digest] = why
+	t.refusals = append(t.refusals, digest)
+}
--- /dev/null
+++ b/core/vers/version.go
@@ -0,0 +1,80 @@
+package vers
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"tanagerchute/core/config"
+)
+
+// Version is one accepted state of the configuration. It is immutable.
+type Version struct {
+	Number  uint64    `json:"number"`
+	Digest  string    `json:"digest"` // hex SHA-256 over number, parent and content
+	Parent  string    `json:"parent"` // digest of version Number-1, empty for the first
+	Op      string    `json:"op"`     // id of the apply operation that wrote it
+	Author  string    `json:"author"`
+	At      time.Time `json:"at"` // time of the apply, from the operator's clock
+	Content []byte    `json:"content,omitempty"`
+}
+
+// New returns the version that follows parent, a zero Version for the first.
+func New(parent Version, op, author string, at time.Time, content []byte) Version {
+	v := Version{
+		Number:  parent.Number + 1,
+		Parent:  parent.Digest,
+		Op:      op,
+		Author:  author,
+		At:      at,
+		Content: content,
+	}
+	v.Digest = v.digest()
+	return v
+}
+
+func (v Version) digest() string {
+	h := sha256.New()
+	fmt.Fprintf(h, "%d\n%s\n", v.Number, v.Parent)
+	h.Write(v.Content)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// WithContent returns v with its content replaced, as after decoding a delta.
+func (v Version) WithContent(content []byte) Version {
+	v.Content = content
+	return v
+}
+
+// WithoutContent returns v as a header without its document.
+func (v Version) WithoutContent() Version { return v.WithContent(nil) }
+
+// Verify returns an error if the digest does not fit the version.
+func (v Version) Verify() error {
+	if v.Number == 0 {
+		return fmt.Errorf("version number 0 is not valid")
+	}
+	if d := v.digest(); d != v.Digest {
+		return fmt.Errorf("version %d: digest %.12s does not fit content, want %.12s", v.Number, v.Digest, d)
+	}
+	return nil
+}
+
+// Stamp names a version without its content.
+type Stamp struct {
+	Number uint64
+	Digest string
+}
+
+// Stamp returns the stamp of v.
+func (v Version) Stamp() Stamp { return Stamp{v.Number, v.Digest} }
+
+// After reports whether s is a later version than o.
+func (s Stamp) After(o Stamp) bool { return s.Number > o.Number }
+
+// Snapshot is a version with its parsed document, as it is in force at a node.
+type Snapshot struct {
+	Version Version
+	Doc     *config.Document
+}
