--- /dev/null
+++ b/core/call/call.go
@@ -0,0 +1,143 @@
+// Package call is one request on its way through the mesh, and its reply.
+//
+// A Call is classified once, at its first ingress, and carries its deadline and
+// its class from there. A Reply says what became of it: Fate tells an answer of
+// the backend server from a refusal that is a promise (NotRun) and from one
+// that is not (Unknown).
+//
+// # Usage
+//
+//	c := call.Call{ID: once.NewID(), Service: "skraning", Deadline: deadline, …}
+//	r := call.Refuse(call.NotRun, "queue_full", 200*time.Millisecond)
+package call
+
+import (
+	"net/http"
+	"time"
+
+	"tanagerchute/core/config"
+	"tanagerchute/core/route"
+)
+
+// Mode is what a node is asked to do with a call.
+type Mode int
+
+// Modes.
+const (
+	Upstream Mode = iota // run it at the node's own backend server
+	Entry                // choose an upstream in this data centre
+	Home                 // record its key here, then run it anywhere
+)
+
+// Call is a request. It is immutable once it is on its way; the With methods
+// return changed copies that share the body.
+type Call struct {
+	ID         string // names the work; the same for all attempts
+	Attempt    string
+	Issued     time.Time // of ID, or of Key
+	Key        string    // idempotency key of the caller, empty if there is none
+	Service    string
+	Class      string
+	Priority   config.Priority
+	AtMostOnce bool
+	Deadline   time.Time
+	WaitUntil  time.Time
+	Method     string
+	Target     string // path and query
+	Header     http.Header
+	Body       []byte
+	Depth      int
+	Mode       Mode
+	From       string // node that sent it
+	Version    uint64 // version by which it was routed
+	Trace      string // W3C trace id
+}
+
+// WithAttempt returns c as another attempt in the given mode.
+func (c Call) WithAttempt(id string, m Mode) Call {
+	c.Attempt = id
+	c.Mode = m
+	return c
+}
+
+// WithID returns c as work of its own under a fresh id.
+func (c Call) WithID(id string, issued time.Time) Call {
+	c.ID, c.Issued, c.Key = id, issued, ""
+	return c
+}
+
+// Safe reports whether the call may be repeated without asking.
+func (c Call) Safe() bool {
+	if c.AtMostOnce {
+		return false
+	}
+	return c.Method == http.MethodGet || c.Method == http.MethodHead || c.Method == http.MethodOptions
+}
+
+// Fate is what became of a call.
+type Fate int
+
+// Fates.
+const (
+	Answered Fate = iota // the backend server answered, whatever its status
+	NotRun               // it has not run and will not run
+	Unknown              // it may have run
+)
+
+// String returns the name that callers see.
+func (f Fate) String() string { return [...]string{"answered", "not_run", "unknown"}[f] }
+
+// Causes of refusals that the mesh itself acts on. Others are passed on as
+// they are.
+const (
+	CauseDraining  = "draining"
+	CauseFailing   = "upstream_failing"
+	CauseMoved     = "moved"
+	CauseFenced    = "fenced"
+	CauseBroken    = "broken_answer"
+	CauseDeadline  = "deadline"
+	CauseNone      = "no_upstream"
+	CauseCanceled  = "canceled"
+	CauseNotReady  = "node_not_ready"
+	CauseLost      = "answer_lost"
+	CauseTooOld    = "key_too_old"
+	CauseStanding  = "home_not_in_standing"
+	CauseHome      = "home_unreachable"
+	CauseTooLarge  = "answer_too_large"
+	CauseUnreached = "unreachable"
+)
+
+// Reply is what came of a call.
+type Reply struct {
+	Fate       Fate
+	Status     int
+	Header     http.Header
+	Body       []byte
+	Cause      string // of a refusal
+	RetryAfter time.Duration
+	Load       route.Load
+	Node       string
+	Version    uint64 // in force at the node that replied
+	// Reached reports whether the node that was asked has replied itself.
+	Reached bool
+	Shed    bool // the backend server refused for load
+}
+
+// Refuse returns a refusal.
+func Refuse(f Fate, cause string, retryAfter time.Duration) Reply {
+	return Reply{Fate: f, Cause: cause, RetryAfter: retryAfter, Reached: true}
+}
+
+// FreeMove reports whether a refusal says that the call should simply go to
+// another upstream. Such a move costs no retry budget: it does not come from
+// load, and a drained or fenced upstream can refuse a call only once.
+func (r Reply) FreeMove() bool {
+	if r.Fate != NotRun {
+		return false
+	}
+	switch r.Cause {
+	case CauseDraining, CauseFailing, CauseMoved, CauseFenced, CauseUnreached:
+		return true
+	}
+	return false
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -44,6 +44,7 @@
 	PeerChanged     Kind = "peer_changed"
 	CentreLost      Kind = "data_centre_lost"
 	CentreBack      Kind = "data_centre_back"
+	CentreChanged   Kind = "data_centre_changed"
 	UpstreamReady   Kind = "upstream_ready"
 	UpstreamFailing Kind = "upstream_failing"
 	UpstreamBack    Kind = "upstream_back"
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -68,6 +68,26 @@
 	return true
 }
 
+// Due reports whether the next trial of a failing server is due.
+func (w *Window) Due(now time.Time) bool { return w.failing && !now.Before(w.nextTrial) }
+
+// Fail judges the server to be failing at once, as when nothing listens at its
+// address. It reports whether the judgement changed.
+func (w *Window) Fail(now time.Time) bool {
+	if w.failing {
+		return false
+	}
+	w.startFailing(now)
+	return true
+}
+
+func (w *Window) startFailing(now time.Time) {
+	w.failing = true
+	w.recovered = 0
+	w.interval = w.cfg.TrialMin
+	w.nextTrial = now.Add(w.interval)
+}
+
 // Report takes the outcome of a call and reports whether the judgement
 // changed.
 func (w *Window) Report(now time.Time, ok bool) bool {
@@ -83,10 +103,7 @@
 	if w.row < w.cfg.InARow && !w.mostFail() {
 		return false
 	}
-	w.failing = true
-	w.recovered = 0
-	w.interval = w.cfg.TrialMin
-	w.nextTrial = now.Add(w.interval)
+	w.startFailing(now)
 	return true
 }
 
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -291,6 +291,7 @@
 	if len(t.members) >= maxMembers {
 		return nil
 	}
+	t.supersede(now, r)
 	e := &entry{nextProbe: now.Add(t.cfg.ProbeEvery)}
 	t.members[r.ID] = e
 	t.put(now, e, r, "joined")
@@ -300,6 +301,16 @@
 	return nil
 }
 
+// supersede declares the former process at the address of r dead. Ids are
+// unique to a process, so that a restarted node is a new member.
+func (t *Table) supersede(now time.Time, r Record) {
+	for _, e := range t.members {
+		if e.rec.Addr == r.Addr && e.rec.Up() && r.Up() && e.rec.Since < r.Since {
+			t.put(now, e, e.rec.WithState(Dead, t.self.ID), "superseded by "+r.ID+" at its address")
+		}
+	}
+}
+
 // put stores a record, tells others, and keeps the derived state right.
 func (t *Table) put(now time.Time, e *entry, r Record, cause string) {
 	old := e.rec
--- a/core/once/table.go
+++ b/core/once/table.go
@@ -67,11 +67,19 @@
 	KeepFor    time.Duration // how long an ended record is kept
 	MaxFences  int           // fenced attempts that are remembered
 	Floor      time.Time     // keys issued at or before it are not known
+	// Start is the start of the process, with a margin for the difference of
+	// clocks. About an attempt at work issued before it, a former process at
+	// the same address may know more than this one.
+	Start time.Time
 }
 
-// DefaultConfig returns the settings that nodes use, without Floor.
-func DefaultConfig() Config {
+// startMargin covers the difference between the clocks of two instances.
+const startMargin = 500 * time.Millisecond
+
+// DefaultConfig returns the settings of a process that starts at now.
+func DefaultConfig(now time.Time) Config {
 	return Config{
+		Start:      now.Add(startMargin),
 		MaxRecords: 20000,
 		MaxBytes:   16 << 20,
 		KeepFor:    10 * time.Minute,
@@ -130,7 +138,7 @@
 // Begin asks whether the work under key may start now, as the given attempt.
 func (t *Table) Begin(now time.Time, key Key, attempt string) (Verdict, Answer) {
 	t.expire(now)
-	if t.fences[attempt] {
+	if t.fences[attempt] || t.fences[key.ID] {
 		return Fenced, Answer{}
 	}
 	if r, ok := t.records[key.ID]; ok {
@@ -210,13 +218,28 @@
 	r.waiters = nil
 }
 
+// Look returns what is recorded under id, if anything is.
+func (t *Table) Look(id string) (v Verdict, a Answer, ok bool) {
+	r, ok := t.records[id]
+	if !ok {
+		return 0, Answer{}, false
+	}
+	v, a = r.verdict()
+	return v, a, true
+}
+
 // Inquire asks what became of an attempt under a key. If the work has not
-// begun, the attempt is fenced by the question.
+// begun, the attempt is fenced by the question. To fence all attempts, as when
+// another node becomes the home of the key, the key itself is given as the
+// attempt.
 func (t *Table) Inquire(now time.Time, key Key, attempt string) (Verdict, Answer) {
 	t.expire(now)
 	if r, ok := t.records[key.ID]; ok {
 		return r.verdict()
 	}
+	if !key.Issued.After(t.floor) || !key.Issued.After(t.cfg.Start) {
+		return TooOld, Answer{}
+	}
 	t.fence(fence{attempt, key.Issued})
 	return Fenced, Answer{}
 }
--- a/core/remote/summary.go
+++ b/core/remote/summary.go
@@ -54,7 +54,7 @@
 	for _, name := range slices.Sorted(maps.Keys(byService)) {
 		s.Services = append(s.Services, summarizeService(name, byService[name]))
 	}
-	for _, id := range rank.Top("relay", up, relaysPerCentre) {
+	for _, id := range rank.Top("reader", up, relaysPerCentre) {
 		s.Relays = append(s.Relays, addrs[id])
 	}
 	return s
@@ -208,6 +208,12 @@
 	return c.summary.Digest()
 }
 
+// Reachable reports whether a data centre is known and not lost.
+func (t *Table) Reachable(name string) bool {
+	c, ok := t.centres[name]
+	return ok && c.seq > 0 && !c.lost
+}
+
 // Touch counts a data centre as heard at now. A node that becomes a relay
 // starts its judgement of silence there.
 func (t *Table) Touch(now time.Time) {
--- a/core/vers/track.go
+++ b/core/vers/track.go
@@ -47,6 +47,7 @@
 	history    []Version // the newest last, the one in force included
 	refused    map[string]string
 	refusals   []string // digests in refused, oldest first
+	refusedTo  uint64   // highest number refused
 }
 
 // NewTracker returns a tracker without a version.
@@ -67,9 +68,13 @@
 	return Version{}, false
 }
 
-// Wants reports whether the version named by s should be fetched.
+// Wants reports whether the version named by s should be fetched. The digest
+// of s may be empty if only the number is known.
 func (t *Tracker) Wants(s Stamp) bool {
 	_, bad := t.refused[s.Digest]
+	if s.Digest == "" {
+		bad = s.Number <= t.refusedTo
+	}
 	return s.After(t.cur.Version.Stamp()) && !bad
 }
 
@@ -110,6 +115,7 @@
 	doc, err := t.parse(v)
 	if err != nil {
 		t.remember(v.Digest, err.Error())
+		t.refusedTo = max(t.refusedTo, v.Number)
 		return Decision{Refused, err.Error()}
 	}
 	t.apply(Snapshot{Version: v, Doc: doc})
--- /dev/null
+++ b/io/etcd/wire.go
@@ -0,0 +1,159 @@
+package etcd
+
+// The types below are the parts of the etcd v3 JSON gateway that are used
+// here. Keys and values are base64 text, and 64-bit numbers are strings, as
+// the gateway writes them.
+
+// Header is part of every answer.
+type Header struct {
+	Revision int64 `json:"revision,string"`
+}
+
+// KeyValue is a key at a revision.
+type KeyValue struct {
+	Key            []byte `json:"key"`
+	Value          []byte `json:"value,omitempty"`
+	CreateRevision int64  `json:"create_revision,string,omitempty"`
+	ModRevision    int64  `json:"mod_revision,string,omitempty"`
+	Version        int64  `json:"version,string,omitempty"`
+	Lease          int64  `json:"lease,string,omitempty"`
+}
+
+// RangeRequest is the body of /v3/kv/range.
+type RangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+// RangeResponse is the answer of /v3/kv/range.
+type RangeResponse struct {
+	Header Header     `json:"header"`
+	KVs    []KeyValue `json:"kvs,omitempty"`
+	Count  int64      `json:"count,string,omitempty"`
+}
+
+// PutRequest is the body of /v3/kv/put.
+type PutRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	Lease int64  `json:"lease,string,omitempty"`
+}
+
+// DeleteRequest is the body of /v3/kv/deleterange.
+type DeleteRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+// Compare is a condition of a transaction. Only EQUAL on MOD is used.
+type Compare struct {
+	Key         []byte `json:"key"`
+	Target      string `json:"target"`
+	Result      string `json:"result"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+// RequestOp is a write of a transaction.
+type RequestOp struct {
+	Put    *PutRequest    `json:"request_put,omitempty"`
+	Delete *DeleteRequest `json:"request_delete_range,omitempty"`
+}
+
+// TxnRequest is the body of /v3/kv/txn.
+type TxnRequest struct {
+	Compare []Compare   `json:"compare,omitempty"`
+	Success []RequestOp `json:"success,omitempty"`
+}
+
+// TxnResponse is the answer of /v3/kv/txn.
+type TxnResponse struct {
+	Header    Header `json:"header"`
+	Succeeded bool   `json:"succeeded,omitempty"`
+}
+
+// HeaderResponse is an answer that holds nothing else.
+type HeaderResponse struct {
+	Header Header `json:"header"`
+}
+
+// LeaseRequest is the body of the lease calls. TTL is in seconds.
+type LeaseRequest struct {
+	ID  int64 `json:"ID,string,omitempty"`
+	TTL int64 `json:"TTL,string,omitempty"`
+}
+
+// LeaseResponse is the answer of /v3/lease/grant and, wrapped in a
+// KeepAliveResponse, of /v3/lease/keepalive.
+type LeaseResponse struct {
+	Header Header `json:"header"`
+	ID     int64  `json:"ID,string"`
+	TTL    int64  `json:"TTL,string,omitempty"`
+}
+
+// KeepAliveResponse is the answer of /v3/lease/keepalive.
+type KeepAliveResponse struct {
+	Result LeaseResponse `json:"result"`
+}
+
+// WatchRequest is the body of /v3/watch.
+type WatchRequest struct {
+	Create WatchCreate `json:"create_request"`
+}
+
+// WatchCreate says what to watch, and from which revision on.
+type WatchCreate struct {
+	Key           []byte `json:"key"`
+	RangeEnd      []byte `json:"range_end,omitempty"`
+	StartRevision int64  `json:"start_revision,string,omitempty"`
+}
+
+// WatchEvent is a change. Type is empty or "PUT" for a write and "DELETE".
+type WatchEvent struct {
+	Type string   `json:"type,omitempty"`
+	KV   KeyValue `json:"kv"`
+}
+
+// WatchResult is one message of a watch.
+type WatchResult struct {
+	Header          Header       `json:"header"`
+	Created         bool         `json:"created,omitempty"`
+	Canceled        bool         `json:"canceled,omitempty"`
+	CompactRevision int64        `json:"compact_revision,string,omitempty"`
+	Events          []WatchEvent `json:"events,omitempty"`
+}
+
+// WatchResponse is one line of the answer of /v3/watch.
+type WatchResponse struct {
+	Result WatchResult `json:"result"`
+}
+
+// ErrorResponse is the body of an answer that is not 200.
+type ErrorResponse struct {
+	Error   string `json:"error"`
+	Message string `json:"message"`
+	Code    int    `json:"code"`
+}
+
+// Paths of the gateway.
+const (
+	PathRange     = "/v3/kv/range"
+	PathPut       = "/v3/kv/put"
+	PathDelete    = "/v3/kv/deleterange"
+	PathTxn       = "/v3/kv/txn"
+	PathGrant     = "/v3/lease/grant"
+	PathKeepAlive = "/v3/lease/keepalive"
+	PathRevoke    = "/v3/lease/revoke"
+	PathWatch     = "/v3/watch"
+)
+
+// PrefixEnd returns the range end that covers all keys with prefix.
+func PrefixEnd(prefix []byte) []byte {
+	end := append([]byte(nil), prefix...)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/io/feed/boot.go
@@ -0,0 +1,78 @@
+package feed
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"tanagerchute/core/vers"
+)
+
+// Times of a boot.
+const (
+	bootRound    = 250 * time.Millisecond // pause between rounds of asking peers
+	bootPatience = time.Second            // shortest wait before a node asks the store itself
+	bootSpread   = 2 * time.Second        // jitter on top of it
+)
+
+// Boot takes the highest version of all sources that can be reached: the peers
+// at addrs, the readers of the data centre, and the store. It returns once a
+// version is in force and every source that answers has been heard.
+//
+// The store is asked by the readers. Another node asks it only if no reader
+// has a version for a jittered while, so that a herd of starting nodes does
+// not reach the store all at once.
+func (f *Feed) Boot(ctx context.Context, addrs []string) error {
+	patience := bootPatience + f.jitter(bootSpread)
+	own := time.Now().Add(patience)
+	for {
+		f.fetchAll(ctx, append(f.readers(), addrs...))
+		asStoreReader := f.cfg.Fleet.View().Rank("reader", Readers) >= 0
+		if f.cfg.Ledger != nil && (asStoreReader || time.Now().After(own)) {
+			f.askStore(ctx)
+			own = time.Now().Add(patience)
+		}
+		if f.Snapshot() != nil {
+			f.ready.Store(true)
+			return nil
+		}
+		if !sleep(ctx, f.jitter(bootRound)) {
+			return ctx.Err()
+		}
+	}
+}
+
+// fetchAll fetches from all addresses at once and waits for all answers.
+func (f *Feed) fetchAll(ctx context.Context, addrs []string) {
+	var wg sync.WaitGroup
+	seen := map[string]bool{}
+	for _, a := range addrs {
+		if seen[a] {
+			continue
+		}
+		seen[a] = true
+		wg.Go(func() { _, _ = f.Fetch(ctx, a) }) // the next round asks again
+	}
+	wg.Wait()
+}
+
+func (f *Feed) askStore(ctx context.Context) {
+	head, err := f.cfg.Ledger.Head(ctx, f.Kept)
+	if err != nil || head.Version.Number == 0 {
+		return
+	}
+	cur := f.Stamp()
+	if head.Version.Stamp().After(cur) {
+		f.take(head.Version, source{name: "store"})
+	}
+}
+
+// Wait returns once version s, or a later one, is in force here.
+func (f *Feed) Wait(ctx context.Context, s vers.Stamp) error {
+	for f.Stamp().Number < s.Number {
+		if !sleep(ctx, bootRound/10) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/feed/push.go
@@ -0,0 +1,180 @@
+package feed
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"tanagerchute/core/rank"
+	"tanagerchute/core/spread"
+	"tanagerchute/core/vers"
+	"tanagerchute/io/peer"
+	"tanagerchute/io/wire"
+)
+
+// passOn queues a version for the tree of root. Each node passes a version on
+// once for each root.
+func (f *Feed) passOn(root string, v vers.Version, whole bool) {
+	key := offerKey{root, v.Stamp()}
+	f.mu.Lock()
+	done := f.offered[key]
+	if len(f.offered) > 4*maxAlarms {
+		clear(f.offered)
+	}
+	f.offered[key] = true
+	f.mu.Unlock()
+	if done {
+		return
+	}
+	select {
+	case f.pushes <- push{root, v, whole}:
+	default: // probes repair what is not pushed
+	}
+}
+
+// Announce passes on a version that this node, as a reader or relay, brought
+// into the data centre.
+func (f *Feed) Announce(ctx context.Context, v vers.Version) {
+	f.announce(ctx, v, f.cfg.Fleet.View().Rank("reader", Readers))
+}
+
+func (f *Feed) announce(ctx context.Context, v vers.Version, rank int) {
+	if rank <= 0 {
+		f.passOn(f.cfg.Self, v, true)
+		return
+	}
+	at := spread.OfferAt(time.Now(), rank)
+	go func() {
+		select {
+		case <-time.After(time.Until(at)):
+			f.passOn(f.cfg.Self, v, false)
+		case <-ctx.Done():
+		}
+	}()
+}
+
+func (f *Feed) runPushes(ctx context.Context) {
+	sends := make(chan struct{}, pushSends)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-f.pushes:
+			f.push(ctx, p, sends, &wg)
+		}
+	}
+}
+
+// push sends an offer to each child, and takes over the children of those that
+// can't be reached.
+func (f *Feed) push(ctx context.Context, p push, sends chan struct{}, wg *sync.WaitGroup) {
+	tree, req, ok := f.offer(p)
+	if !ok {
+		return
+	}
+	var send func(id string)
+	send = func(id string) {
+		defer func() { <-sends }()
+		if f.sendOffer(ctx, id, req) {
+			return
+		}
+		for _, next := range tree.Adopt(id) {
+			wg.Go(func() {
+				sends <- struct{}{}
+				send(next)
+			})
+		}
+	}
+	for _, id := range tree.Children() {
+		sends <- struct{}{}
+		wg.Go(func() { send(id) })
+	}
+}
+
+func (f *Feed) offer(p push) (spread.Tree, *wire.OfferRequest, bool) {
+	view := f.cfg.Fleet.View()
+	order := view.Ring.Order(p.root)
+	fanout := spread.Fanout
+	if f.cfg.Mode == FullFlood {
+		fanout = len(order)
+	}
+	req := &wire.OfferRequest{From: f.cfg.Self, Root: p.root, Stamp: peer.ToStamp(p.version.Stamp())}
+	if p.whole {
+		base, _ := f.Kept(p.version.Parent)
+		if f.cfg.Mode == FullFlood {
+			base = vers.Version{}
+		}
+		w, err := peer.ToVersion(p.version, base)
+		if err != nil {
+			return spread.Tree{}, nil, false
+		}
+		req.Version = w
+	}
+	return spread.Plan(order, f.cfg.Self, fanout), req, true
+}
+
+func (f *Feed) sendOffer(ctx context.Context, id string, req *wire.OfferRequest) bool {
+	m, ok := f.cfg.Fleet.View().Get(id)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	_, err := f.cfg.Client.To(m.Addr).Offer(ctx, req)
+	return err == nil
+}
+
+// ServeOffer takes an offer and passes it on down the tree of its root.
+func (f *Feed) ServeOffer(ctx context.Context, req *wire.OfferRequest) (*wire.OfferReply, error) {
+	from, known := f.cfg.Fleet.View().Get(req.GetFrom())
+	stamp := peer.FromStamp(req.GetStamp())
+	if req.GetVersion() != nil {
+		if _, err := f.TakeFrom(req.GetFrom(), req.GetVersion()); err != nil && known {
+			f.Heard(from.Addr, stamp) // fetch it whole
+		}
+	} else if known {
+		f.Heard(from.Addr, stamp)
+	}
+	if v := f.Snapshot(); v != nil && v.Version.Stamp() == stamp {
+		f.passOn(req.GetRoot(), v.Version, req.GetVersion() != nil)
+	} else if known {
+		f.relayLater(context.WithoutCancel(ctx), req)
+	}
+	return &wire.OfferReply{Version: peer.ToStamp(f.Stamp())}, nil
+}
+
+// relayLater passes an offer on once the version has been fetched.
+func (f *Feed) relayLater(ctx context.Context, req *wire.OfferRequest) {
+	stamp := peer.FromStamp(req.GetStamp())
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, 2*fetchTimeout)
+		defer cancel()
+		t := time.NewTicker(20 * time.Millisecond)
+		defer t.Stop()
+		for {
+			if v := f.Snapshot(); v != nil && v.Version.Stamp() == stamp {
+				f.passOn(req.GetRoot(), v.Version, req.GetVersion() != nil)
+				return
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+		}
+	}()
+}
+
+// readers returns the addresses of the readers of the data centre.
+func (f *Feed) readers() []string {
+	view := f.cfg.Fleet.View()
+	var out []string
+	for _, id := range rank.Top("reader", view.Keys(), Readers) {
+		if m, ok := view.Get(id); ok && id != f.cfg.Self {
+			out = append(out, m.Addr)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/io/fleet/fleet.go
@@ -0,0 +1,261 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tanagerchute/core/event"
+	"tanagerchute/core/member"
+	"tanagerchute/core/remote"
+	"tanagerchute/core/tenure"
+	"tanagerchute/core/vers"
+	"tanagerchute/io/peer"
+)
+
+// Times of the duty.
+const (
+	tickEvery    = 100 * time.Millisecond
+	probeTimeout = 350 * time.Millisecond
+	relayTimeout = 500 * time.Millisecond
+	sendTimeout  = time.Second
+	lostAfter    = 4 * time.Second // silence after which a data centre is lost
+	keyGuard     = 5 * time.Second // see package tenure
+)
+
+const (
+	inboxSize = 1024
+	senders   = 64 // concurrent one-way messages
+)
+
+// Config configures a Fleet.
+type Config struct {
+	Self    member.Record
+	Roster  []string // addresses of the data centre that count for a majority
+	Client  *peer.Client
+	Journal *event.Journal
+	Rand    *rand.Rand
+	// Stamp returns the version in force here.
+	Stamp func() vers.Stamp
+	// Heard is told the version in force at another node.
+	Heard func(addr string, s vers.Stamp)
+}
+
+// Fleet is the duty of membership. Its methods are safe for concurrent use.
+type Fleet struct {
+	cfg      Config
+	inbox    chan func(now time.Time)
+	view     atomic.Pointer[View]
+	standing atomic.Int64 // Unix nanoseconds until which the node is in standing
+	changed  chan struct{}
+	ended    chan struct{} // closed when Run has ended
+	sends    chan struct{}
+	wg       sync.WaitGroup
+
+	// The fields below belong to the goroutine of Run.
+	table  *member.Table
+	remote *remote.Table
+	dirty  bool
+
+	tenureMu sync.Mutex
+	tenure   *tenure.Tenure
+}
+
+// New returns a fleet that knows only its own node.
+func New(cfg Config) *Fleet {
+	f := &Fleet{
+		cfg:     cfg,
+		inbox:   make(chan func(time.Time), inboxSize),
+		changed: make(chan struct{}, 1),
+		ended:   make(chan struct{}),
+		sends:   make(chan struct{}, senders),
+		remote:  remote.NewTable(remote.Config{DataCentre: cfg.Self.DataCentre, LostAfter: lostAfter}),
+		tenure:  tenure.New(tenure.Config{Self: cfg.Self.ID, Start: time.Now(), Guard: keyGuard}),
+	}
+	mc := member.DefaultConfig()
+	mc.Self = cfg.Self
+	mc.Rand = cfg.Rand
+	mc.Roster = cfg.Roster
+	mc.NotifyChange = f.note
+	f.table = member.NewTable(mc)
+	f.view.Store(newView(f.table, f.remote))
+	return f
+}
+
+// View returns what is known of the fleet now.
+func (f *Fleet) View() *View { return f.view.Load() }
+
+// Changed is sent to, without blocking, after the view has changed.
+func (f *Fleet) Changed() <-chan struct{} { return f.changed }
+
+// InStanding reports whether this node may act as the only home of a key now.
+func (f *Fleet) InStanding(now time.Time) bool { return now.UnixNano() < f.standing.Load() }
+
+// Ask returns the members that may have been the home of a key, see package
+// tenure.
+func (f *Fleet) Ask(key string, issued time.Time, asker string) ([]string, bool) {
+	f.tenureMu.Lock()
+	defer f.tenureMu.Unlock()
+	return f.tenure.Ask(key, issued, f.View().Keys(), asker)
+}
+
+// Run works until ctx ends and the messages under way have ended.
+func (f *Fleet) Run(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	defer f.wg.Wait()
+	defer close(f.ended)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case do := <-f.inbox:
+			do(time.Now())
+		case now := <-t.C:
+			f.tick(ctx, now)
+		}
+		f.publish()
+	}
+}
+
+func (f *Fleet) tick(ctx context.Context, now time.Time) {
+	f.act(ctx, f.table.Tick(now))
+	f.updateStanding(now)
+}
+
+// updateStanding publishes the standing, and restarts the tenure if it had
+// been lost.
+func (f *Fleet) updateStanding(now time.Time) {
+	until := f.table.Standing()
+	was := f.standing.Load() > now.UnixNano()
+	is := until.After(now)
+	if is && !was {
+		f.tenureMu.Lock()
+		f.tenure.Restart(now)
+		f.tenureMu.Unlock()
+		f.journal(now, event.StandingGained, f.cfg.Self.ID, "more than half of the data centre's members answer")
+	}
+	if !is && was {
+		f.journal(now, event.StandingLost, f.cfg.Self.ID, "no majority of the data centre's members answers")
+	}
+	if until.IsZero() {
+		f.standing.Store(0)
+		return
+	}
+	f.standing.Store(until.UnixNano())
+}
+
+func (f *Fleet) publish() {
+	if !f.dirty {
+		return
+	}
+	f.dirty = false
+	f.view.Store(newView(f.table, f.remote))
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+// do runs fn on the goroutine of Run and waits for it. It reports false if ctx
+// ended first.
+func (f *Fleet) do(ctx context.Context, fn func(now time.Time)) bool {
+	done := make(chan struct{})
+	select {
+	case f.inbox <- func(now time.Time) { fn(now); close(done) }:
+	case <-ctx.Done():
+		return false
+	case <-f.ended:
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-f.ended:
+		return false
+	}
+}
+
+// post runs fn on the goroutine of Run without waiting for it.
+func (f *Fleet) post(ctx context.Context, fn func(now time.Time)) {
+	select {
+	case f.inbox <- fn:
+	case <-ctx.Done():
+	case <-f.ended:
+	}
+}
+
+// note journals a change of a record. It runs on the goroutine of Run.
+func (f *Fleet) note(c member.Change) {
+	f.dirty = true
+	kind, ok := kindOf(c)
+	if ok {
+		f.journal(c.At, kind, c.New.ID, c.Cause)
+	}
+	// A member that was not known before may have been a home all the same.
+	if c.New.ID != f.cfg.Self.ID && takesKeys(c.Old) && !takesKeys(c.New) {
+		f.tenureMu.Lock()
+		f.tenure.Removed(c.At, c.New.ID)
+		f.tenureMu.Unlock()
+	}
+}
+
+func kindOf(c member.Change) (event.Kind, bool) {
+	switch {
+	case c.Old.ID == "" && c.New.State == member.Dead:
+		return "", false // news of an old death
+	case c.Old.ID == "":
+		return event.PeerJoined, true
+	case c.New.State == member.Dead:
+		return event.PeerDead, true
+	case c.New.State == member.Leaving:
+		return event.PeerLeaving, true
+	case c.New.State == member.Suspect:
+		return event.PeerSuspected, true
+	case c.Old.State != member.Alive:
+		return event.PeerRefuted, true
+	case c.Old == c.New:
+		return event.NodePaused, true
+	case c.Old.Ready == c.New.Ready && c.Old.State == c.New.State && c.Old.Slots == c.New.Slots:
+		return event.PeerRefuted, true
+	}
+	return event.PeerChanged, true
+}
+
+func (f *Fleet) journal(at time.Time, k event.Kind, subject, cause string) {
+	f.cfg.Journal.Add(event.Event{At: at, Kind: k, Subject: subject, Cause: cause})
+}
+
+// SetUpstream tells the fleet the state of this node's backend server.
+func (f *Fleet) SetUpstream(ctx context.Context, ready bool, slots int) {
+	f.do(ctx, func(now time.Time) { f.act(ctx, f.table.SetUpstream(now, ready, slots)) })
+}
+
+// Leave tells every member that this node takes no new work.
+func (f *Fleet) Leave(ctx context.Context) {
+	f.do(ctx, func(now time.Time) { f.act(ctx, f.table.Leave(now)) })
+}
+
+// Stop tells every member that this node stops, and waits until the message
+// has been sent.
+func (f *Fleet) Stop(ctx context.Context) {
+	f.do(ctx, func(now time.Time) { f.act(ctx, f.table.Stop(now)) })
+	f.drainSends(ctx)
+}
+
+// drainSends waits until no one-way message is under way.
+func (f *Fleet) drainSends(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		f.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/io/fleet/view.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"slices"
+
+	"tanagerchute/core/member"
+	"tanagerchute/core/rank"
+	"tanagerchute/core/remote"
+)
+
+// View is what a node knows of the fleet at one moment. It is immutable.
+type View struct {
+	Self    member.Record
+	Members []member.Record // of the own data centre, this node included
+	Ring    *rank.Ring      // of the members that are up
+	Remote  remote.View
+	byID    map[string]member.Record
+	work    map[string][]member.Record // members that take work, by service
+	keys    []string                   // ids of the members that take keys
+	up      []string
+}
+
+func newView(t *member.Table, r *remote.Table) *View {
+	v := &View{
+		Self:    t.Self(),
+		Members: t.Records(),
+		Ring:    t.Layout(),
+		Remote:  r.View(),
+		byID:    map[string]member.Record{},
+		work:    map[string][]member.Record{},
+		up:      t.Up(),
+	}
+	for _, m := range v.Members {
+		v.byID[m.ID] = m
+		if m.TakesWork() {
+			v.work[m.Service] = append(v.work[m.Service], m)
+		}
+		if takesKeys(m) {
+			v.keys = append(v.keys, m.ID)
+		}
+	}
+	return v
+}
+
+func takesKeys(m member.Record) bool {
+	return m.State == member.Alive || m.State == member.Suspect
+}
+
+// Get returns the member called id.
+func (v *View) Get(id string) (member.Record, bool) {
+	m, ok := v.byID[id]
+	return m, ok
+}
+
+// Upstreams returns the members that take work of a service.
+func (v *View) Upstreams(service string) []member.Record { return v.work[service] }
+
+// Keys returns the ids of the members that can be the home of a key.
+func (v *View) Keys() []string { return v.keys }
+
+// Up returns the ids of the members that are up.
+func (v *View) Up() []string { return v.up }
+
+// Rank returns the rank of this node for a role, counted from 0, or -1 if it
+// is not among the first n.
+func (v *View) Rank(role string, n int) int {
+	return slices.Index(rank.Top(role, v.running(), n), v.Self.ID)
+}
+
+// running returns the ids of the members that are not about to stop.
+func (v *View) running() []string { return v.keys }
+
+// Known reports whether a service has an upstream that takes work anywhere.
+func (v *View) Known(service string) bool {
+	return len(v.work[service]) > 0 || len(v.Remote.Entries(service)) > 0
+}
--- /dev/null
+++ b/io/gate/gate.go
@@ -0,0 +1,303 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"tanagerchute/core/admit"
+	"tanagerchute/core/call"
+	"tanagerchute/core/event"
+	"tanagerchute/core/health"
+	"tanagerchute/core/once"
+	"tanagerchute/core/route"
+)
+
+// Times of the duty.
+const (
+	tickEvery     = 10 * time.Millisecond
+	probeEvery    = 500 * time.Millisecond
+	probeTimeout  = 300 * time.Millisecond
+	announceValid = 10 * time.Second // after which an announcement has to be repeated
+)
+
+// refusalsToFail is the number of refused connections in a row after which a
+// backend server is failing.
+const refusalsToFail = 2
+
+// Backend is what a backend server announces of itself.
+type Backend struct {
+	Address string `json:"address"` // host:port
+	Slots   int    `json:"slots"`
+}
+
+// Config configures a Gate.
+type Config struct {
+	Node    string
+	Journal *event.Journal
+	// Changed is told whether the backend server takes work, and its slots. It
+	// is called on the goroutine of Run.
+	Changed   func(ready bool, slots int)
+	MaxAnswer int64 // bytes of an answer
+	MaxConns  int   // connections to the backend server
+}
+
+// Gate is the gatekeeper. Its methods are safe for concurrent use.
+type Gate struct {
+	cfg    Config
+	client *backendClient
+
+	mu        sync.Mutex
+	backend   Backend
+	announced time.Time // when the last announcement was made
+	worked    time.Time // when a call last succeeded
+	refused   int       // refused connections in a row
+	left      bool      // the server has said that it takes no new work
+	running   int       // calls in flight, at a former server as well
+	admit     *admit.Gate
+	health    *health.Window
+	once      *once.Table
+	waiting   map[string]chan admitted
+	deadlines map[string]time.Time // of calls in flight, by trace id
+	idle      chan struct{}        // closed when a drained gate has no call left
+	told      struct {
+		ready bool
+		slots int
+	}
+}
+
+// admitted is what a waiting call is told.
+type admitted struct {
+	start   bool
+	refusal admit.Refusal
+}
+
+// New returns a gate without a backend server.
+func New(cfg Config) *Gate {
+	return &Gate{
+		cfg:       cfg,
+		client:    newBackendClient(cfg.MaxConns, cfg.MaxAnswer),
+		admit:     admit.New(admit.Config{Slots: 1}),
+		health:    health.New(health.DefaultConfig()),
+		once:      once.NewTable(once.DefaultConfig(time.Now())),
+		waiting:   map[string]chan admitted{},
+		deadlines: map[string]time.Time{},
+		idle:      make(chan struct{}),
+	}
+}
+
+// Announce takes an announcement of the backend server.
+func (g *Gate) Announce(b Backend) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.announced = now
+	g.left = false
+	if b.Address != g.backend.Address {
+		// Another server than before, which starts cold.
+		g.admit = g.successor(b)
+		g.health = health.New(health.DefaultConfig())
+		g.refused = 0
+		g.event(event.UpstreamReady, b.Address, "announced")
+	}
+	if b.Slots != g.backend.Slots {
+		g.admit.SetSlots(b.Slots)
+	}
+	g.backend = b
+}
+
+// successor returns the admission of a new server. Calls that wait for the old
+// one stay with its gate until they end.
+func (g *Gate) successor(b Backend) *admit.Gate {
+	next := admit.New(admit.Config{Slots: b.Slots})
+	if g.admit.Draining() {
+		next.Drain()
+	}
+	return next
+}
+
+// Leave notes that the backend server takes no new work.
+func (g *Gate) Leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.left = true
+	g.event(event.NodeDraining, g.backend.Address, "backend server announced its stop")
+}
+
+// Load returns the load that answers carry.
+func (g *Gate) Load() route.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.load()
+}
+
+func (g *Gate) load() route.Load {
+	return route.Load{InFlight: g.admit.InFlight(), Queued: g.admit.Queued(), Limit: g.admit.Limit()}
+}
+
+// Deadline returns the deadline of a call in flight with a trace id, so that
+// the calls which its backend server makes for it inherit it.
+func (g *Gate) Deadline(trace string) (time.Time, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d, ok := g.deadlines[trace]
+	return d, ok
+}
+
+// Inquire answers what became of an attempt, and fences it if it has not
+// begun.
+func (g *Gate) Inquire(key once.Key, attempt string) (once.Verdict, once.Answer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v, a := g.once.Inquire(time.Now(), key, attempt)
+	if v == once.Fenced {
+		g.event(event.RequestFenced, key.ID, "asked about before it had begun")
+	}
+	return v, a
+}
+
+// ready reports whether the backend server takes work.
+func (g *Gate) ready(now time.Time) bool {
+	if g.backend.Address == "" || g.left || g.admit.Draining() {
+		return false
+	}
+	if now.Sub(g.announced) > announceValid && now.Sub(g.worked) > announceValid {
+		return false
+	}
+	return !g.health.Failing() || g.health.Due(now) && g.refused == 0
+}
+
+// Run keeps the clocks of the state machines until ctx ends.
+func (g *Gate) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { g.runProbes(ctx) })
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			g.tick(now)
+		}
+	}
+}
+
+func (g *Gate) tick(now time.Time) {
+	g.mu.Lock()
+	if g.admit.Queued() > 0 {
+		g.tell(g.admit.Tick(now))
+	}
+	ready, slots := g.ready(now), g.backend.Slots
+	news := ready != g.told.ready || slots != g.told.slots
+	g.told.ready, g.told.slots = ready, slots
+	g.mu.Unlock()
+	if news && g.cfg.Changed != nil {
+		g.cfg.Changed(ready, slots)
+	}
+}
+
+// runProbes looks whether anything listens at the address of an idle backend
+// server. A refused connection is the one sign of health that does not lie.
+func (g *Gate) runProbes(ctx context.Context) {
+	t := time.NewTicker(probeEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			g.probe(ctx)
+		}
+	}
+}
+
+func (g *Gate) probe(ctx context.Context) {
+	g.mu.Lock()
+	addr := g.backend.Address
+	recent := time.Since(g.worked) < probeEvery
+	g.mu.Unlock()
+	if addr == "" || recent {
+		return
+	}
+	err := g.client.connect(ctx, addr)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil {
+		g.refused = 0
+		return
+	}
+	g.unreachable(time.Now(), err)
+}
+
+// unreachable notes a refused connection. Its caller holds mu.
+func (g *Gate) unreachable(now time.Time, err error) {
+	g.refused++
+	if g.refused >= refusalsToFail && g.health.Fail(now) {
+		g.event(event.UpstreamFailing, g.backend.Address, "connection refused: "+err.Error())
+	}
+}
+
+// tell passes an outcome on to the calls that wait. Its caller holds mu.
+func (g *Gate) tell(out admit.Outcome) {
+	for _, it := range out.Start {
+		g.wake(it.ID, admitted{start: true})
+	}
+	g.tellRefused(out.Refused)
+}
+
+func (g *Gate) tellRefused(rs []admit.Refusal) {
+	for _, r := range rs {
+		g.wake(r.ID, admitted{refusal: r})
+	}
+}
+
+func (g *Gate) wake(id string, a admitted) {
+	if ch, ok := g.waiting[id]; ok {
+		delete(g.waiting, id)
+		ch <- a // buffered, and sent to once
+	}
+}
+
+// Drain refuses new and waiting calls from now on, and waits until those in
+// flight have ended or ctx ends.
+func (g *Gate) Drain(ctx context.Context) error {
+	g.StartDrain()
+	select {
+	case <-g.idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// StartDrain refuses new and waiting calls from now on.
+func (g *Gate) StartDrain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.admit.Draining() {
+		return
+	}
+	g.tell(g.admit.Drain())
+	g.checkIdle()
+}
+
+func (g *Gate) checkIdle() {
+	if !g.admit.Draining() || g.running > 0 {
+		return
+	}
+	select {
+	case <-g.idle:
+	default:
+		close(g.idle)
+	}
+}
+
+func (g *Gate) event(k event.Kind, subject, cause string) {
+	g.cfg.Journal.Add(event.Event{At: time.Now(), Kind: k, Subject: subject, Cause: cause})
+}
+
+func (g *Gate) callEvent(k event.Kind, c call.Call, cause string) {
+	g.cfg.Journal.Add(event.Event{At: time.Now(), Kind: k, Subject: c.ID, Trace: c.Trace, Cause: cause})
+}
--- /dev/null
+++ b/io/gate/serve.go
@@ -0,0 +1,232 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"tanagerchute/core/admit"
+	"tanagerchute/core/call"
+	"tanagerchute/core/event"
+	"tanagerchute/core/once"
+	"tanagerchute/io/keep"
+)
+
+// Serve runs a call at the backend server, or refuses it.
+func (g *Gate) Serve(ctx context.Context, c call.Call) call.Reply {
+	var r call.Reply
+	if c.AtMostOnce {
+		r = keep.Run(ctx, g, c, func() call.Reply {
+			// The work goes on when its caller has gone: a repeat is to find
+			// the answer. Its deadline still ends it.
+			return g.admitted(context.WithoutCancel(ctx), c)
+		})
+	} else {
+		r = g.admitted(ctx, c)
+	}
+	r.Load = g.Load()
+	r.Node = g.cfg.Node
+	r.Reached = true
+	return r
+}
+
+// Begin implements keep.Table.
+func (g *Gate) Begin(c call.Call) (once.Verdict, once.Answer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.once.Begin(time.Now(), once.Key{ID: c.ID, Issued: c.Issued}, c.Attempt)
+}
+
+// Wait implements keep.Table.
+func (g *Gate) Wait(id string, f func()) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.once.Wait(id, f)
+}
+
+// End implements keep.Table.
+func (g *Gate) End(c call.Call, r call.Reply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	keep.Record(g.once, time.Now(), c, r)
+}
+
+// admitted brings a call through health and admission and runs it.
+func (g *Gate) admitted(ctx context.Context, c call.Call) call.Reply {
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	id := c.Attempt
+	gate, ch, refusal := g.offer(id, c)
+	if refusal != nil {
+		g.callEvent(event.RequestRefused, c, refusal.Cause)
+		return *refusal
+	}
+	if ch != nil {
+		if r := g.await(ctx, gate, id, ch); r != nil {
+			g.callEvent(event.RequestRefused, c, r.Cause)
+			return *r
+		}
+	}
+	return g.run(ctx, gate, c)
+}
+
+// offer asks for admission. A nil channel and a nil refusal mean that the call
+// has started.
+func (g *Gate) offer(id string, c call.Call) (*admit.Gate, chan admitted, *call.Reply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	gate := g.admit
+	if g.backend.Address == "" {
+		r := call.Refuse(call.NotRun, call.CauseFailing, time.Second)
+		return gate, nil, &r
+	}
+	if g.left {
+		r := call.Refuse(call.NotRun, call.CauseDraining, 0)
+		return gate, nil, &r
+	}
+	if !g.health.Allow(now) {
+		r := call.Refuse(call.NotRun, call.CauseFailing, time.Second)
+		return gate, nil, &r
+	}
+	it := admit.Item{ID: id, Priority: c.Priority, Deadline: c.Deadline, WaitUntil: c.WaitUntil}
+	verdict, refusal, displaced := gate.Offer(now, it)
+	g.tellRefused(displaced)
+	switch verdict {
+	case admit.Start:
+		g.running++
+		return gate, nil, nil
+	case admit.Refuse:
+		r := refuse(refusal)
+		return gate, nil, &r
+	}
+	ch := make(chan admitted, 1)
+	if selfDisplaced(displaced, id) {
+		ch <- admitted{refusal: displaced[len(displaced)-1]}
+		return gate, ch, nil
+	}
+	g.waiting[id] = ch
+	return gate, ch, nil
+}
+
+func selfDisplaced(rs []admit.Refusal, id string) bool {
+	for _, r := range rs {
+		if r.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func refuse(r admit.Refusal) call.Reply {
+	if r.Cause == admit.CauseDrain {
+		return call.Refuse(call.NotRun, call.CauseDraining, 0)
+	}
+	return call.Refuse(call.NotRun, string(r.Cause), r.RetryAfter)
+}
+
+// await waits for admission. It returns a refusal, or nil once the call has
+// started.
+func (g *Gate) await(ctx context.Context, gate *admit.Gate, id string, ch chan admitted) *call.Reply {
+	var a admitted
+	select {
+	case a = <-ch:
+	case <-ctx.Done():
+		if r, done := g.giveUp(gate, id, ch); done {
+			return r
+		}
+		a = <-ch
+	}
+	if a.start {
+		g.mu.Lock()
+		g.running++
+		g.mu.Unlock()
+		return nil
+	}
+	r := refuse(a.refusal)
+	return &r
+}
+
+// giveUp takes a waiting call back. It reports false if the call was told
+// something in the same moment.
+func (g *Gate) giveUp(gate *admit.Gate, id string, ch chan admitted) (*call.Reply, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !gate.Cancel(id) {
+		return nil, false
+	}
+	delete(g.waiting, id)
+	r := call.Refuse(call.NotRun, call.CauseCanceled, 0)
+	return &r, true
+}
+
+// run makes the call to the backend server. The call counts as in flight at
+// gate until run returns.
+func (g *Gate) run(ctx context.Context, gate *admit.Gate, c call.Call) call.Reply {
+	g.mu.Lock()
+	addr := g.backend.Address
+	if c.Trace != "" {
+		g.deadlines[c.Trace] = c.Deadline
+	}
+	g.mu.Unlock()
+	began := time.Now()
+	var r call.Reply
+	if ctx.Err() != nil {
+		r = call.Refuse(call.NotRun, call.CauseDeadline, 0)
+	} else {
+		r = g.client.do(ctx, addr, c)
+	}
+	g.finished(gate, c, r, time.Since(began))
+	return r
+}
+
+func (g *Gate) finished(gate *admit.Gate, c call.Call, r call.Reply, took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.running--
+	result, judged := resultOf(r)
+	g.tell(gate.Done(now, result, took))
+	delete(g.deadlines, c.Trace)
+	if judged {
+		g.judge(now, c, r, result)
+	}
+	g.checkIdle()
+}
+
+// judge lets the outcome of real work decide on the health of the server.
+func (g *Gate) judge(now time.Time, c call.Call, r call.Reply, result admit.Result) {
+	if r.Cause == call.CauseUnreached {
+		g.unreachable(now, fmt.Errorf("call %s", c.ID))
+		return
+	}
+	ok := result == admit.OK || result == admit.Shed
+	if ok {
+		g.worked = now
+		g.refused = 0
+	}
+	if !g.health.Report(now, ok) {
+		return
+	}
+	if ok {
+		g.event(event.UpstreamBack, g.backend.Address, "trial calls succeeded")
+		return
+	}
+	g.event(event.UpstreamFailing, g.backend.Address, fmt.Sprintf("calls fail, last %s with status %d %s", c.ID, r.Status, r.Cause))
+}
+
+// resultOf judges a reply for admission. judged is false if it says nothing
+// about the server's health.
+func resultOf(r call.Reply) (result admit.Result, judged bool) {
+	switch {
+	case r.Shed:
+		return admit.Shed, true
+	case r.Fate == call.Answered && r.Status < 500:
+		return admit.OK, true
+	case r.Cause == call.CauseDeadline:
+		return admit.Late, true
+	case r.Cause == call.CauseCanceled:
+		return admit.Failed, false
+	}
+	return admit.Failed, true
+}
--- /dev/null
+++ b/io/mesh/mesh.go
@@ -0,0 +1,393 @@
+// Package mesh runs a small deployment in one process: the stand-in of the
+// platform, nodes, and stand-in backend servers, all over loopback sockets. It
+// is for the demonstration, for measurements and for tests.
+//
+// # Usage
+//
+//	m, err := mesh.New(mesh.Config{Document: sample.Nordurljos, Sites: sites})
+//	err = m.Start(ctx)
+//	defer m.Close()
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"tanagerchute"
+	"tanagerchute/core/config"
+	"tanagerchute/core/event"
+	"tanagerchute/core/jsonc"
+	"tanagerchute/io/etcd"
+	"tanagerchute/io/feed"
+	"tanagerchute/io/ledger"
+	"tanagerchute/io/link"
+	"tanagerchute/io/node"
+	"tanagerchute/io/plat"
+	"tanagerchute/io/proxy"
+	"tanagerchute/io/server"
+	"tanagerchute/io/setup"
+)
+
+// Site is one instance: a node with its backend server.
+type Site struct {
+	Name       string
+	DataCentre string
+	Service    string
+}
+
+// Config configures a Mesh.
+type Config struct {
+	Document []byte
+	Sites    []Site
+	OneWay   time.Duration        // between data centres
+	Stall    func() time.Duration // additional delay of a segment between data centres
+	Slots    int
+	Work     time.Duration
+	Linger   time.Duration // of a planned stop, 0 for the default
+	Platform plat.Config
+	Log      *zap.Logger
+	OnEvent  func(event.Event)
+	Observe  func(proxy.Sample)
+	Policy   proxy.Policy
+	Mode     feed.Mode
+	NoHedge  bool
+	NoSeeds  bool // nodes find each other through the store only
+	Bare     bool // nodes without backend servers
+}
+
+// Instance is a running site.
+type Instance struct {
+	Site     Site
+	Settings setup.Node
+	Node     *node.Node
+	Backend  *server.Server
+	http     *http.Server
+	announce context.CancelFunc
+	ended    chan struct{}
+}
+
+// Mesh is a running deployment.
+type Mesh struct {
+	cfg       Config
+	doc       *config.Document
+	Platform  *plat.Server
+	StoreURL  string
+	platform  *http.Server
+	stopStore context.CancelFunc
+	mu        sync.Mutex
+	Instances []*Instance
+	centres   []string
+	seeds     map[string][]string
+	homes     map[string]string // data centre by address
+	ctx       context.Context
+	cancel    context.CancelFunc
+}
+
+// Sites spreads the upstreams of each service over the data centres in turn.
+func Sites(centres []string, services map[string]int) []Site {
+	var out []Site
+	n := 0
+	names := make([]string, 0, len(services))
+	for s := range services {
+		names = append(names, s)
+	}
+	slices.Sort(names)
+	for _, s := range names {
+		for i := range services[s] {
+			c := centres[n%len(centres)]
+			n++
+			out = append(out, Site{Name: fmt.Sprintf("%s-%s-%d", c, s, i+1), DataCentre: c, Service: s})
+		}
+	}
+	return out
+}
+
+// New returns a mesh that has not started.
+func New(cfg Config) (*Mesh, error) {
+	doc, err := config.Parse("document", cfg.Document)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	if cfg.Slots == 0 {
+		cfg.Slots = 12
+	}
+	m := &Mesh{cfg: cfg, doc: doc, seeds: map[string][]string{}, homes: map[string]string{}}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	for _, s := range cfg.Sites {
+		if !slices.Contains(m.centres, s.DataCentre) {
+			m.centres = append(m.centres, s.DataCentre)
+		}
+	}
+	return m, nil
+}
+
+// seedsPerCentre is the number of addresses of a data centre in the settings.
+const seedsPerCentre = 3
+
+// FreeAddrs returns n loopback addresses that nothing listens at.
+func FreeAddrs(n int) ([]string, error) {
+	out := make([]string, n)
+	open := make([]net.Listener, 0, n)
+	defer func() {
+		for _, l := range open {
+			l.Close()
+		}
+	}()
+	for i := range out {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		open = append(open, l)
+		out[i] = l.Addr().String()
+	}
+	return out, nil
+}
+
+// Start starts the platform, all nodes and all backend servers. It does not
+// wait for them to be ready.
+func (m *Mesh) Start() error {
+	if err := m.startPlatform(); err != nil {
+		return err
+	}
+	const perSite = 4
+	addrs, err := FreeAddrs(perSite * len(m.cfg.Sites))
+	if err != nil {
+		return err
+	}
+	for i, s := range m.cfg.Sites {
+		a := addrs[perSite*i:]
+		in := &Instance{Site: s, Settings: m.settings(s, setup.Listen{Callers: a[0], Peers: a[1], Egress: a[2], Admin: a[3]})}
+		m.Instances = append(m.Instances, in)
+		m.homes[a[1]] = s.DataCentre
+		if len(m.seeds[s.DataCentre]) < seedsPerCentre {
+			m.seeds[s.DataCentre] = append(m.seeds[s.DataCentre], a[1])
+		}
+	}
+	for i := range m.Instances {
+		if err := m.StartInstance(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *Mesh) settings(s Site, l setup.Listen) setup.Node {
+	hedge := !m.cfg.NoHedge
+	n := setup.Node{
+		Name: s.Name, Deployment: m.doc.Deployment, DataCentre: s.DataCentre, DataCentres: m.centres,
+		Service: s.Service, Listen: l, Store: []string{m.StoreURL}, Hedge: &hedge,
+	}
+	if !m.cfg.NoSeeds {
+		n.Seeds = m.seeds
+	}
+	if m.cfg.Linger > 0 {
+		n.Drain.Linger = jsonc.Duration(m.cfg.Linger)
+	}
+	return n.WithDefaults()
+}
+
+func (m *Mesh) startPlatform() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "platform")
+	}
+	m.Platform = plat.New(m.cfg.Platform)
+	m.StoreURL = "http://" + l.Addr().String()
+	m.platform = &http.Server{Handler: m.Platform}
+	go func() { _ = m.platform.Serve(l) }() // ends with Close
+	ctx, cancel := context.WithCancel(m.ctx)
+	m.stopStore = cancel
+	go m.Platform.Run(ctx)
+	return nil
+}
+
+// Dial returns the dialer of a node in a data centre.
+func (m *Mesh) dial(centre string) link.Dial {
+	return link.Delay(link.Direct, func(addr string) link.Path {
+		home, known := m.homes[addr]
+		switch {
+		case known && home == centre:
+			return link.Path{}
+		case known || "http://"+addr == m.StoreURL && centre != m.centres[0]:
+			return link.Path{OneWay: m.cfg.OneWay, Stall: m.cfg.Stall}
+		}
+		return link.Path{}
+	})
+}
+
+// Store returns a client of the platform's store, as an operator has it.
+func (m *Mesh) Store() tanagerchute.Store {
+	return etcd.New(etcd.Config{Endpoints: []string{m.StoreURL}})
+}
+
+// StartInstance starts the node and the backend server of a site, which may
+// have been stopped or killed before.
+func (m *Mesh) StartInstance(i int) error {
+	in := m.Instances[i]
+	dial := m.dial(in.Site.DataCentre)
+	n, err := node.New(node.Config{
+		Settings: in.Settings, Store: etcd.New(etcd.Config{Endpoints: []string{m.StoreURL}, Dial: dial}),
+		Log: m.cfg.Log, Dial: dial, Observe: m.cfg.Observe, OnEvent: m.cfg.OnEvent,
+		Policy: m.cfg.Policy, Mode: m.cfg.Mode,
+	})
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	in.Node = n
+	in.ended = make(chan struct{})
+	ended := in.ended
+	m.mu.Unlock()
+	go func() {
+		defer close(ended)
+		if err := n.Run(context.Background()); err != nil {
+			m.cfg.Log.Error("node_failed", zap.String("node", in.Site.Name), zap.Error(err))
+		}
+	}()
+	if m.cfg.Bare {
+		return nil
+	}
+	return m.StartBackend(i)
+}
+
+// StartBackend starts the backend server of a site.
+func (m *Mesh) StartBackend(i int) error {
+	in := m.Instances[i]
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "backend server")
+	}
+	in.Backend = server.New(server.Config{
+		Service: in.Site.Service, Slots: m.cfg.Slots, Work: m.cfg.Work, Egress: in.Settings.Listen.Egress,
+	})
+	in.http = &http.Server{Handler: in.Backend}
+	go func() { _ = in.http.Serve(l) }() // ends with KillBackend or Close
+	ctx, cancel := context.WithCancel(m.ctx)
+	in.announce = cancel
+	go in.Backend.Announce(ctx, in.admin(), l.Addr().String())
+	return nil
+}
+
+// KillBackend ends the backend server of a site at once.
+func (m *Mesh) KillBackend(i int) {
+	in := m.Instances[i]
+	if in.announce != nil {
+		in.announce()
+		_ = in.http.Close()
+	}
+}
+
+// Kill ends the node and the backend server of a site at once.
+func (m *Mesh) Kill(i int) {
+	m.Instances[i].Node.Kill()
+	m.KillBackend(i)
+	<-m.Instances[i].ended
+}
+
+// Stop stops the node of a site as planned, and then its backend server.
+func (m *Mesh) Stop(i int) {
+	m.Instances[i].Node.StartDrain()
+	<-m.Instances[i].ended
+	m.KillBackend(i)
+}
+
+// Callers returns the addresses for callers of all instances.
+func (m *Mesh) Callers() []string {
+	var out []string
+	for _, in := range m.Instances {
+		out = append(out, in.Settings.Listen.Callers)
+	}
+	return out
+}
+
+// Apply publishes a document as the next version.
+func (m *Mesh) Apply(ctx context.Context, op string, content []byte) (uint64, error) {
+	l := ledger.New(ledger.Config{Store: m.Store(), Deployment: m.doc.Deployment})
+	head, err := l.Head(ctx, noBase)
+	if err != nil {
+		return 0, err
+	}
+	v, err := l.Publish(ctx, ledger.Draft{Parent: head, Op: op, Author: "mesh", At: time.Now(), Content: content})
+	return v.Number, err
+}
+
+// WaitVersion waits until all nodes have a version in force.
+func (m *Mesh) WaitVersion(ctx context.Context, number uint64) error {
+	return m.wait(ctx, func(in *Instance) bool { return in.Node.Stamp().Number >= number })
+}
+
+// WaitReady waits until all nodes serve calls and see all others.
+func (m *Mesh) WaitReady(ctx context.Context) error {
+	size := map[string]int{}
+	for _, in := range m.Instances {
+		size[in.Site.DataCentre]++
+	}
+	return m.wait(ctx, func(in *Instance) bool {
+		return in.Node.Ready() && m.sees(in, size)
+	})
+}
+
+// sees reports whether a node sees its whole data centre and all services.
+func (m *Mesh) sees(in *Instance, size map[string]int) bool {
+	view := in.Node.View()
+	if len(view.Up()) < size[in.Site.DataCentre] || len(view.Remote.Centres) < len(m.centres)-1 {
+		return false
+	}
+	if m.cfg.Bare {
+		return true
+	}
+	ready := 0
+	for _, r := range view.Members {
+		if r.TakesWork() {
+			ready++
+		}
+	}
+	return ready >= size[in.Site.DataCentre]
+}
+
+func (m *Mesh) wait(ctx context.Context, ok func(*Instance) bool) error {
+	for {
+		all := true
+		for _, in := range m.Instances {
+			all = all && ok(in)
+		}
+		if all {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+}
+
+// Close ends everything at once.
+func (m *Mesh) Close() {
+	for _, in := range m.Instances {
+		if in.Node == nil {
+			continue
+		}
+		in.Node.Kill()
+		<-in.ended
+		if in.http != nil {
+			_ = in.http.Close()
+		}
+	}
+	m.cancel()
+	if m.platform != nil {
+		_ = m.platform.Close()
+	}
+}
--- /dev/null
+++ b/io/mesh/mesh_test.go
@@ -0,0 +1,70 @@
+package mesh_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tanagerchute/core/event"
+	sample "tanagerchute/examples"
+	"tanagerchute/io/load"
+	"tanagerchute/io/mesh"
+)
+
+func nordurljos() []mesh.Site {
+	return mesh.Sites([]string{"hafnar", "selfoss", "keflavik"}, map[string]int{"skraning": 6, "budir": 3})
+}
+
+func start(t *testing.T, cfg mesh.Config) (*mesh.Mesh, context.Context) {
+	t.Helper()
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	t.Cleanup(cancel)
+	m, err := mesh.New(cfg)
+	is.NoErr(err)
+	t.Cleanup(m.Close)
+	is.NoErr(m.Start())
+	_, err = m.Apply(ctx, "op-1", cfg.Document)
+	is.NoErr(err)
+	is.NoErr(m.WaitVersion(ctx, 1))
+	is.NoErr(m.WaitReady(ctx))
+	return m, ctx
+}
+
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	m, ctx := start(t, mesh.Config{Document: sample.Nordurljos, Sites: nordurljos(), OneWay: 3500 * time.Microsecond, Work: 2 * time.Millisecond, Linger: 500 * time.Millisecond, OnEvent: func(e event.Event) { if os.Getenv("EVENTS") != "" { t.Log(e.At.Format("05.000"), e.Node, e.Kind, e.Subject, e.Cause) } }})
+	for _, addr := range m.Callers() {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/places", nil)
+		is.NoErr(err)
+		req.Host = "skraning"
+		res, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		res.Body.Close()
+		if res.StatusCode != 200 {
+			b, _ := io.ReadAll(res.Body)
+			t.Logf("%v %s", res.Header, b)
+		}
+		is.Equal(res.StatusCode, http.StatusOK)
+	}
+	r := load.Run(ctx, load.Config{
+		Targets: m.Callers(), Rate: 300, Duration: 3 * time.Second, Seed: 1,
+		Kinds: []load.Kind{
+			{Name: "lookup", Service: "skraning", Method: "GET", Path: "/places", Share: 6},
+			{Name: "booking", Service: "skraning", Method: "POST", Path: "/bookings", Body: 200, Share: 2},
+			{Name: "keyed", Service: "skraning", Method: "POST", Path: "/bookings", Body: 200, Keyed: true, Share: 2},
+			{Name: "nested", Service: "skraning", Method: "GET", Path: "/x?call=budir/roster", Share: 2},
+		},
+	})
+	for _, k := range r.Kinds {
+		t.Logf("%+v", k)
+	}
+	t.Log(strings.Join(m.Callers(), " "))
+	is.Equal(r.Total().Failed, 0)
+}
--- /dev/null
+++ b/io/node/node.go
@@ -0,0 +1,294 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"tanagerchute"
+	"tanagerchute/core/event"
+	"tanagerchute/core/member"
+	"tanagerchute/core/vers"
+	"tanagerchute/io/admin"
+	"tanagerchute/io/feed"
+	"tanagerchute/io/fleet"
+	"tanagerchute/io/gate"
+	"tanagerchute/io/ledger"
+	"tanagerchute/io/link"
+	"tanagerchute/io/logs"
+	"tanagerchute/io/peer"
+	"tanagerchute/io/proxy"
+	"tanagerchute/io/relay"
+	"tanagerchute/io/seeds"
+	"tanagerchute/io/setup"
+	"tanagerchute/io/trace"
+	"tanagerchute/io/wire"
+)
+
+// Config configures a Node.
+type Config struct {
+	Settings setup.Node
+	Store    tanagerchute.Store // nil for none
+	Log      *zap.Logger
+	Dial     link.Dial // nil for direct connections
+	// Observe is called at the end of each call from a caller, if set.
+	Observe func(proxy.Sample)
+	// OnEvent is called with each journal event, if set.
+	OnEvent func(event.Event)
+	Policy  proxy.Policy
+	Mode    feed.Mode
+}
+
+// Node is one node process.
+type Node struct {
+	cfg      Config
+	id       string
+	journal  *event.Journal
+	tracer   *trace.Provider
+	client   *peer.Client
+	fleet    *fleet.Fleet
+	feed     *feed.Feed
+	gate     *gate.Gate
+	proxy    *proxy.Proxy
+	relay    *relay.Relay
+	seeds    *seeds.Seeds
+	meters   meters
+	vars     *expvar.Map
+	drain    chan struct{} // closed when a planned stop is asked for
+	once     sync.Once
+	killed   chan struct{} // closed by Kill
+	killOnce sync.Once
+	stopped  atomic.Bool
+	across   atomic.Pointer[map[string]bool] // addresses of other data centres
+}
+
+// meters count the bytes of a node's connections.
+type meters struct {
+	control link.Meter
+	calls   link.Meter
+}
+
+// idSuffix tells the processes apart that run under one name, one after the
+// other: two characters of base 36 a byte are enough for the days that a dead
+// process is remembered.
+func idSuffix(now time.Time) string {
+	return strconv.FormatInt(now.UnixMilli(), 36)
+}
+
+// New returns a node that has opened nothing yet.
+func New(cfg Config) (*Node, error) {
+	s := cfg.Settings
+	now := time.Now()
+	n := &Node{cfg: cfg, id: s.Name + "." + idSuffix(now), drain: make(chan struct{}), killed: make(chan struct{})}
+	if cfg.Dial == nil {
+		n.cfg.Dial = link.Direct
+	}
+	n.journal = event.NewJournal(event.Config{Node: n.id, Capacity: s.Limits.Events, Observe: n.observeEvent()})
+	tp, err := trace.New(context.Background(), trace.Config{
+		Node: s.Name, OTLP: s.Trace.OTLP, File: s.Trace.File, Slow: s.Trace.Slow.Std(), Sample: s.Trace.Sample,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "trace")
+	}
+	n.tracer = tp
+	n.build(now)
+	n.vars = n.newVars()
+	return n, nil
+}
+
+func (n *Node) observeEvent() func(event.Event) {
+	log := logs.Event(n.cfg.Log)
+	return func(e event.Event) {
+		log(e)
+		if n.cfg.OnEvent != nil {
+			n.cfg.OnEvent(e)
+		}
+	}
+}
+
+// deployment is the name that nodes of one deployment have in common. It
+// includes the data centres, since nodes that differ in them would differ in
+// the home of a key.
+func (n *Node) deployment() string {
+	centres := slices.Sorted(slices.Values(n.cfg.Settings.DataCentres))
+	return n.cfg.Settings.Deployment + "/" + strings.Join(centres, ",")
+}
+
+func (n *Node) rand(salt string) *rand.Rand {
+	h := fnv.New64a()
+	h.Write([]byte(n.id + salt))
+	return rand.New(rand.NewPCG(h.Sum64(), uint64(time.Now().UnixNano())))
+}
+
+func (n *Node) build(now time.Time) {
+	s := n.cfg.Settings
+	self := member.Record{
+		ID: n.id, Addr: s.Listen.Peers, DataCentre: s.DataCentre, Service: s.Service,
+		Incarnation: 1, Since: now.UnixMilli(),
+	}
+	n.client = peer.NewClient(peer.Config{
+		Deployment: n.deployment(),
+		Dial:       n.meters.control.Dial(n.cfg.Dial, n.isAcross),
+	})
+	n.fleet = fleet.New(fleet.Config{
+		Self: self, Roster: s.Seeds[s.DataCentre], Client: n.client, Journal: n.journal, Rand: n.rand("fleet"),
+		Stamp: func() vers.Stamp { return n.feed.Stamp() },
+		Heard: func(addr string, s vers.Stamp) { n.feed.Heard(addr, s) },
+	})
+	n.buildStore()
+	n.gate = gate.New(gate.Config{
+		Node: n.id, Journal: n.journal, MaxAnswer: s.Limits.AnswerBytes, MaxConns: s.Limits.Connections,
+		Changed: func(ready bool, slots int) { n.fleet.SetUpstream(context.Background(), ready, slots) },
+	})
+	n.relay = relay.New(relay.Config{
+		DataCentre: s.DataCentre, Centres: s.DataCentres, Seeds: s.Seeds,
+		Fleet: n.fleet, Feed: n.feed, Client: n.client, Journal: n.journal,
+	})
+	n.proxy = proxy.New(proxy.Config{
+		Node: n.id, DataCentre: s.DataCentre, Centres: s.DataCentres, Deployment: n.deployment(),
+		Fleet: n.fleet, Feed: n.feed, Gate: n.gate, Client: n.client, Journal: n.journal,
+		Dial:   n.meters.calls.Dial(n.cfg.Dial, n.isAcross),
+		Tracer: n.tracer.Tracer(), Claims: n.claims(), Rand: n.rand("proxy"),
+		MaxBody: s.Limits.RequestBytes, MaxAnswer: s.Limits.AnswerBytes,
+		Hedge: s.Hedge != nil && *s.Hedge, Policy: n.cfg.Policy, Observe: n.cfg.Observe,
+	})
+}
+
+func (n *Node) buildStore() {
+	s := n.cfg.Settings
+	var book *ledger.Ledger
+	if n.cfg.Store != nil {
+		lc := ledger.Config{Store: n.cfg.Store, Deployment: s.Deployment}
+		book = ledger.New(lc)
+		n.seeds = seeds.New(seeds.Config{
+			Store: n.cfg.Store, Deployment: s.Deployment, Fleet: n.fleet, Claims: ledger.NewClaims(lc),
+			Found: n.foundSeeds,
+		})
+	}
+	n.feed = feed.New(feed.Config{
+		Deployment: s.Deployment, Self: n.id, Ledger: book, Fleet: n.fleet, Client: n.client,
+		Journal: n.journal, Rand: n.rand("feed"), Mode: n.cfg.Mode,
+	})
+}
+
+// claims returns the claims of opaque keys, or a nil interface without a store.
+func (n *Node) claims() proxy.Claims {
+	if n.cfg.Store == nil {
+		return nil
+	}
+	return ledger.NewClaims(ledger.Config{Store: n.cfg.Store, Deployment: n.cfg.Settings.Deployment})
+}
+
+func (n *Node) foundSeeds(found map[string][]string) {
+	n.relay.SetSeeds(found)
+	across := map[string]bool{}
+	for centre, addrs := range found {
+		for _, a := range addrs {
+			across[a] = centre != n.cfg.Settings.DataCentre
+		}
+	}
+	n.across.Store(&across)
+}
+
+// isAcross reports whether an address is in another data centre, as far as is
+// known. An address that is not known as one of this data centre counts as
+// across.
+func (n *Node) isAcross(addr string) bool {
+	for _, m := range n.fleet.View().Members {
+		if m.Addr == addr {
+			return false
+		}
+	}
+	if m := n.across.Load(); m != nil {
+		if across, ok := (*m)[addr]; ok {
+			return across
+		}
+	}
+	return !slices.Contains(n.cfg.Settings.Seeds[n.cfg.Settings.DataCentre], addr)
+}
+
+// ID returns the id of this process in the fleet.
+func (n *Node) ID() string { return n.id }
+
+// Ready reports whether the node serves calls by a version in force.
+func (n *Node) Ready() bool { return n.feed.Ready() }
+
+// Stamp returns the stamp of the version in force.
+func (n *Node) Stamp() vers.Stamp { return n.feed.Stamp() }
+
+// Vars returns the counters of the node.
+func (n *Node) Vars() *expvar.Map { return n.vars }
+
+// View returns what the node knows of the fleet.
+func (n *Node) View() *fleet.View { return n.fleet.View() }
+
+// Announce takes an announcement of the backend server.
+func (n *Node) Announce(b gate.Backend) { n.gate.Announce(b) }
+
+// Leave notes that the backend server takes no new work.
+func (n *Node) Leave() { n.gate.Leave() }
+
+// StartDrain asks for a planned stop. It returns at once.
+func (n *Node) StartDrain() { n.once.Do(func() { close(n.drain) }) }
+
+// servers are the listeners of a node with what they serve.
+type servers struct {
+	callers, egress, peers, admin *http.Server
+	listeners                     []net.Listener
+	failed                        chan error
+}
+
+// listen opens all four listeners, or none.
+func (n *Node) listen() (*servers, error) {
+	control := peer.Handler(peerServer{n}, n.deployment(), n.dropped)
+	s := &servers{
+		callers: peer.NewServer(n.proxy.Ingress("")),
+		egress:  peer.NewServer(n.proxy.Ingress(n.cfg.Settings.Service)),
+		peers:   peer.NewServer(n.proxy.Peer(control)),
+		admin:   peer.NewServer(admin.Handler(admin.Config{Node: adminNode{n}, Vars: n.vars})),
+		failed:  make(chan error, 4),
+	}
+	l := n.cfg.Settings.Listen
+	addrs := []string{l.Callers, l.Egress, l.Peers, l.Admin}
+	for _, addr := range addrs {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			for _, open := range s.listeners {
+				open.Close()
+			}
+			return nil, errors.Wrap(err, "listen")
+		}
+		s.listeners = append(s.listeners, ln)
+	}
+	return s, nil
+}
+
+func (s *servers) serve(i int, srv *http.Server) {
+	go func() {
+		if err := srv.Serve(s.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+			s.failed <- err
+		}
+	}()
+}
+
+func (n *Node) dropped(from, cause string) {
+	n.journal.Add(event.Event{At: time.Now(), Kind: event.FrameDropped, Subject: from, Cause: cause})
+}
+
+var _ wire.Peer = peerServer{}
+
+// Kill ends the node at once, as if its process had died: nothing is drained
+// and nobody is told. It is for demonstrations and measurements.
+func (n *Node) Kill() { n.killOnce.Do(func() { close(n.killed) }) }
--- /dev/null
+++ b/io/node/run.go
@@ -0,0 +1,196 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"tanagerchute/core/event"
+)
+
+const (
+	// joinRound is the pause between tries to find other nodes at the start.
+	joinRound = 500 * time.Millisecond
+	// joinTries is the number of rounds after which a node takes itself to be
+	// the first of its data centre.
+	joinTries = 3
+	// seedTimeout bounds the reading of seeds from the store at the start.
+	seedTimeout = 2 * time.Second
+	// closeTimeout bounds the end of the listeners of a planned stop.
+	closeTimeout = 5 * time.Second
+)
+
+// Run runs the node until ctx ends or a planned stop is asked for, and returns
+// when the planned stop is complete.
+func (n *Node) Run(ctx context.Context) error {
+	s, err := n.listen()
+	if err != nil {
+		return err
+	}
+	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg sync.WaitGroup
+	n.event(event.NodeStarted, "service "+n.cfg.Settings.Service+" in "+n.cfg.Settings.DataCentre)
+	s.serve(2, s.peers)
+	s.serve(3, s.admin)
+	s.serve(0, s.callers)
+	s.serve(1, s.egress)
+	n.start(duties, &wg)
+	wg.Go(func() { n.boot(duties) })
+
+	select {
+	case <-ctx.Done():
+	case <-n.drain:
+	case err = <-s.failed:
+	case <-n.killed:
+	}
+	n.end(duties, s)
+	stop()
+	wg.Wait()
+	n.proxy.Close()
+	n.client.Close()
+	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	return errors.Join(err, n.tracer.Close(closing))
+}
+
+// end stops as planned, or at once if the node was killed before or is killed
+// meanwhile.
+func (n *Node) end(ctx context.Context, s *servers) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		select {
+		case <-n.killed:
+		default:
+			n.stop(ctx, s)
+		}
+	}()
+	select {
+	case <-done:
+	case <-n.killed:
+		cancel()
+	}
+	for _, srv := range []*http.Server{s.callers, s.egress, s.peers, s.admin} {
+		_ = srv.Close()
+	}
+	<-done
+}
+
+// start starts the duties.
+func (n *Node) start(ctx context.Context, wg *sync.WaitGroup) {
+	wg.Go(func() { n.fleet.Run(ctx) })
+	wg.Go(func() { n.feed.Run(ctx) })
+	wg.Go(func() { n.gate.Run(ctx) })
+	wg.Go(func() { n.relay.Run(ctx) })
+	if n.seeds != nil {
+		wg.Go(func() { n.seeds.Run(ctx) })
+	}
+}
+
+// boot finds the other nodes and takes the version in force from them or from
+// the store.
+func (n *Node) boot(ctx context.Context) {
+	addrs := n.join(ctx)
+	if err := n.feed.Boot(ctx, addrs); err != nil {
+		return // the node stops
+	}
+	n.event(event.NodeReady, "version in force")
+}
+
+// join exchanges tables with the seeds from the settings, and with those from
+// the store if that brings nobody. It returns the addresses of seeds of all
+// data centres.
+func (n *Node) join(ctx context.Context) []string {
+	s := n.cfg.Settings
+	own := slices.Clone(s.Seeds[s.DataCentre])
+	var all []string
+	for _, addrs := range s.Seeds {
+		all = append(all, addrs...)
+	}
+	for range joinTries {
+		if n.fleet.Join(ctx, own) > 0 {
+			break
+		}
+		found := n.seedsFromStore(ctx)
+		for centre, addrs := range found {
+			all = append(all, addrs...)
+			if centre == s.DataCentre {
+				own = append(own, addrs...)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(joinRound):
+		}
+	}
+	return slices.DeleteFunc(all, func(a string) bool { return a == s.Listen.Peers })
+}
+
+func (n *Node) seedsFromStore(ctx context.Context) map[string][]string {
+	if n.seeds == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	defer cancel()
+	found, err := n.seeds.List(ctx)
+	if err != nil {
+		return nil
+	}
+	n.foundSeeds(found)
+	return found
+}
+
+// stop is the planned stop. The order matters: first every peer learns that
+// this node takes no new work, and what still arrives is refused as not run;
+// then the calls in flight end; then the node stays to answer for the keys that
+// it was the home of; last it tells that it has gone.
+func (n *Node) stop(ctx context.Context, s *servers) {
+	began := time.Now()
+	n.event(event.NodeDraining, "planned stop")
+	n.stopped.Store(true)
+	n.proxy.Leave()
+	n.gate.StartDrain()
+	n.fleet.Leave(ctx)
+
+	drain := n.cfg.Settings.Drain
+	flight, cancel := context.WithDeadline(ctx, began.Add(drain.Timeout.Std()))
+	defer cancel()
+	if err := n.gate.Drain(flight); err != nil {
+		n.event(event.NodeDraining, "calls are still in flight after "+drain.Timeout.Std().String())
+	}
+	closeServer(s.callers, drain.Timeout.Std())
+	select {
+	case <-time.After(time.Until(began.Add(drain.Linger.Std()))):
+	case <-ctx.Done():
+	}
+	closing, cancelClosing := context.WithTimeout(ctx, closeTimeout)
+	defer cancelClosing()
+	if n.seeds != nil {
+		n.seeds.Close(closing)
+	}
+	n.fleet.Stop(closing)
+	for _, srv := range []*http.Server{s.egress, s.peers, s.admin} {
+		closeServer(srv, closeTimeout)
+	}
+}
+
+// closeServer stops a server gracefully, and not so if that takes too long.
+func closeServer(s *http.Server, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if s.Shutdown(ctx) != nil {
+		_ = s.Close()
+	}
+}
+
+func (n *Node) event(k event.Kind, cause string) {
+	n.journal.Add(event.Event{At: time.Now(), Kind: k, Subject: n.id, Cause: cause})
+}
--- /dev/null
+++ b/io/node/serve.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"context"
+
+	"tanagerchute/io/peer"
+	"tanagerchute/io/wire"
+)
+
+// peerServer serves the control protocol of a node.
+type peerServer struct{ n *Node }
+
+// Probe implements wire.Peer.
+func (s peerServer) Probe(ctx context.Context, r *wire.ProbeRequest) (*wire.ProbeReply, error) {
+	return s.n.fleet.Probe(ctx, r)
+}
+
+// Relay implements wire.Peer.
+func (s peerServer) Relay(ctx context.Context, r *wire.RelayRequest) (*wire.RelayReply, error) {
+	return s.n.fleet.Relay(ctx, r)
+}
+
+// Gossip implements wire.Peer.
+func (s peerServer) Gossip(ctx context.Context, r *wire.GossipRequest) (*wire.GossipReply, error) {
+	return s.n.fleet.Gossip(ctx, r)
+}
+
+// Sync implements wire.Peer.
+func (s peerServer) Sync(ctx context.Context, r *wire.SyncRequest) (*wire.SyncReply, error) {
+	return s.n.fleet.Sync(ctx, r)
+}
+
+// Offer implements wire.Peer.
+func (s peerServer) Offer(ctx context.Context, r *wire.OfferRequest) (*wire.OfferReply, error) {
+	return s.n.feed.ServeOffer(ctx, r)
+}
+
+// Fetch implements wire.Peer.
+func (s peerServer) Fetch(ctx context.Context, r *wire.FetchRequest) (*wire.FetchReply, error) {
+	return s.n.feed.ServeFetch(ctx, r)
+}
+
+// Exchange implements wire.Peer.
+func (s peerServer) Exchange(ctx context.Context, r *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	return s.n.relay.Serve(ctx, r)
+}
+
+// Inquire implements wire.Peer.
+func (s peerServer) Inquire(_ context.Context, r *wire.InquireRequest) (*wire.InquireReply, error) {
+	v, a := s.n.proxy.Inquire(r)
+	return &wire.InquireReply{Verdict: int32(v), Answer: peer.ToAnswer(a)}, nil
+}
+
+// Report implements wire.Peer.
+func (s peerServer) Report(ctx context.Context, r *wire.ReportRequest) (*wire.ReportReply, error) {
+	if r.GetWholeCentre() {
+		return s.n.reportCentre(ctx), nil
+	}
+	return &wire.ReportReply{Nodes: []*wire.NodeReport{s.n.report()}}, nil
+}
+
+// Explain implements wire.Peer.
+func (s peerServer) Explain(ctx context.Context, r *wire.ExplainRequest) (*wire.ExplainReply, error) {
+	if r.GetWholeCentre() {
+		return s.n.explainCentre(ctx, r.GetSubject()), nil
+	}
+	return &wire.ExplainReply{Events: peer.ToEvents(s.n.journal.Find(r.GetSubject()))}, nil
+}
+
+// Drain implements wire.Peer.
+func (s peerServer) Drain(context.Context, *wire.DrainRequest) (*wire.DrainReply, error) {
+	s.n.StartDrain()
+	return &wire.DrainReply{}, nil
+}
--- /dev/null
+++ b/io/peer/convert.go
@@ -0,0 +1,176 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"tanagerchute/core/config"
+	"tanagerchute/core/delta"
+	"tanagerchute/core/event"
+	"tanagerchute/core/member"
+	"tanagerchute/core/once"
+	"tanagerchute/core/remote"
+	"tanagerchute/core/vers"
+	"tanagerchute/io/wire"
+)
+
+// maxRecords bounds the records taken from one message.
+const maxRecords = 4096
+
+// each maps a slice through f, taking no more than maxRecords.
+func each[A, B any](in []A, f func(A) B) []B {
+	out := make([]B, 0, min(len(in), maxRecords))
+	for _, x := range in[:min(len(in), maxRecords)] {
+		out = append(out, f(x))
+	}
+	return out
+}
+
+// ToMembers returns records in their wire form.
+func ToMembers(rs []member.Record) []*wire.Member {
+	return each(rs, func(r member.Record) *wire.Member {
+		return &wire.Member{
+			Id: r.ID, Addr: r.Addr, DataCentre: r.DataCentre, Service: r.Service,
+			Incarnation: r.Incarnation, State: int32(r.State), Ready: r.Ready,
+			Slots: int32(r.Slots), Since: r.Since, Accuser: r.Accuser, Left: r.Left,
+		}
+	})
+}
+
+// FromMembers returns records from their wire form. They are not validated.
+func FromMembers(ms []*wire.Member) []member.Record {
+	return each(ms, func(m *wire.Member) member.Record {
+		return member.Record{
+			ID: m.GetId(), Addr: m.GetAddr(), DataCentre: m.GetDataCentre(), Service: m.GetService(),
+			Incarnation: m.GetIncarnation(), State: member.State(m.GetState()), Ready: m.GetReady(),
+			Slots: int(m.GetSlots()), Since: m.GetSince(), Accuser: m.GetAccuser(), Left: m.GetLeft(),
+		}
+	})
+}
+
+// ToStamp returns a stamp in its wire form.
+func ToStamp(s vers.Stamp) *wire.Stamp {
+	if s.Number == 0 {
+		return nil
+	}
+	return &wire.Stamp{Number: s.Number, Digest: s.Digest}
+}
+
+// FromStamp returns a stamp from its wire form, which may be nil.
+func FromStamp(s *wire.Stamp) vers.Stamp {
+	return vers.Stamp{Number: s.GetNumber(), Digest: s.GetDigest()}
+}
+
+// ToVersion returns v as a delta to base, whose content may be empty.
+func ToVersion(v, base vers.Version) (*wire.Version, error) {
+	d, err := delta.Encode(base.Content, v.Content)
+	if err != nil {
+		return nil, err
+	}
+	w := &wire.Version{
+		Number: v.Number, Digest: v.Digest, Parent: v.Parent, Op: v.Op, Author: v.Author,
+		At: v.At.UnixNano(), Delta: d,
+	}
+	if len(base.Content) > 0 {
+		w.Base = base.Digest
+	}
+	return w, nil
+}
+
+// ErrNoBase means that a delta builds on a version that is not held.
+var ErrNoBase = errors.New("base of the delta is not held")
+
+// FromVersion decodes a version. kept finds the base of a delta.
+func FromVersion(w *wire.Version, kept func(digest string) (vers.Version, bool)) (vers.Version, error) {
+	var base vers.Version
+	if w.GetBase() != "" {
+		var ok bool
+		if base, ok = kept(w.GetBase()); !ok {
+			return vers.Version{}, ErrNoBase
+		}
+	}
+	content, err := delta.Decode(base.Content, w.GetDelta(), config.MaxBytes)
+	if err != nil {
+		return vers.Version{}, err
+	}
+	return vers.Version{
+		Number: w.GetNumber(), Digest: w.GetDigest(), Parent: w.GetParent(), Op: w.GetOp(),
+		Author: w.GetAuthor(), At: time.Unix(0, w.GetAt()).UTC(), Content: content,
+	}, nil
+}
+
+// ToSummary returns a summary in its wire form.
+func ToSummary(s remote.Summary) *wire.Summary {
+	w := &wire.Summary{DataCentre: s.DataCentre, Relays: s.Relays}
+	for _, x := range s.Services {
+		w.Services = append(w.Services, &wire.RemoteService{Name: x.Name, Slots: int32(x.Slots), Entries: x.Entries})
+	}
+	return w
+}
+
+// FromSummary returns a summary from its wire form and validates it.
+func FromSummary(w *wire.Summary) (remote.Summary, error) {
+	s := remote.Summary{DataCentre: w.GetDataCentre(), Relays: w.GetRelays()}
+	for _, x := range w.GetServices() {
+		s.Services = append(s.Services, remote.Service{Name: x.GetName(), Slots: int(x.GetSlots()), Entries: x.GetEntries()})
+	}
+	return s, s.Validate()
+}
+
+// ToUpdates returns updates about other data centres in their wire form.
+func ToUpdates(us []remote.Update) []*wire.RemoteUpdate {
+	return each(us, func(u remote.Update) *wire.RemoteUpdate {
+		return &wire.RemoteUpdate{Summary: ToSummary(u.Summary), Seq: u.Seq, Lost: u.Lost}
+	})
+}
+
+// FromUpdates returns the valid updates from their wire form.
+func FromUpdates(ws []*wire.RemoteUpdate) []remote.Update {
+	var out []remote.Update
+	for _, w := range ws {
+		s, err := FromSummary(w.GetSummary())
+		if err == nil {
+			out = append(out, remote.Update{Summary: s, Seq: w.GetSeq(), Lost: w.GetLost()})
+		}
+	}
+	return out
+}
+
+// ToAnswer returns a kept answer in its wire form.
+func ToAnswer(a once.Answer) *wire.Answer {
+	w := &wire.Answer{Status: int32(a.Status), Body: a.Body, Header: map[string]*wire.Values{}}
+	for k, vs := range a.Header {
+		w.Header[k] = &wire.Values{Values: vs}
+	}
+	return w
+}
+
+// FromAnswer returns a kept answer from its wire form.
+func FromAnswer(w *wire.Answer) once.Answer {
+	a := once.Answer{Status: int(w.GetStatus()), Body: w.GetBody(), Header: map[string][]string{}}
+	for k, vs := range w.GetHeader() {
+		a.Header[k] = vs.GetValues()
+	}
+	return a
+}
+
+// ToEvents returns events in their wire form.
+func ToEvents(es []event.Event) []*wire.JournalEvent {
+	return each(es, func(e event.Event) *wire.JournalEvent {
+		return &wire.JournalEvent{
+			At: e.At.UnixNano(), Node: e.Node, Kind: string(e.Kind),
+			Subject: e.Subject, Trace: e.Trace, Cause: e.Cause,
+		}
+	})
+}
+
+// FromEvents returns events from their wire form.
+func FromEvents(ws []*wire.JournalEvent) []event.Event {
+	return each(ws, func(w *wire.JournalEvent) event.Event {
+		return event.Event{
+			At: time.Unix(0, w.GetAt()), Node: w.GetNode(), Kind: event.Kind(w.GetKind()),
+			Subject: w.GetSubject(), Trace: w.GetTrace(), Cause: w.GetCause(),
+		}
+	})
+}
--- /dev/null
+++ b/io/proxy/meta.go
@@ -0,0 +1,117 @@
+package proxy
+
+import (
+	"encoding/base64"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"tanagerchute/core/call"
+	"tanagerchute/core/config"
+	"tanagerchute/core/route"
+	"tanagerchute/io/wire"
+)
+
+// Headers between nodes.
+const (
+	headerCall   = "Tanager-Call"
+	headerAnswer = "Tanager-Answer"
+)
+
+func encodeHeader(m proto.Message) string {
+	b, err := proto.Marshal(m)
+	if err != nil {
+		return ""
+	}
+	return base64.RawStdEncoding.EncodeToString(b)
+}
+
+func decodeHeader(s string, m proto.Message) error {
+	b, err := base64.RawStdEncoding.DecodeString(s)
+	if err != nil {
+		return errors.Wrap(err, "metadata is not base64")
+	}
+	if err := proto.Unmarshal(b, m); err != nil {
+		return errors.Wrap(err, "metadata is damaged")
+	}
+	return nil
+}
+
+// callMeta returns what a call tells the next node. Deadlines travel as the
+// time left, since clocks differ.
+func callMeta(c call.Call, now time.Time) *wire.CallMeta {
+	return &wire.CallMeta{
+		Id: c.ID, Attempt: c.Attempt, Issued: c.Issued.UnixNano(), Key: c.Key,
+		Service: c.Service, Class: c.Class, Priority: int32(c.Priority), AtMostOnce: c.AtMostOnce,
+		TimeLeft: int64(c.Deadline.Sub(now)), WaitLeft: int64(c.WaitUntil.Sub(now)),
+		Version: c.Version, From: c.From, Depth: int32(c.Depth), Mode: wire.Mode(c.Mode),
+	}
+}
+
+// callFrom returns the call that m describes, without its HTTP parts.
+func callFrom(m *wire.CallMeta, now time.Time) (call.Call, error) {
+	p := config.Priority(m.GetPriority())
+	if m.GetId() == "" || m.GetAttempt() == "" || p < 0 || p >= config.PriorityCount {
+		return call.Call{}, errors.New("metadata of a call is not complete")
+	}
+	return call.Call{
+		ID: m.GetId(), Attempt: m.GetAttempt(), Issued: time.Unix(0, m.GetIssued()), Key: m.GetKey(),
+		Service: m.GetService(), Class: m.GetClass(), Priority: p, AtMostOnce: m.GetAtMostOnce(),
+		Deadline: now.Add(time.Duration(m.GetTimeLeft())), WaitUntil: now.Add(time.Duration(m.GetWaitLeft())),
+		Version: m.GetVersion(), From: m.GetFrom(), Depth: int(m.GetDepth()), Mode: call.Mode(m.GetMode()),
+	}, nil
+}
+
+// answerMeta returns what a reply tells the node that sent the call.
+func answerMeta(c call.Call, r call.Reply) *wire.AnswerMeta {
+	return &wire.AnswerMeta{
+		Id: c.ID, Attempt: c.Attempt, Fate: int32(r.Fate), Cause: r.Cause, Version: r.Version,
+		InFlight: int32(r.Load.InFlight), Queued: int32(r.Load.Queued), Limit: int32(r.Load.Limit),
+		Length: int64(len(r.Body)), Digest: xxhash.Sum64(r.Body), RetryAfter: int64(r.RetryAfter), Node: r.Node,
+	}
+}
+
+// replyFrom returns the reply that came in res with body, or an error if it is
+// not the whole answer to c.
+func replyFrom(c call.Call, res *http.Response, body []byte) (call.Reply, error) {
+	var m wire.AnswerMeta
+	if err := decodeHeader(res.Header.Get(headerAnswer), &m); err != nil {
+		return call.Reply{}, err
+	}
+	switch {
+	case m.GetId() != c.ID || m.GetAttempt() != c.Attempt:
+		return call.Reply{}, errors.New("answer is to another call")
+	case m.GetLength() != int64(len(body)) || m.GetDigest() != xxhash.Sum64(body):
+		return call.Reply{}, errors.New("answer is not whole")
+	case m.GetFate() < 0 || m.GetFate() > int32(call.Unknown):
+		return call.Reply{}, errors.New("answer has no fate")
+	}
+	h := res.Header
+	h.Del(headerAnswer)
+	return call.Reply{
+		Fate: call.Fate(m.GetFate()), Status: res.StatusCode, Header: h, Body: body, Cause: m.GetCause(),
+		RetryAfter: time.Duration(m.GetRetryAfter()), Node: m.GetNode(), Version: m.GetVersion(), Reached: true,
+		Load: route.Load{InFlight: int(m.GetInFlight()), Queued: int(m.GetQueued()), Limit: int(m.GetLimit())},
+	}, nil
+}
+
+// hopHeaders are the headers that concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// endToEnd returns the headers that are passed on.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, f := range h["Connection"] {
+		out.Del(f)
+	}
+	for _, name := range hopHeaders {
+		delete(out, name)
+	}
+	return out
+}
--- /dev/null
+++ b/io/proxy/peers.go
@@ -0,0 +1,140 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"tanagerchute/core/call"
+	"tanagerchute/core/event"
+	"tanagerchute/core/vers"
+	"tanagerchute/io/keep"
+	"tanagerchute/io/peer"
+	"tanagerchute/io/wire"
+)
+
+// Peer serves the calls of other nodes. Requests that are not calls go to
+// control.
+func (p *Proxy) Peer(control http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerCall) == "" {
+			control.ServeHTTP(w, r)
+			return
+		}
+		p.servePeer(w, r)
+	})
+}
+
+func (p *Proxy) servePeer(w http.ResponseWriter, r *http.Request) {
+	c, err := p.readPeer(r)
+	if err != nil {
+		p.cfg.Journal.Add(event.Event{At: time.Now(), Kind: event.FrameDropped, Subject: r.RemoteAddr, Cause: err.Error()})
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ctx := propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := p.cfg.Tracer.Start(ctx, "serve "+c.Service, trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	c.Trace = span.SpanContext().TraceID().String()
+	// The backend server gets this node's span as its parent.
+	propagator.Inject(ctx, propagation.HeaderCarrier(c.Header))
+	if c.Version > p.version() {
+		if m, ok := p.cfg.Fleet.View().Get(c.From); ok {
+			p.cfg.Feed.Heard(m.Addr, vers.Stamp{Number: c.Version})
+		}
+	}
+	reply := p.serveMode(ctx, c)
+	reply.Version = p.version()
+	if reply.Node == "" {
+		reply.Node = p.cfg.Node
+	}
+	span.SetAttributes(attribute.String("fate", reply.Fate.String()), attribute.String("class", c.Class))
+	writePeer(w, c, reply)
+}
+
+// readPeer reads a call from another node.
+func (p *Proxy) readPeer(r *http.Request) (call.Call, error) {
+	if d := r.Header.Get(peer.HeaderDeployment); d != p.cfg.Deployment {
+		return call.Call{}, errDeployment
+	}
+	var m wire.CallMeta
+	if err := decodeHeader(r.Header.Get(headerCall), &m); err != nil {
+		return call.Call{}, err
+	}
+	c, err := callFrom(&m, time.Now())
+	if err != nil {
+		return call.Call{}, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, p.cfg.MaxBody+1))
+	if err != nil {
+		return call.Call{}, err
+	}
+	if int64(len(body)) > p.cfg.MaxBody {
+		return call.Call{}, errBody
+	}
+	c.Method, c.Target, c.Body = r.Method, r.URL.RequestURI(), body
+	c.Header = endToEnd(r.Header)
+	c.Header.Del(headerCall)
+	c.Header.Del(peer.HeaderDeployment)
+	return c, nil
+}
+
+// serveMode does what the sender asked for.
+func (p *Proxy) serveMode(ctx context.Context, c call.Call) call.Reply {
+	switch c.Mode {
+	case call.Upstream:
+		return p.cfg.Gate.Serve(ctx, c)
+	case call.Entry:
+		return p.serveEntry(ctx, c)
+	}
+	return p.serveHome(ctx, c)
+}
+
+// serveEntry brings a call from another data centre to an upstream here.
+func (p *Proxy) serveEntry(ctx context.Context, c call.Call) call.Reply {
+	if !c.AtMostOnce {
+		r, _ := p.dispatch(ctx, c, true)
+		r.Reached = true
+		return r
+	}
+	return keep.Run(ctx, p.homes, c, func() call.Reply {
+		r, _ := p.dispatch(context.WithoutCancel(ctx), c, true)
+		r.Reached = true
+		return r
+	})
+}
+
+// serveHome runs a call whose key has its home here, or passes it on to its
+// home if it comes from another data centre.
+func (p *Proxy) serveHome(ctx context.Context, c call.Call) call.Reply {
+	if _, inside := p.cfg.Fleet.View().Get(c.From); !inside {
+		c.From = p.cfg.Node
+		return p.atHome(ctx, c)
+	}
+	if !p.cfg.Feed.Ready() {
+		return call.Refuse(call.NotRun, call.CauseNotReady, time.Second)
+	}
+	return p.runHome(ctx, c)
+}
+
+// writePeer writes a reply to the node that sent the call.
+func writePeer(w http.ResponseWriter, c call.Call, r call.Reply) {
+	status := http.StatusServiceUnavailable
+	h := w.Header()
+	if r.Fate == call.Answered {
+		status = r.Status
+		for k, vs := range endToEnd(r.Header) {
+			h[k] = vs
+		}
+	} else {
+		r.Body = nil
+	}
+	h.Set(headerAnswer, encodeHeader(answerMeta(c, r)))
+	w.WriteHeader(status)
+	_, _ = w.Write(r.Body) // a sender that has gone asks again
+}
--- /dev/null
+++ b/io/proxy/proxy.go
@@ -0,0 +1,123 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"tanagerchute/core/budget"
+	"tanagerchute/core/call"
+	"tanagerchute/core/event"
+	"tanagerchute/core/once"
+	"tanagerchute/core/route"
+	"tanagerchute/io/feed"
+	"tanagerchute/io/fleet"
+	"tanagerchute/io/gate"
+	"tanagerchute/io/link"
+	"tanagerchute/io/peer"
+)
+
+// Config configures a Proxy.
+type Config struct {
+	Node       string
+	DataCentre string
+	Centres    []string // all data centres of the deployment, in any order
+	Deployment string
+	Fleet      *fleet.Fleet
+	Feed       *feed.Feed
+	Gate       *gate.Gate
+	Client     *peer.Client // for questions about attempts
+	Dial       link.Dial    // for calls
+	Journal    *event.Journal
+	Tracer     trace.Tracer
+	Claims     Claims // for opaque keys, nil if there is no store
+	Rand       *rand.Rand
+	MaxBody    int64 // bytes of a request
+	MaxAnswer  int64 // bytes of an answer
+	Hedge      bool  // send slow lookups a second time
+	Policy     Policy
+	Observe    func(Sample) // called at the end of each call from a caller
+}
+
+// Policy is how upstreams are chosen and calls are resent. Other policies than
+// Measured are baselines for measurements.
+type Policy int
+
+// Policies.
+const (
+	Measured    Policy = iota // by load, with a retry budget
+	RoundRobin                // each upstream in turn, no retries
+	RetryAlways               // by load, resending without a budget
+)
+
+// Sample is the outcome of one call from a caller.
+type Sample struct {
+	Service  string
+	Class    string
+	Took     time.Duration
+	Target   time.Duration // time in which it had to be answered
+	Reply    call.Reply
+	Attempts int
+}
+
+// Budget of resends at each node.
+const (
+	retryShare = 0.05
+	retryBurst = 10
+)
+
+const (
+	defaultMaxBody   = 1 << 20
+	defaultMaxAnswer = 8 << 20
+)
+
+// Proxy brings calls to upstreams. It is safe for concurrent use.
+type Proxy struct {
+	cfg    Config
+	http   *http.Client
+	budget *budget.Budget
+	homes  *homes
+
+	mu     sync.Mutex
+	picker *route.Picker
+	turn   uint64
+}
+
+// New returns a proxy.
+func New(cfg Config) *Proxy {
+	if cfg.MaxBody <= 0 {
+		cfg.MaxBody = defaultMaxBody
+	}
+	if cfg.MaxAnswer <= 0 {
+		cfg.MaxAnswer = defaultMaxAnswer
+	}
+	p := &Proxy{
+		cfg:    cfg,
+		http:   &http.Client{Transport: peer.NewTransport(cfg.Dial), CheckRedirect: noRedirect},
+		budget: budget.New(budget.Config{Share: retryShare, Burst: retryBurst}),
+		picker: route.New(route.DefaultConfig(cfg.Rand)),
+	}
+	p.homes = newHomes(p)
+	return p
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close closes idle connections.
+func (p *Proxy) Close() { p.http.CloseIdleConnections() }
+
+// Leave stops this node from being the home of keys that it does not hold.
+func (p *Proxy) Leave() { p.homes.leave() }
+
+func (p *Proxy) event(k event.Kind, c call.Call, cause string) {
+	p.cfg.Journal.Add(event.Event{At: time.Now(), Kind: k, Subject: c.ID, Trace: c.Trace, Cause: cause})
+}
+
+// version returns the number of the version in force.
+func (p *Proxy) version() uint64 { return p.cfg.Feed.Stamp().Number }
+
+// newID returns a fresh id and the time it carries.
+func newID() (string, time.Time) { return once.NewID(), time.Now() }
--- /dev/null
+++ b/io/proxy/send.go
@@ -0,0 +1,145 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"tanagerchute/core/call"
+	"tanagerchute/core/event"
+	"tanagerchute/core/once"
+	"tanagerchute/core/vers"
+	"tanagerchute/io/keep"
+	"tanagerchute/io/peer"
+	"tanagerchute/io/wire"
+)
+
+// resolveEvery is the pause between questions about an attempt.
+const resolveEvery = 100 * time.Millisecond
+
+// resolveTimeout bounds one question about an attempt.
+const resolveTimeout = 500 * time.Millisecond
+
+// propagator writes and reads traceparent.
+var propagator = propagation.TraceContext{}
+
+// send makes one attempt over the network.
+func (p *Proxy) send(ctx context.Context, addr string, c call.Call) call.Reply {
+	ctx, span := p.cfg.Tracer.Start(ctx, "attempt "+c.Service, trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	r := p.exchange(ctx, addr, c)
+	span.SetAttributes(attribute.String("peer", addr), attribute.String("fate", r.Fate.String()))
+	if r.Fate != call.Answered {
+		span.SetStatus(codes.Error, r.Cause)
+	}
+	if r.Version > p.version() {
+		p.cfg.Feed.Heard(addr, vers.Stamp{Number: r.Version})
+	}
+	return r
+}
+
+func (p *Proxy) exchange(ctx context.Context, addr string, c call.Call) call.Reply {
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	var wrote atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(traced, c.Method, "http://"+addr+c.Target, bytes.NewReader(c.Body))
+	if err != nil {
+		return call.Refuse(call.NotRun, err.Error(), 0)
+	}
+	req.GetBody = nil // the transport must not resend on its own
+	req.Header = c.Header.Clone()
+	propagator.Inject(ctx, propagation.HeaderCarrier(req.Header))
+	req.Header.Set(headerCall, encodeHeader(callMeta(c, time.Now())))
+	req.Header.Set(peer.HeaderDeployment, p.cfg.Deployment)
+	res, err := p.http.Do(req)
+	if err != nil {
+		return lost(ctx, wrote.Load())
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, p.cfg.MaxAnswer+1))
+	if err != nil || int64(len(body)) > p.cfg.MaxAnswer {
+		return lost(ctx, true)
+	}
+	r, err := replyFrom(c, res, body)
+	if err != nil {
+		p.event(event.FrameDropped, c, addr+": "+err.Error())
+		return lost(ctx, true)
+	}
+	return r
+}
+
+// lost returns the reply for an attempt that was not answered.
+func lost(ctx context.Context, wrote bool) call.Reply {
+	r := call.Reply{Fate: call.Unknown, Cause: call.CauseBroken}
+	if !wrote {
+		r = call.Reply{Fate: call.NotRun, Cause: call.CauseUnreached}
+	}
+	switch ctx.Err() {
+	case context.Canceled:
+		r.Cause = call.CauseCanceled
+	case context.DeadlineExceeded:
+		r.Cause = call.CauseDeadline
+	}
+	return r
+}
+
+// resolve asks, over a fresh connection, what became of an attempt whose
+// answer was lost. The question fences an attempt that has not begun, so that
+// the call may go elsewhere.
+func (p *Proxy) resolve(ctx context.Context, addr string, c call.Call, was call.Reply) call.Reply {
+	// The caller may have gone; its repeat wants to find this settled.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.Deadline)
+	defer cancel()
+	for {
+		v, a, err := p.inquire(ctx, addr, c)
+		switch {
+		case err != nil || v == once.Join:
+		case v == once.Fenced:
+			p.event(event.RequestFenced, c, "answer from "+addr+" was lost, it had not begun")
+			return call.Refuse(call.NotRun, call.CauseFenced, 0)
+		default:
+			return keep.Reply(v, a)
+		}
+		if !pause(ctx, resolveEvery) {
+			p.event(event.RequestUnknown, c, "answer from "+addr+" was lost ("+was.Cause+") and it can't be asked in time")
+			return was
+		}
+	}
+}
+
+func (p *Proxy) inquire(ctx context.Context, addr string, c call.Call) (once.Verdict, once.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
+	defer cancel()
+	client, closeIdle := p.cfg.Client.Fresh(addr)
+	defer closeIdle()
+	reply, err := client.Inquire(ctx, &wire.InquireRequest{
+		Key: c.ID, Issued: c.Issued.UnixNano(), Attempt: c.Attempt, Mode: wire.Mode(c.Mode), From: p.cfg.Node,
+	})
+	if err != nil {
+		return 0, once.Answer{}, err
+	}
+	return once.Verdict(reply.GetVerdict()), peer.FromAnswer(reply.GetAnswer()), nil
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/io/seeds/seeds.go
@@ -0,0 +1,188 @@
+// Package seeds keeps a few addresses for each data centre in the store, by
+// which starting nodes and other data centres find it.
+//
+// The nodes of the first ranks write a record each, under a lease. So the
+// writes grow with the data centres and not with the fleet. The first of them
+// also reads all records, finds nodes of its own data centre that it does not
+// know, and sweeps old claims.
+//
+// # Usage
+//
+//	s := seeds.New(seeds.Config{Store: store, Deployment: d, Fleet: fleet, …})
+//	addrs, err := s.List(ctx)
+//	go s.Run(ctx)
+package seeds
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"tanagerchute"
+	"tanagerchute/io/fleet"
+	"tanagerchute/io/ledger"
+)
+
+// Times of the duty.
+const (
+	leaseTTL   = 15 * time.Second
+	renewEvery = 5 * time.Second
+	listEvery  = 10 * time.Second
+	sweepEvery = 6 * time.Hour
+)
+
+// perCentre is the number of seeds of a data centre.
+const perCentre = 3
+
+// Config configures Seeds.
+type Config struct {
+	Store      tanagerchute.Store
+	Deployment string
+	Fleet      *fleet.Fleet
+	Claims     *ledger.Claims
+	// Found is told the addresses by data centre after each reading.
+	Found func(map[string][]string)
+}
+
+// Seeds is the duty.
+type Seeds struct {
+	cfg     Config
+	lease   int64
+	renewed time.Time
+	listed  time.Time
+	swept   time.Time
+}
+
+// record is the stored form of a seed.
+type record struct {
+	Addr string `json:"addr"`
+}
+
+// New returns the duty.
+func New(cfg Config) *Seeds { return &Seeds{cfg: cfg, swept: time.Now()} }
+
+func (s *Seeds) prefix() string { return ledger.Prefix(s.cfg.Deployment) + "seeds/" }
+
+// List reads the addresses of all seeds by data centre.
+func (s *Seeds) List(ctx context.Context) (map[string][]string, error) {
+	kvs, _, err := s.cfg.Store.List(ctx, s.prefix())
+	if err != nil {
+		return nil, err
+	}
+	out := map[string][]string{}
+	for _, kv := range kvs {
+		centre, _, ok := strings.Cut(strings.TrimPrefix(kv.Key, s.prefix()), "/")
+		var r record
+		if !ok || json.Unmarshal(kv.Value, &r) != nil || r.Addr == "" {
+			continue // not ours
+		}
+		out[centre] = append(out[centre], r.Addr)
+	}
+	return out, nil
+}
+
+// Run keeps this node's record while it is one of the seeds, until ctx ends.
+func (s *Seeds) Run(ctx context.Context) {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			s.step(ctx, now)
+		}
+	}
+}
+
+// step does what is due. What fails is due again at the next step: the
+// addresses known from before serve until then.
+func (s *Seeds) step(ctx context.Context, now time.Time) {
+	rank := s.cfg.Fleet.View().Rank("reader", perCentre)
+	if rank < 0 {
+		s.drop(ctx)
+		return
+	}
+	if now.Sub(s.renewed) >= renewEvery && s.renew(ctx) == nil {
+		s.renewed = now
+	}
+	if rank != 0 {
+		return
+	}
+	if now.Sub(s.listed) >= listEvery && s.refresh(ctx) == nil {
+		s.listed = now
+	}
+	if now.Sub(s.swept) >= sweepEvery {
+		if _, err := s.cfg.Claims.Sweep(ctx, now); err == nil {
+			s.swept = now
+		}
+	}
+}
+
+// drop removes the record of a node that is no seed any more.
+func (s *Seeds) drop(ctx context.Context) {
+	if s.lease == 0 {
+		return
+	}
+	if err := s.cfg.Store.Revoke(ctx, s.lease); err == nil || errors.Is(err, tanagerchute.ErrLeaseGone) {
+		s.lease = 0
+		s.renewed = time.Time{}
+	}
+}
+
+// renew keeps the lease alive. A lease that has lapsed, as while this process
+// was paused, is replaced together with its record.
+func (s *Seeds) renew(ctx context.Context) error {
+	if s.lease != 0 {
+		err := s.cfg.Store.KeepAlive(ctx, s.lease)
+		if !errors.Is(err, tanagerchute.ErrLeaseGone) {
+			return err
+		}
+		s.lease = 0
+	}
+	lease, err := s.cfg.Store.Grant(ctx, leaseTTL)
+	if err != nil {
+		return err
+	}
+	self := s.cfg.Fleet.View().Self
+	value, err := json.Marshal(record{Addr: self.Addr})
+	if err != nil {
+		return err
+	}
+	put := tanagerchute.Put{Key: s.prefix() + self.DataCentre + "/" + self.ID, Value: value, Lease: lease}
+	if _, err := s.cfg.Store.Commit(ctx, tanagerchute.Txn{Puts: []tanagerchute.Put{put}}); err != nil {
+		return err
+	}
+	s.lease = lease
+	return nil
+}
+
+// refresh reads all seeds and joins those of the own data centre that are not
+// known, so that two groups that started apart find each other.
+func (s *Seeds) refresh(ctx context.Context) error {
+	all, err := s.List(ctx)
+	if err != nil {
+		return err
+	}
+	s.cfg.Found(all)
+	view := s.cfg.Fleet.View()
+	var strangers []string
+	for _, addr := range all[view.Self.DataCentre] {
+		known := slices.ContainsFunc(view.Up(), func(id string) bool {
+			m, _ := view.Get(id)
+			return m.Addr == addr
+		})
+		if !known {
+			strangers = append(strangers, addr)
+		}
+	}
+	s.cfg.Fleet.Join(ctx, strangers)
+	return nil
+}
+
+// Close removes this node's record.
+func (s *Seeds) Close(ctx context.Context) { s.drop(ctx) }
--- /dev/null
+++ b/io/setup/setup.go
@@ -0,0 +1,257 @@
+// Package setup is the settings of a process, read from a file of JSON with
+// comments and checked whole before anything is opened.
+//
+// # Usage
+//
+//	s, err := setup.ReadNode("node.jsonc") // err lists every finding
+package setup
+
+import (
+	"net"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"tanagerchute/core/errs"
+	"tanagerchute/core/jsonc"
+)
+
+// Node is the settings of a node process.
+type Node struct {
+	Name        string   `json:"name"` // of the instance
+	Deployment  string   `json:"deployment"`
+	DataCentre  string   `json:"data_centre"`
+	DataCentres []string `json:"data_centres"` // all of the deployment
+	Service     string   `json:"service"`      // that the own backend server belongs to
+	Listen      Listen   `json:"listen"`
+	// Store lists the URLs of the platform's key-value service.
+	Store []string `json:"store,omitempty"`
+	// Seeds lists addresses for peers by data centre, for a start while the
+	// store is down.
+	Seeds  map[string][]string `json:"seeds,omitempty"`
+	Drain  Drain               `json:"drain,omitempty"`
+	Limits Limits              `json:"limits,omitempty"`
+	Trace  Trace               `json:"trace,omitempty"`
+	Log    string              `json:"log,omitempty"` // debug, info, warn or error
+	Hedge  *bool               `json:"hedge,omitempty"`
+}
+
+// Listen is the addresses of a node, host:port with an IP number.
+type Listen struct {
+	Callers string `json:"callers"`
+	Peers   string `json:"peers"`
+	Egress  string `json:"egress"` // for the own backend server
+	Admin   string `json:"admin"`  // for operators and the own backend server
+}
+
+// Drain is the settings of a planned stop.
+type Drain struct {
+	// Timeout is how long calls in flight may take.
+	Timeout jsonc.Duration `json:"timeout,omitempty"`
+	// Linger is how long a node stays to answer for the keys it was home of.
+	Linger jsonc.Duration `json:"linger,omitempty"`
+}
+
+// Limits is the bounds of a node.
+type Limits struct {
+	RequestBytes int64 `json:"request_bytes,omitempty"`
+	AnswerBytes  int64 `json:"answer_bytes,omitempty"`
+	Connections  int   `json:"connections,omitempty"` // to the backend server
+	Events       int   `json:"events,omitempty"`      // kept in the journal
+}
+
+// Trace is where spans go.
+type Trace struct {
+	OTLP   string         `json:"otlp,omitempty"`
+	File   string         `json:"file,omitempty"`
+	Slow   jsonc.Duration `json:"slow,omitempty"`
+	Sample float64        `json:"sample,omitempty"`
+}
+
+// Defaults of a node.
+const (
+	DefaultDrainTimeout = 30 * time.Second
+	DefaultLinger       = 6 * time.Second // over the guard of a key's home
+	DefaultSlow         = 250 * time.Millisecond
+	defaultLog          = "info"
+)
+
+// Upstream is the settings of a stand-in backend server.
+type Upstream struct {
+	Service string `json:"service"`
+	Listen  string `json:"listen"`
+	Node    string `json:"node"`   // admin address of its node
+	Egress  string `json:"egress"` // egress address of its node
+	Slots   int    `json:"slots"`
+	// Work is how long a call takes.
+	Work jsonc.Duration `json:"work,omitempty"`
+	Log  string         `json:"log,omitempty"`
+}
+
+var nameRE = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+// ReadNode reads and checks the settings of a node.
+func ReadNode(file string) (Node, error) {
+	var n Node
+	c, err := read(file, &n)
+	if err != nil {
+		return n, err
+	}
+	c.node(n)
+	if err := c.findings.Err(); err != nil {
+		return n, err
+	}
+	return n.WithDefaults(), nil
+}
+
+// ReadUpstream reads and checks the settings of a stand-in backend server.
+func ReadUpstream(file string) (Upstream, error) {
+	var u Upstream
+	c, err := read(file, &u)
+	if err != nil {
+		return u, err
+	}
+	c.name("service", u.Service)
+	c.addr("listen", u.Listen)
+	c.addr("node", u.Node)
+	c.addr("egress", u.Egress)
+	if u.Slots < 1 || u.Slots > 4096 {
+		c.add("slots", "must be between 1 and 4096")
+	}
+	c.level(u.Log)
+	return u, c.findings.Err()
+}
+
+// WithDefaults returns n with the defaults in place of what is not set.
+func (n Node) WithDefaults() Node {
+	if n.Drain.Timeout == 0 {
+		n.Drain.Timeout = jsonc.Duration(DefaultDrainTimeout)
+	}
+	if n.Drain.Linger == 0 {
+		n.Drain.Linger = jsonc.Duration(DefaultLinger)
+	}
+	if n.Trace.Slow == 0 {
+		n.Trace.Slow = jsonc.Duration(DefaultSlow)
+	}
+	if n.Log == "" {
+		n.Log = defaultLog
+	}
+	if n.Hedge == nil {
+		on := true
+		n.Hedge = &on
+	}
+	return n
+}
+
+type checks struct {
+	places   jsonc.Places
+	findings *errs.List
+}
+
+func read(file string, dst any) (*checks, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	places, findings := jsonc.Decode(file, data, dst)
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	return &checks{places, findings}, nil
+}
+
+func (c *checks) add(path, format string, args ...any) {
+	c.findings.Add(c.places.At(path), path, format, args...)
+}
+
+func (c *checks) name(path, v string) {
+	if !nameRE.MatchString(v) {
+		c.add(path, "%q is not a name of lower-case letters, digits and dashes", v)
+	}
+}
+
+func (c *checks) addr(path, v string) {
+	host, port, err := net.SplitHostPort(v)
+	if err != nil || net.ParseIP(host) == nil || port == "" {
+		c.add(path, "%q is not an IP number with a port", v)
+	}
+}
+
+func (c *checks) level(v string) {
+	if !slices.Contains([]string{"", "debug", "info", "warn", "error"}, v) {
+		c.add("log", "%q is not debug, info, warn or error", v)
+	}
+}
+
+func (c *checks) node(n Node) {
+	c.name("name", n.Name)
+	c.name("deployment", n.Deployment)
+	c.name("data_centre", n.DataCentre)
+	c.name("service", n.Service)
+	c.centres(n)
+	c.addr("listen.callers", n.Listen.Callers)
+	c.addr("listen.peers", n.Listen.Peers)
+	c.addr("listen.egress", n.Listen.Egress)
+	c.addr("listen.admin", n.Listen.Admin)
+	c.loopback("listen.egress", n.Listen.Egress)
+	c.loopback("listen.admin", n.Listen.Admin)
+	c.sources(n)
+	c.level(n.Log)
+	if n.Trace.OTLP != "" && n.Trace.File != "" {
+		c.add("trace", "names both a collector and a file")
+	}
+	if n.Trace.Sample < 0 || n.Trace.Sample > 1 {
+		c.add("trace.sample", "must be between 0 and 1")
+	}
+	if n.Limits.RequestBytes < 0 || n.Limits.AnswerBytes < 0 || n.Limits.Connections < 0 || n.Limits.Events < 0 {
+		c.add("limits", "must not be negative")
+	}
+	if n.Drain.Timeout < 0 || n.Drain.Linger < 0 {
+		c.add("drain", "must not be negative")
+	}
+}
+
+func (c *checks) centres(n Node) {
+	if !slices.Contains(n.DataCentres, n.DataCentre) {
+		c.add("data_centres", "does not list the own data centre %q", n.DataCentre)
+	}
+	seen := map[string]bool{}
+	for _, d := range n.DataCentres {
+		c.name("data_centres", d)
+		if seen[d] {
+			c.add("data_centres", "lists %q twice", d)
+		}
+		seen[d] = true
+	}
+}
+
+func (c *checks) loopback(path, v string) {
+	host, _, err := net.SplitHostPort(v)
+	if ip := net.ParseIP(host); err == nil && ip != nil && !ip.IsLoopback() {
+		c.add(path, "%q is not a loopback address", v)
+	}
+}
+
+// sources checks where a node can find the others and the configuration.
+func (c *checks) sources(n Node) {
+	if len(n.Store) == 0 && len(n.Seeds) == 0 {
+		c.add("store", "is missing, and there are no seeds either")
+	}
+	for _, u := range n.Store {
+		if !strings.HasPrefix(u, "http://") && !strings.HasPrefix(u, "https://") {
+			c.add("store", "%q is not an http or https URL", u)
+		}
+	}
+	for centre, addrs := range n.Seeds {
+		if !slices.Contains(n.DataCentres, centre) {
+			c.add("seeds."+centre, "is not one of data_centres")
+		}
+		for _, a := range addrs {
+			c.addr("seeds."+centre, a)
+		}
+	}
+}
--- /dev/null
+++ b/io/trace/trace.go
@@ -0,0 +1,116 @@
+// Package trace builds the tracer: a span for each hop of a call, exported
+// over OTLP/HTTP or to a file.
+//
+// Spans that failed or were slow are always exported, others by a sample, so
+// that the traces worth reading are there without the cost of all.
+//
+// # Usage
+//
+//	p, err := trace.New(ctx, trace.Config{Node: "hafnar-1", File: "spans.json"})
+//	defer p.Close(ctx)
+//	ctx, span := p.Tracer().Start(ctx, "ingress")
+package trace
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	oteltrace "go.opentelemetry.io/otel/trace"
+)
+
+// Config configures a Provider. Without OTLP and File nothing is exported.
+type Config struct {
+	Node   string
+	OTLP   string // URL of a collector, such as http://10.0.0.9:4318
+	File   string // path, or "-" for standard error
+	Slow   time.Duration
+	Sample float64 // share of ordinary spans that are exported
+}
+
+// Provider hands out the tracer and exports its spans.
+type Provider struct {
+	sdk  *sdktrace.TracerProvider
+	file io.Closer
+}
+
+// New returns a provider.
+func New(ctx context.Context, cfg Config) (*Provider, error) {
+	p := &Provider{}
+	opts := []sdktrace.TracerProviderOption{
+		sdktrace.WithResource(resource.NewSchemaless(attribute.String("service.name", cfg.Node))),
+	}
+	exp, err := p.exporter(ctx, cfg)
+	if err != nil {
+		return nil, err
+	}
+	if exp != nil {
+		batch := sdktrace.NewBatchSpanProcessor(exp)
+		opts = append(opts, sdktrace.WithSpanProcessor(&keeper{SpanProcessor: batch, cfg: cfg}))
+	}
+	p.sdk = sdktrace.NewTracerProvider(opts...)
+	return p, nil
+}
+
+func (p *Provider) exporter(ctx context.Context, cfg Config) (sdktrace.SpanExporter, error) {
+	switch {
+	case cfg.OTLP != "":
+		exp, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(cfg.OTLP))
+		if err != nil {
+			return nil, errors.Wrap(err, "collector")
+		}
+		return exp, nil
+	case cfg.File == "-":
+		return stdouttrace.New(stdouttrace.WithWriter(os.Stderr))
+	case cfg.File != "":
+		f, err := os.OpenFile(cfg.File, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return nil, errors.Wrap(err, "span file")
+		}
+		p.file = f
+		return stdouttrace.New(stdouttrace.WithWriter(f))
+	}
+	return nil, nil
+}
+
+// Tracer returns the tracer.
+func (p *Provider) Tracer() oteltrace.Tracer { return p.sdk.Tracer("tanagerchute") }
+
+// Close exports what is left.
+func (p *Provider) Close(ctx context.Context) error {
+	err := p.sdk.Shutdown(ctx)
+	if p.file != nil {
+		err = errors.Join(err, p.file.Close())
+	}
+	return err
+}
+
+// keeper passes on the spans that are worth keeping.
+type keeper struct {
+	sdktrace.SpanProcessor
+	cfg Config
+}
+
+// OnEnd implements sdktrace.SpanProcessor.
+func (k *keeper) OnEnd(s sdktrace.ReadOnlySpan) {
+	if k.keeps(s) {
+		k.SpanProcessor.OnEnd(s)
+	}
+}
+
+func (k *keeper) keeps(s sdktrace.ReadOnlySpan) bool {
+	if s.Status().Code == codes.Error || s.EndTime().Sub(s.StartTime()) >= k.cfg.Slow {
+		return true
+	}
+	// The trace id is random, so that all hops of a trace agree.
+	id := s.SpanContext().TraceID()
+	return float64(uint16(id[14])<<8|uint16(id[15])) < k.cfg.Sample*(1<<16)
+}
--- /dev/null
+++ b/io/wire/doc.go
@@ -0,0 +1,14 @@
+// Package wire is the protocol between nodes: the twirp service Peer and the
+// metadata of proxied calls.
+//
+// The Go code is generated from wire.proto and committed. To generate it anew,
+// install protoc, protoc-gen-go and protoc-gen-twirp, and run go generate in
+// this folder.
+//
+// # Usage
+//
+//	c := wire.NewPeerProtobufClient("http://10.0.0.7:7000", httpClient)
+//	reply, err := c.Probe(ctx, &wire.ProbeRequest{From: "hafnar-1"})
+package wire
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative wire.proto
--- a/store.go
+++ b/store.go
@@ -45,6 +45,13 @@
 	ModRevision int64
 }
 
+// Txn is a set of writes that take effect together if all conditions hold.
+type Txn struct {
+	Conds   []Cond
+	Puts    []Put
+	Deletes []string
+}
+
 // Event is a change that a watch reports.
 type Event struct {
 	KV      KV
@@ -59,11 +66,8 @@
 	Get(ctx context.Context, key string) (kv KV, revision int64, err error)
 	// List returns all keys with a prefix, sorted.
 	List(ctx context.Context, prefix string) (kvs []KV, revision int64, err error)
-	// Commit writes all puts if all conditions hold, and reports whether they
-	// did.
-	Commit(ctx context.Context, conds []Cond, puts []Put) (ok bool, err error)
-	// Delete removes a key.
-	Delete(ctx context.Context, key string) error
+	// Commit carries out a transaction and reports whether its conditions held.
+	Commit(ctx context.Context, t Txn) (ok bool, err error)
 	// Grant returns a new lease.
 	Grant(ctx context.Context, ttl time.Duration) (lease int64, err error)
 	// KeepAlive renews a lease.
