--- a/cmd/tanagerchute/node.go
+++ b/cmd/tanagerchute/node.go
@@ -33,7 +33,7 @@
   are not valid stop it before it listens, with every finding.
 
   Example:
-    tanagerchute node -settings examples/nordurljos/hafnar-skraning-1.jsonc
+    tanagerchute node -settings examples/nordurljos/node-1.jsonc
 
 `
 }
--- a/cmd/tanagerchute/upstream.go
+++ b/cmd/tanagerchute/upstream.go
@@ -38,7 +38,7 @@
     curl http://ADDR/standin/ledger
 
   Example:
-    tanagerchute upstream -settings examples/nordurljos/hafnar-skraning-1-upstream.jsonc
+    tanagerchute upstream -settings examples/nordurljos/upstream-1.jsonc
 
 `
 }
--- /dev/null
+++ b/core/config/parse_test.go
@@ -0,0 +1,126 @@
+package config_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tanagerchute/core/config"
+	"tanagerchute/core/errs"
+	sample "tanagerchute/examples"
+)
+
+// TestFindings holds that all findings of a document come together, in order,
+// each with its place.
+func TestFindings(t *testing.T) {
+	is := is.New(t)
+	_, err := config.Parse("mesh.jsonc", []byte(`{
+  "deployment": "x",
+  "weights": {"a": 1}, // not ours to say
+  "services": [
+    {"name": "s", "address": "10.0.0.1", "classes": [
+      {"name": "c", "match": [{"path": "/"}], "answer_within": 5, "may_wait": "soon", "at_most_once": "yes"},
+    ]},
+    {"name": "t", "name": "u", "classes": {}},
+  ],
+}`))
+	var list *errs.Error
+	is.True(errors.As(err, &list))
+	want := []string{
+		`mesh.jsonc:3:3: weights: is not a known field`,
+		`mesh.jsonc:5:19: services.0.address: is not a known field`,
+		`mesh.jsonc:6:64: services.0.classes.0.answer_within: is 5, but a string is wanted`,
+		`mesh.jsonc:6:79: services.0.classes.0.may_wait: "soon" is not a duration`,
+		`mesh.jsonc:6:103: services.0.classes.0.at_most_once: is "yes", but true or false is wanted`,
+		`mesh.jsonc:8:19: services.1.name: appears twice`,
+		`mesh.jsonc:8:43: services.1.classes: is an object, but a list is wanted`,
+	}
+	lines := strings.Split(err.Error(), "\n")
+	is.Equal(len(lines), len(want))
+	for i := range min(len(lines), len(want)) {
+		if !strings.HasPrefix(lines[i], want[i]) {
+			t.Errorf("finding %d:\n got %s\nwant %s", i, lines[i], want[i])
+		}
+	}
+}
+
+func TestRules(t *testing.T) {
+	const head = `{"deployment": "x", "services": [`
+	const class = `{"name": "c", "match": [{"path": "/"}], "answer_within": "1s", "may_wait": "0s"}`
+	for _, c := range []struct{ name, doc, want string }{
+		{"no services", head + `]}`, "lists no service"},
+		{"bad name", head + `{"name": "S!", "classes": [` + class + `]}]}`, "is not a name"},
+		{"same service", head + `{"name": "s", "classes": [` + class + `]}, {"name": "s", "classes": [` + class + `]}]}`, "appears twice"},
+		{"unknown call", head + `{"name": "s", "calls": ["t"], "classes": [` + class + `]}]}`, `service "t" does not exist`},
+		{"no deadline", head + `{"name": "s", "classes": [{"name": "c", "match": [{"path": "/"}], "may_wait": "0s"}]}]}`, "must be over 0"},
+		{"waits too long", head + `{"name": "s", "classes": [{"name": "c", "match": [{"path": "/"}], "answer_within": "1s", "may_wait": "2s"}]}]}`, "between 0 and answer_within"},
+		{"no match", head + `{"name": "s", "classes": [{"name": "c", "match": [], "answer_within": "1s"}]}]}`, "lists no match"},
+		{"bad method", head + `{"name": "s", "classes": [{"name": "c", "match": [{"method": "get", "path": "/"}], "answer_within": "1s"}]}]}`, "is not one of"},
+		{"bad path", head + `{"name": "s", "classes": [{"name": "c", "match": [{"path": "x"}], "answer_within": "1s"}]}]}`, "does not start with /"},
+		{"same match", head + `{"name": "s", "classes": [{"name": "c", "match": [{"path": "/"}, {"path": "/"}], "answer_within": "1s"}]}]}`, "is the same as a match"},
+		{"not JSON", `{"deployment": `, "mesh.jsonc:1"},
+		{"too large", strings.Repeat(" ", config.MaxBytes+1), "more than the limit"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := config.Parse("mesh.jsonc", []byte(c.doc))
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), c.want)) // finding
+		})
+	}
+}
+
+func TestClassify(t *testing.T) {
+	is := is.New(t)
+	d, err := config.Parse("mesh.jsonc", sample.Association)
+	is.NoErr(err)
+	for _, c := range []struct {
+		method, path, class string
+		priority            config.Priority
+	}{
+		{"POST", "/sign-offs", "sign-off", config.PriorityOnce},
+		{"POST", "/sign-offs/17", "sign-off", config.PriorityOnce},
+		{"POST", "/sign-offsx", "", 0},
+		{"GET", "/templates/close", "template", config.PriorityTight},
+		{"GET", "/status", "status", config.PriorityPatient},
+	} {
+		k, ok := d.Classify("checklist", c.method, c.path)
+		is.Equal(ok, c.class != "")
+		is.Equal(k.Name, c.class)
+		if ok {
+			is.Equal(k.Priority(), c.priority)
+		}
+	}
+	_, ok := d.Classify("nobody", "GET", "/")
+	is.True(!ok)
+	is.True(d.MayCall("checklist", "docvault"))
+	is.True(!d.MayCall("docvault", "checklist"))
+	k, _ := d.Classify("checklist", "GET", "/templates")
+	now := time.Unix(100, 0)
+	is.Equal(k.Deadline(now), now.Add(250*time.Millisecond))
+}
+
+// FuzzParse holds that no input crashes the parser, and that a document which
+// it takes keeps to its own rules.
+func FuzzParse(f *testing.F) {
+	f.Add(sample.Nordurljos)
+	f.Add(sample.Association)
+	f.Add([]byte(`{"deployment":"x","services":[{"name":"s","classes":[]}]}`))
+	f.Add([]byte(`{/*`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := config.Parse("fuzz", data)
+		if err != nil {
+			return
+		}
+		for _, s := range d.Services {
+			for _, c := range s.Classes {
+				if c.AnswerWithin <= 0 || c.MayWait > c.AnswerWithin || len(c.Match) == 0 {
+					t.Fatalf("class %+v was taken", c)
+				}
+			}
+		}
+	})
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -124,8 +124,9 @@
 }
 
 // Find returns the events about subject, oldest first. A subject is compared
-// with the event's subject and trace id, and looked for in its cause. An empty
-// subject finds all events.
+// with the event's subject and trace id, and looked for in its cause; the name
+// of an instance finds what its processes decided and what was decided about
+// them. An empty subject finds all events.
 func (j *Journal) Find(subject string) []Event {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -143,5 +144,9 @@
 	if subject == "" || e.Subject == subject || e.Trace == subject {
 		return true
 	}
+	// The id of a process is the name of its instance, a dot and a suffix.
+	if strings.HasPrefix(e.Subject, subject+".") || strings.HasPrefix(e.Node, subject+".") {
+		return true
+	}
 	return len(subject) > 2 && strings.Contains(e.Cause, subject)
 }
--- a/core/jsonc/decode.go
+++ b/core/jsonc/decode.go
@@ -173,7 +173,7 @@
 }
 
 func (c *checker) literal(l hujson.Literal, t reflect.Type, path string, off int) {
-	bad := func() { c.findings.Add(c.pos(off), path, "is %s, but %s is wanted", l, kindName(t)) }
+	bad := func() { c.findings.Add(c.pos(off), path, "is %s, but %s is wanted", string(l), kindName(t)) }
 	if reflect.PointerTo(t).Implements(textType) {
 		c.text(l, t, path, off)
 		return
@@ -196,7 +196,7 @@
 
 func (c *checker) text(l hujson.Literal, t reflect.Type, path string, off int) {
 	if l.Kind() != '"' {
-		c.findings.Add(c.pos(off), path, "is %s, but a string is wanted", l)
+		c.findings.Add(c.pos(off), path, "is %s, but a string is wanted", string(l))
 		return
 	}
 	dst := reflect.New(t).Interface().(encoding.TextUnmarshaler)
@@ -207,7 +207,7 @@
 
 func (c *checker) number(l hujson.Literal, t reflect.Type, path string, off int) {
 	if err := json.Unmarshal(l, reflect.New(t).Interface()); err != nil {
-		c.findings.Add(c.pos(off), path, "is %s, but %s is wanted", l, kindName(t))
+		c.findings.Add(c.pos(off), path, "is %s, but %s is wanted", string(l), kindName(t))
 	}
 }
 
--- /dev/null
+++ b/internal/proof/raw_test.go
@@ -0,0 +1,31 @@
+package proof
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// rawExchange sends bytes as they are, closes its half of the connection, and
+// returns what comes back.
+func rawExchange(t *testing.T, addr, text string) string {
+	t.Helper()
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(got)
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -135,7 +135,7 @@
 func (n *Node) build(now time.Time) {
 	s := n.cfg.Settings
 	self := member.Record{
-		ID: n.id, Addr: s.Listen.Peers, DataCentre: s.DataCentre, Service: s.Service,
+		ID: n.id, Addr: s.Listen.PeerAddr(), DataCentre: s.DataCentre, Service: s.Service,
 		Incarnation: 1, Since: now.UnixMilli(),
 	}
 	n.client = peer.NewClient(peer.Config{
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -132,7 +132,7 @@
 		case <-time.After(joinRound):
 		}
 	}
-	return slices.DeleteFunc(all, func(a string) bool { return a == s.Listen.Peers })
+	return slices.DeleteFunc(all, func(a string) bool { return a == s.Listen.PeerAddr() })
 }
 
 func (n *Node) seedsFromStore(ctx context.Context) map[string][]string {
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -44,8 +44,11 @@
 type Listen struct {
 	Callers string `json:"callers"`
 	Peers   string `json:"peers"`
-	Egress  string `json:"egress"` // for the own backend server
-	Admin   string `json:"admin"`  // for operators and the own backend server
+	// Advertise is the address by which other nodes reach peers, if it is not
+	// the one listened at.
+	Advertise string `json:"advertise,omitempty"`
+	Egress    string `json:"egress"` // for the own backend server
+	Admin     string `json:"admin"`  // for operators and the own backend server
 }
 
 // Drain is the settings of a planned stop.
@@ -72,6 +75,14 @@
 	Sample float64        `json:"sample,omitempty"`
 }
 
+// PeerAddr returns the address by which other nodes reach this one.
+func (l Listen) PeerAddr() string {
+	if l.Advertise != "" {
+		return l.Advertise
+	}
+	return l.Peers
+}
+
 // Defaults of a node.
 const (
 	DefaultDrainTimeout = 30 * time.Second
@@ -195,6 +206,9 @@
 	c.centres(n)
 	c.addr("listen.callers", n.Listen.Callers)
 	c.addr("listen.peers", n.Listen.Peers)
+	if n.Listen.Advertise != "" {
+		c.addr("listen.advertise", n.Listen.Advertise)
+	}
 	c.addr("listen.egress", n.Listen.Egress)
 	c.addr("listen.admin", n.Listen.Admin)
 	c.loopback("listen.egress", n.Listen.Egress)
