Data centres cut off, readers killed, herds, outages: tests and what they found

Tests cut a data centre off from the store, from the others and from both, kill the first reader in mid-change, restart half the fleet at once and a whole data centre while the store is down, roll the store back, lose its answers, mute its watches and let its leases lapse, and make every open connection go silent.

--- /dev/null
+++ b/io/mesh/failure_test.go
@@ -0,0 +1,304 @@
+package mesh_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	sample "tanagerchute/examples"
+	"tanagerchute/io/mesh"
+	"tanagerchute/io/plat"
+)
+
+const oneWay = 3500 * time.Microsecond
+
+// inForce is the users' bound for a change to be in force everywhere.
+const inForce = 7 * time.Second
+
+// changed returns a valid document that differs with n.
+func changed(n int) []byte {
+	return bytes.Replace(sample.Nordurljos, []byte(`"800ms"`), fmt.Appendf(nil, `"%dms"`, 500+n), 1)
+}
+
+func small() mesh.Config {
+	return mesh.Config{Document: sample.Nordurljos, Sites: nordurljos(), OneWay: oneWay, Work: 2 * time.Millisecond, Linger: 300 * time.Millisecond}
+}
+
+// await waits until a version is in force at the instances that which selects.
+func await(t *testing.T, m *mesh.Mesh, version uint64, limit time.Duration, which func(*mesh.Instance) bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for _, in := range m.Instances {
+		for which(in) && in.Node.Stamp().Number < version {
+			if time.Since(began) > limit {
+				t.Fatalf("%s has version %d and not %d after %v", in.Site.Name, in.Node.Stamp().Number, version, limit)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(began)
+}
+
+func all(*mesh.Instance) bool { return true }
+
+func call(t *testing.T, ctx context.Context, in *mesh.Instance, method, service, path, key string) (status int, outcome string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+in.Settings.Listen.Callers+path, strings.NewReader(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = service
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	return res.StatusCode, res.Header.Get("Tanager-Outcome")
+}
+
+// TestCutOff cuts a data centre off from the store, from the others, and from
+// both, changes the configuration, and heals it.
+func TestCutOff(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		cut     mesh.Isolation
+		reaches bool // the change reaches the data centre while it is cut off
+	}{
+		{"from the store", mesh.Isolation{Store: true}, true},
+		{"from the other data centres", mesh.Isolation{Centres: true}, true},
+		{"from both", mesh.Isolation{Store: true, Centres: true}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m, ctx := start(t, small())
+			const centre = "selfoss"
+			m.Isolate(centre, c.cut)
+			number, err := m.Apply(ctx, "op-2", changed(2))
+			is.NoErr(err)
+			took := await(t, m, number, inForce, func(in *mesh.Instance) bool { return c.reaches || in.Site.DataCentre != centre })
+			t.Logf("in force where it can be after %v", took)
+			for _, in := range m.Instances {
+				if in.Site.DataCentre != centre {
+					continue
+				}
+				if !c.reaches {
+					is.Equal(in.Node.Stamp().Number, uint64(1)) // the last good one serves on
+				}
+				status, _ := call(t, ctx, in, "GET", "skraning", "/places", "")
+				is.Equal(status, http.StatusOK) // it goes on serving what it can
+			}
+			m.Isolate(centre, mesh.Isolation{})
+			t.Logf("in force everywhere %v after the heal", await(t, m, number, inForce, all))
+			is.NoErr(m.WaitReady(ctx))
+		})
+	}
+}
+
+// TestReaderDies kills the first reader of a data centre in the moment of a
+// change.
+func TestReaderDies(t *testing.T) {
+	is := is.New(t)
+	m, ctx := start(t, small())
+	victim := -1
+	for i, in := range m.Instances {
+		if in.Node.View().Rank("reader", 1) == 0 {
+			victim = i
+		}
+	}
+	number, err := m.Apply(ctx, "op-2", changed(2))
+	is.NoErr(err)
+	m.Kill(victim)
+	took := await(t, m, number, time.Second, func(in *mesh.Instance) bool { return in != m.Instances[victim] })
+	t.Logf("in force after %v", took)
+	is.NoErr(m.StartInstance(victim))
+	await(t, m, number, inForce, all)
+}
+
+// TestHerd kills half of the nodes at once and starts them again together.
+func TestHerd(t *testing.T) {
+	is := is.New(t)
+	m, ctx := start(t, small())
+	for i := range m.Instances {
+		if i%2 == 0 {
+			m.Kill(i)
+		}
+	}
+	number, err := m.Apply(ctx, "op-2", changed(2))
+	is.NoErr(err)
+	for i := range m.Instances {
+		if i%2 == 0 {
+			is.NoErr(m.StartInstance(i))
+		}
+	}
+	await(t, m, number, inForce, all)
+	is.NoErr(m.WaitReady(ctx))
+}
+
+// TestRestartWhileStoreIsDown restarts all nodes of a data centre while the
+// store is down: they start with the newest version, from the others.
+func TestRestartWhileStoreIsDown(t *testing.T) {
+	is := is.New(t)
+	m, ctx := start(t, small())
+	number, err := m.Apply(ctx, "op-2", changed(2))
+	is.NoErr(err)
+	await(t, m, number, inForce, all)
+	m.Platform.SetFaults(plat.Faults{Down: true})
+	for i, in := range m.Instances {
+		if in.Site.DataCentre == "hafnar" {
+			m.Kill(i)
+		}
+	}
+	for i, in := range m.Instances {
+		if in.Site.DataCentre == "hafnar" {
+			is.NoErr(m.StartInstance(i))
+		}
+	}
+	await(t, m, number, inForce, all)
+	is.NoErr(m.WaitReady(ctx))
+	status, _ := call(t, ctx, m.Instances[0], "GET", "skraning", "/places", "")
+	is.Equal(status, http.StatusOK)
+}
+
+// TestStoreGoesBackward restores the store from an old backup: no node goes
+// back, the lost version is written back, and the next one follows it.
+func TestStoreGoesBackward(t *testing.T) {
+	is := is.New(t)
+	m, ctx := start(t, small())
+	for n := uint64(2); n <= 4; n++ {
+		number, err := m.Apply(ctx, fmt.Sprint("op-", n), changed(int(n)))
+		is.NoErr(err)
+		is.Equal(number, n)
+		await(t, m, n, inForce, all)
+	}
+	m.Platform.Rollback("/tanagerchute/nordurljos/head", 2)
+	deadline := time.Now().Add(inForce)
+	for {
+		number, err := m.Apply(ctx, "op-5", changed(5))
+		is.NoErr(err)
+		if number == 5 {
+			break
+		}
+		// Accepted by a store that has forgotten: no node may take it.
+		is.True(time.Now().Before(deadline)) // the lost version is written back in time
+		for _, in := range m.Instances {
+			is.True(in.Node.Stamp().Number >= 4)
+		}
+		m.Platform.Rollback("/tanagerchute/nordurljos/head", 1)
+		time.Sleep(100 * time.Millisecond)
+	}
+	await(t, m, 5, inForce, all)
+}
+
+// TestStoreOutage takes the store away while nodes serve, and applies while
+// its answers are lost.
+func TestStoreOutage(t *testing.T) {
+	is := is.New(t)
+	m, ctx := start(t, small())
+	m.Platform.SetFaults(plat.Faults{Down: true})
+	for _, in := range m.Instances {
+		status, _ := call(t, ctx, in, "POST", "skraning", "/bookings", "")
+		is.Equal(status, http.StatusOK)
+	}
+	m.Platform.SetFaults(plat.Faults{LoseAnswers: 2})
+	number, err := m.Apply(ctx, "op-2", changed(2))
+	is.NoErr(err)
+	is.Equal(number, uint64(2)) // accepted once, though its answer was lost
+	await(t, m, 2, inForce, all)
+	m.Platform.SetFaults(plat.Faults{MuteWatches: true})
+	_, err = m.Apply(ctx, "op-3", changed(3))
+	is.NoErr(err)
+	t.Logf("in force %v after a change that no watch told of", await(t, m, 3, inForce, all))
+	m.Platform.Lapse() // all leases at once
+	number, err = m.Apply(ctx, "op-4", changed(4))
+	is.NoErr(err)
+	await(t, m, number, inForce, all)
+}
+
+// TestSilentConnections makes every open connection between nodes go silent
+// for good. Lookups in the next two seconds may miss their deadline once; then
+// all is as before. Bookings are never doubled and never falsely refused.
+func TestSilentConnections(t *testing.T) {
+	is := is.New(t)
+	m, ctx := start(t, small())
+	for _, in := range m.Instances {
+		status, _ := call(t, ctx, in, "GET", "skraning", "/places", "")
+		is.Equal(status, http.StatusOK)
+	}
+	m.Silence()
+	began := time.Now()
+	missed := 0
+	for time.Since(began) < 2*time.Second {
+		for _, in := range m.Instances {
+			if status, _ := call(t, ctx, in, "GET", "skraning", "/places", ""); status != http.StatusOK {
+				missed++
+			}
+		}
+	}
+	for _, in := range m.Instances {
+		status, _ := call(t, ctx, in, "GET", "skraning", "/places", "")
+		is.Equal(status, http.StatusOK)
+		status, _ = call(t, ctx, in, "POST", "skraning", "/bookings", "")
+		is.Equal(status, http.StatusOK)
+	}
+	t.Logf("%d lookups missed their deadline", missed)
+	is.True(missed <= len(m.Instances)) // each node's callers at most once
+	number, err := m.Apply(ctx, "op-2", changed(2))
+	is.NoErr(err)
+	await(t, m, number, inForce, all)
+}
+
+// TestCutBetweenTries books with a key, cuts the data centre of the booking
+// off, and repeats the key on both sides: it runs once.
+func TestCutBetweenTries(t *testing.T) {
+	is := is.New(t)
+	m, ctx := start(t, small())
+	time.Sleep(6 * time.Second) // nobody vouches for keys right after a start
+	var keys []string
+	for i := range 18 {
+		key := uuid.Must(uuid.NewV7()).String()
+		if i%2 == 0 {
+			key = m.Instances[i%9].Site.DataCentre + "." + key // homed where it enters
+		}
+		keys = append(keys, key)
+		status, _ := call(t, ctx, m.Instances[i%9], "POST", "skraning", "/bookings", key)
+		is.Equal(status, http.StatusOK)
+	}
+	m.Isolate("selfoss", mesh.Isolation{Store: true, Centres: true})
+	fresh := map[string]int{}
+	for i := range 9 {
+		key := uuid.Must(uuid.NewV7()).String()
+		keys = append(keys, key)
+		for _, in := range []*mesh.Instance{m.Instances[i], m.Instances[(i+1)%9], m.Instances[(i+2)%9]} {
+			status, outcome := call(t, ctx, in, "POST", "skraning", "/bookings", key)
+			fresh[fmt.Sprint(status, " ", outcome)]++
+		}
+	}
+	for i, key := range keys[:9] {
+		call(t, ctx, m.Instances[(i+1)%9], "POST", "skraning", "/bookings", key)
+	}
+	m.Isolate("selfoss", mesh.Isolation{})
+	time.Sleep(3 * time.Second)
+	for i, key := range keys {
+		call(t, ctx, m.Instances[(i+3)%9], "POST", "skraning", "/bookings", key)
+	}
+	t.Logf("calls under fresh keys during the cut: %v", fresh)
+	runs := map[string]int{}
+	for _, in := range m.Instances {
+		for _, e := range in.Backend.Ledger() {
+			runs[e.Key]++
+		}
+	}
+	for _, key := range keys {
+		is.True(runs[key] <= 1)
+	}
+}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -86,7 +86,8 @@
 	Instances []*Instance
 	centres   []string
 	seeds     map[string][]string
-	homes     map[string]string // data centre by address
+	homes     map[string]string    // data centre by address
+	cuts      map[string]*link.Cut // by data centre, of what is dialled there
 	ctx       context.Context
 	cancel    context.CancelFunc
 }
@@ -122,11 +123,12 @@
 	if cfg.Slots == 0 {
 		cfg.Slots = 12
 	}
-	m := &Mesh{cfg: cfg, doc: doc, seeds: map[string][]string{}, homes: map[string]string{}}
+	m := &Mesh{cfg: cfg, doc: doc, seeds: map[string][]string{}, homes: map[string]string{}, cuts: map[string]*link.Cut{}}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	for _, s := range cfg.Sites {
 		if !slices.Contains(m.centres, s.DataCentre) {
 			m.centres = append(m.centres, s.DataCentre)
+			m.cuts[s.DataCentre] = link.NewCut()
 		}
 	}
 	return m, nil
@@ -135,26 +137,6 @@
 // seedsPerCentre is the number of addresses of a data centre in the settings.
 const seedsPerCentre = 3
 
-// FreeAddrs returns n loopback addresses that nothing listens at.
-func FreeAddrs(n int) ([]string, error) {
-	out := make([]string, n)
-	open := make([]net.Listener, 0, n)
-	defer func() {
-		for _, l := range open {
-			l.Close()
-		}
-	}()
-	for i := range out {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		open = append(open, l)
-		out[i] = l.Addr().String()
-	}
-	return out, nil
-}
-
 // Start starts the platform, all nodes and all backend servers. It does not
 // wait for them to be ready.
 func (m *Mesh) Start() error {
@@ -215,7 +197,7 @@
 
 // Dial returns the dialer of a node in a data centre.
 func (m *Mesh) dial(centre string) link.Dial {
-	return link.Delay(link.Direct, func(addr string) link.Path {
+	delayed := link.Delay(link.Direct, func(addr string) link.Path {
 		home, known := m.homes[addr]
 		switch {
 		case known && home == centre:
@@ -225,6 +207,38 @@
 		}
 		return link.Path{}
 	})
+	return m.cuts[centre].Dial(delayed)
+}
+
+// Isolation is what a data centre is cut off from.
+type Isolation struct {
+	Store   bool
+	Centres bool // all other data centres, in both directions
+}
+
+// Isolate cuts a data centre off, or heals it if nothing is cut. Open
+// connections go silent; they are not closed.
+func (m *Mesh) Isolate(centre string, is Isolation) {
+	for _, c := range m.centres {
+		if c != centre {
+			m.cuts[c].Set(func(addr string) bool { return is.Centres && m.homes[addr] == centre })
+		}
+	}
+	m.cuts[centre].Set(func(addr string) bool {
+		home, known := m.homes[addr]
+		if !known {
+			return is.Store
+		}
+		return is.Centres && home != centre
+	})
+}
+
+// Silence makes all open connections between nodes go silent, while new ones
+// work.
+func (m *Mesh) Silence() {
+	for _, c := range m.cuts {
+		c.Silence(func(addr string) bool { return m.homes[addr] != "" })
+	}
 }
 
 // Store returns a client of the platform's store, as an operator has it.
@@ -335,7 +349,7 @@
 		size[in.Site.DataCentre]++
 	}
 	return m.wait(ctx, func(in *Instance) bool {
-		return in.Node.Ready() && m.sees(in, size)
+		return in.Node.Serving() && m.sees(in, size)
 	})
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -71,6 +71,7 @@
 	killed   chan struct{} // closed by Kill
 	killOnce sync.Once
 	stopped  atomic.Bool
+	serving  atomic.Bool                     // callers are let in
 	across   atomic.Pointer[map[string]bool] // addresses of other data centres
 }
 
@@ -225,6 +226,9 @@
 // Ready reports whether the node serves calls by a version in force.
 func (n *Node) Ready() bool { return n.feed.Ready() }
 
+// Serving reports whether the node is ready and callers are let in.
+func (n *Node) Serving() bool { return n.Ready() && n.serving.Load() }
+
 // Stamp returns the stamp of the version in force.
 func (n *Node) Stamp() vers.Stamp { return n.feed.Stamp() }
 
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -125,7 +125,9 @@
 	}
 	if err := s.openCallers(n.cfg.Settings.Listen.Callers); err != nil {
 		s.failed <- err
+		return
 	}
+	n.serving.Store(true)
 }
 
 // keepKeys lets this node be the home of keys while it is ready and in
--- a/io/proxy/home.go
+++ b/io/proxy/home.go
@@ -105,12 +105,19 @@
 		} else if r.Reached {
 			last = r
 		}
-		if !pause(ctx, resolveEvery/2) || time.Now().After(c.Deadline) {
+		if p.lostCentre(centre) || !pause(ctx, resolveEvery/2) || time.Now().After(c.Deadline) {
 			return unsettled(last)
 		}
 	}
 }
 
+// lostCentre reports whether another data centre is known to be out of reach.
+// A call that can't be settled then gets its answer at once.
+func (p *Proxy) lostCentre(centre string) bool {
+	reachable, known := p.cfg.Fleet.View().Remote.Centres[centre]
+	return centre != p.cfg.DataCentre && known && !reachable
+}
+
 // unsettled returns the refusal of a call whose home could not settle it. The
 // key may have run by an earlier try, so nothing is promised.
 func unsettled(r call.Reply) call.Reply {
@@ -128,7 +135,7 @@
 		r = p.atHome(ctx, c)
 	} else {
 		relays := p.cfg.Fleet.View().Remote.Relays[centre]
-		if len(relays) == 0 {
+		if len(relays) == 0 || p.lostCentre(centre) {
 			return call.Refuse(call.Unknown, call.CauseHome, time.Second), false
 		}
 		r = p.send(ctx, relays[try%len(relays)], c)
