--- a/core/config/parse_test.go
+++ b/core/config/parse_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"bytes"
 	"errors"
 	"strings"
 	"testing"
@@ -47,6 +48,16 @@
 	}
 }
 
+// TestLeavesItsInput holds that a document is stored as its author wrote it,
+// comments included.
+func TestLeavesItsInput(t *testing.T) {
+	is := is.New(t)
+	data := bytes.Clone(sample.Nordurljos)
+	_, err := config.Parse("mesh.jsonc", data)
+	is.NoErr(err)
+	is.True(bytes.Equal(data, sample.Nordurljos))
+}
+
 func TestRules(t *testing.T) {
 	const head = `{"deployment": "x", "services": [`
 	const class = `{"name": "c", "match": [{"path": "/"}], "answer_within": "1s", "may_wait": "0s"}`
--- a/core/jsonc/decode.go
+++ b/core/jsonc/decode.go
@@ -1,6 +1,7 @@
 package jsonc
 
 import (
+	"bytes"
 	"encoding"
 	"encoding/json"
 	"fmt"
@@ -63,7 +64,9 @@
 		places: Places{file: file, at: map[string]errs.Pos{}},
 		lines:  newLineIndex(data),
 	}
-	v, err := hujson.Parse(data)
+	// The syntax tree shares the bytes that it was parsed from, and is changed
+	// below.
+	v, err := hujson.Parse(bytes.Clone(data))
 	if err != nil {
 		c.syntax(err)
 		return c.places, &c.findings
