--- a/cmd/tanagerchute/main.go
+++ b/cmd/tanagerchute/main.go
@@ -27,6 +27,21 @@
 	groupTry     = "for trials"
 )
 
+// groupOf tells the groups of the help text apart.
+var groupOf = map[string]string{
+	"node": groupRun, "demo": groupTry, "platform": groupTry, "upstream": groupTry, "load": groupTry, "measure": groupTry,
+	"validate": groupOperate, "apply": groupOperate, "get": groupOperate, "diff": groupOperate,
+	"history": groupOperate, "status": groupOperate, "explain": groupOperate, "drain": groupOperate,
+}
+
+// commands returns all commands of the system.
+func commands() []subcommands.Command {
+	return []subcommands.Command{
+		&validateCmd{}, &applyCmd{}, &getCmd{}, &diffCmd{}, &historyCmd{}, &statusCmd{}, &explainCmd{}, &drainCmd{},
+		&nodeCmd{}, &demoCmd{}, &platformCmd{}, &upstreamCmd{}, &loadCmd{}, &measureCmd{},
+	}
+}
+
 func main() { os.Exit(run()) }
 
 // run registers the commands and runs the one that the arguments name.
@@ -35,14 +50,8 @@
 	c := subcommands.NewCommander(flags, "tanagerchute")
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
-	for _, cmd := range []subcommands.Command{
-		&validateCmd{}, &applyCmd{}, &getCmd{}, &diffCmd{}, &historyCmd{}, &statusCmd{}, &explainCmd{}, &drainCmd{},
-	} {
-		c.Register(cmd, groupOperate)
-	}
-	c.Register(&nodeCmd{}, groupRun)
-	for _, cmd := range []subcommands.Command{&demoCmd{}, &platformCmd{}, &upstreamCmd{}, &loadCmd{}, &measureCmd{}} {
-		c.Register(cmd, groupTry)
+	for _, cmd := range commands() {
+		c.Register(cmd, groupOf[cmd.Name()])
 	}
 	if err := flags.Parse(os.Args[1:]); err != nil {
 		return int(subcommands.ExitUsageError)
--- a/cmd/tanagerchute/script_test.go
+++ b/cmd/tanagerchute/script_test.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"flag"
+	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -107,3 +110,62 @@
 		ts.Fatalf("status %d", res.StatusCode)
 	}
 }
+
+// TestPagesAreTrue holds that each command on the operators' pages and in the
+// README exists with the flags that it is given.
+func TestPagesAreTrue(t *testing.T) {
+	pages, err := filepath.Glob("../../docs/operate/*.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	commands := 0
+	for _, page := range append(pages, "../../README.md", "../../docs/MEASURES.md") {
+		data, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for n, line := range strings.Split(string(data), "\n") {
+			words, ok := commandOf(line)
+			if !ok {
+				continue
+			}
+			commands++
+			if err := parseCommand(words); err != nil {
+				t.Errorf("%s:%d: %s: %v", filepath.Base(page), n+1, strings.Join(words, " "), err)
+			}
+		}
+	}
+	if commands < 20 {
+		t.Errorf("found %d commands on the pages", commands)
+	}
+}
+
+// commandOf returns the words of a command line of the binary in an indented
+// block of a page.
+func commandOf(line string) ([]string, bool) {
+	if !strings.HasPrefix(line, "    ") {
+		return nil, false
+	}
+	text, _, _ := strings.Cut(strings.TrimSpace(line), " > ")
+	text, _, _ = strings.Cut(text, " 2>")
+	text, _, _ = strings.Cut(text, " &")
+	for _, start := range []string{"tanagerchute ", "go run ./cmd/tanagerchute "} {
+		if rest, ok := strings.CutPrefix(text, start); ok {
+			return strings.Fields(rest), true
+		}
+	}
+	return nil, false
+}
+
+func parseCommand(words []string) error {
+	for _, c := range commands() {
+		if c.Name() != words[0] {
+			continue
+		}
+		f := flag.NewFlagSet(words[0], flag.ContinueOnError)
+		f.SetOutput(io.Discard)
+		c.SetFlags(f)
+		return f.Parse(words[1:])
+	}
+	return fmt.Errorf("there is no command %q", words[0])
+}
