A failure of a call below is not held against the servers above it

Ruled out: the budget, which was not spent. A node knows from its egress that a call of that trace failed; it marks the answer, nobody above resends or judges by it.

Positions of findings are looked up when there are findings, not kept for each value. Nodes look for the seeds of their settings while they are not up.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -121,6 +121,10 @@
 	// Reached reports whether the node that was asked has replied itself.
 	Reached bool
 	Shed    bool // the backend server refused for load
+	// Below reports whether a failure comes from a call that the backend server
+	// made itself. It says nothing about the server, and a resend here would
+	// only multiply the resends below.
+	Below bool
 }
 
 // Refuse returns a refusal.
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -49,7 +49,6 @@
 	UpstreamFailing Kind = "upstream_failing"
 	UpstreamBack    Kind = "upstream_back"
 	UpstreamEjected Kind = "upstream_ejected"
-	LimitChanged    Kind = "limit_changed"
 	RequestRefused  Kind = "request_refused"
 	RequestMoved    Kind = "request_moved"
 	RequestUnknown  Kind = "request_unknown"
--- a/core/jsonc/decode.go
+++ b/core/jsonc/decode.go
@@ -36,34 +36,48 @@
 // Std returns d as a time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
-// Places maps dotted paths of a document to their positions.
+// Places finds the positions of a document's values by their dotted paths.
 type Places struct {
-	file string
-	at   map[string]errs.Pos
+	file  string
+	lines lineIndex
+	root  hujson.Value
 }
 
-// At returns the position of path, or of its nearest known parent.
+// At returns the position of path, or of its nearest parent that exists.
 func (p Places) At(path string) errs.Pos {
+	if p.root.Value == nil {
+		return errs.Pos{File: p.file}
+	}
 	for {
-		if pos, ok := p.at[path]; ok {
-			return pos
+		if v := p.root.Find(pointer(path)); v != nil {
+			return p.pos(v.StartOffset)
 		}
 		i := strings.LastIndexByte(path, '.')
 		if i < 0 {
-			return errs.Pos{File: p.file}
+			return p.pos(p.root.StartOffset)
 		}
 		path = path[:i]
 	}
 }
 
+func (p Places) pos(offset int) errs.Pos {
+	line, col := p.lines.find(offset)
+	return errs.Pos{File: p.file, Line: line, Col: col}
+}
+
+// pointer returns the JSON pointer for a dotted path.
+func pointer(path string) string {
+	if path == "" {
+		return ""
+	}
+	return "/" + strings.NewReplacer("~", "~0", "/", "~1", ".", "/").Replace(path)
+}
+
 // Decode parses data, which came from file, into dst, a pointer to a struct.
 // The findings are complete for syntax and types; dst is only to be used if
 // there are none.
 func Decode(file string, data []byte, dst any) (Places, *errs.List) {
-	c := &checker{
-		places: Places{file: file, at: map[string]errs.Pos{}},
-		lines:  newLineIndex(data),
-	}
+	c := &checker{places: Places{file: file, lines: newLineIndex(data)}}
 	// The syntax tree shares the bytes that it was parsed from, and is changed
 	// below.
 	v, err := hujson.Parse(bytes.Clone(data))
@@ -71,7 +85,8 @@
 		c.syntax(err)
 		return c.places, &c.findings
 	}
-	c.value(v, reflect.TypeOf(dst).Elem(), "")
+	c.places.root = v
+	c.value(v, reflect.TypeOf(dst).Elem(), nil)
 	if c.findings.Len() > 0 {
 		return c.places, &c.findings
 	}
@@ -84,13 +99,37 @@
 
 type checker struct {
 	places   Places
-	lines    lineIndex
 	findings errs.List
 }
 
-func (c *checker) pos(offset int) errs.Pos {
-	line, col := c.lines.find(offset)
-	return errs.Pos{File: c.places.file, Line: line, Col: col}
+func (c *checker) pos(offset int) errs.Pos { return c.places.pos(offset) }
+
+// add notes a finding about the value at path.
+func (c *checker) add(offset int, path *step, format string, args ...any) {
+	c.findings.Add(c.pos(offset), path.String(), format, args...)
+}
+
+// step is the last step of the path to a value. Paths are only put together
+// for findings, since most documents have none.
+type step struct {
+	parent *step // nil for a value of the root
+	name   string
+	index  int // of an element, if name is empty
+}
+
+// String returns the dotted path.
+func (s *step) String() string {
+	if s == nil {
+		return ""
+	}
+	last := s.name
+	if last == "" {
+		last = strconv.Itoa(s.index)
+	}
+	if s.parent == nil {
+		return last
+	}
+	return s.parent.String() + "." + last
 }
 
 // syntax reports a syntax error. The library words its place as
@@ -109,8 +148,7 @@
 
 var textType = reflect.TypeFor[encoding.TextUnmarshaler]()
 
-func (c *checker) value(v hujson.Value, t reflect.Type, path string) {
-	c.places.at[path] = c.pos(v.StartOffset)
+func (c *checker) value(v hujson.Value, t reflect.Type, path *step) {
 	if t.Kind() == reflect.Pointer {
 		t = t.Elem()
 	}
@@ -124,9 +162,9 @@
 	}
 }
 
-func (c *checker) object(o *hujson.Object, t reflect.Type, path string, off int) {
+func (c *checker) object(o *hujson.Object, t reflect.Type, path *step, off int) {
 	if t.Kind() != reflect.Struct && t.Kind() != reflect.Map {
-		c.findings.Add(c.pos(off), path, "is an object, but %s is wanted", kindName(t))
+		c.add(off, path, "is an object, but %s is wanted", kindName(t))
 		return
 	}
 	seen := map[string]bool{}
@@ -134,9 +172,9 @@
 		m := &o.Members[i]
 		lit, _ := m.Name.Value.(hujson.Literal)
 		name := lit.String()
-		sub := join(path, name)
+		sub := &step{parent: path, name: name}
 		if seen[name] {
-			c.findings.Add(c.pos(m.Name.StartOffset), sub, "appears twice")
+			c.add(m.Name.StartOffset, sub, "appears twice")
 			continue
 		}
 		seen[name] = true
@@ -146,7 +184,7 @@
 		}
 		ft, ok := fieldType(t, name)
 		if !ok {
-			c.findings.Add(c.pos(m.Name.StartOffset), sub, "is not a known field%s", hint(name))
+			c.add(m.Name.StartOffset, sub, "is not a known field%s", hint(name))
 			continue
 		}
 		c.value(m.Value, ft, sub)
@@ -165,18 +203,18 @@
 	return ""
 }
 
-func (c *checker) array(a *hujson.Array, t reflect.Type, path string, off int) {
+func (c *checker) array(a *hujson.Array, t reflect.Type, path *step, off int) {
 	if t.Kind() != reflect.Slice {
-		c.findings.Add(c.pos(off), path, "is a list, but %s is wanted", kindName(t))
+		c.add(off, path, "is a list, but %s is wanted", kindName(t))
 		return
 	}
 	for i := range a.Elements {
-		c.value(a.Elements[i], t.Elem(), join(path, strconv.Itoa(i)))
+		c.value(a.Elements[i], t.Elem(), &step{parent: path, index: i})
 	}
 }
 
-func (c *checker) literal(l hujson.Literal, t reflect.Type, path string, off int) {
-	bad := func() { c.findings.Add(c.pos(off), path, "is %s, but %s is wanted", string(l), kindName(t)) }
+func (c *checker) literal(l hujson.Literal, t reflect.Type, path *step, off int) {
+	bad := func() { c.add(off, path, "is %s, but %s is wanted", string(l), kindName(t)) }
 	if reflect.PointerTo(t).Implements(textType) {
 		c.text(l, t, path, off)
 		return
@@ -197,28 +235,21 @@
 	}
 }
 
-func (c *checker) text(l hujson.Literal, t reflect.Type, path string, off int) {
+func (c *checker) text(l hujson.Literal, t reflect.Type, path *step, off int) {
 	if l.Kind() != '"' {
-		c.findings.Add(c.pos(off), path, "is %s, but a string is wanted", string(l))
+		c.add(off, path, "is %s, but a string is wanted", string(l))
 		return
 	}
 	dst := reflect.New(t).Interface().(encoding.TextUnmarshaler)
 	if err := dst.UnmarshalText([]byte(l.String())); err != nil {
-		c.findings.Add(c.pos(off), path, "%v", err)
+		c.add(off, path, "%v", err)
 	}
 }
 
-func (c *checker) number(l hujson.Literal, t reflect.Type, path string, off int) {
+func (c *checker) number(l hujson.Literal, t reflect.Type, path *step, off int) {
 	if err := json.Unmarshal(l, reflect.New(t).Interface()); err != nil {
-		c.findings.Add(c.pos(off), path, "is %s, but %s is wanted", string(l), kindName(t))
-	}
-}
-
-func join(path, name string) string {
-	if path == "" {
-		return name
+		c.add(off, path, "is %s, but %s is wanted", string(l), kindName(t))
 	}
-	return path + "." + name
 }
 
 func fieldType(t reflect.Type, name string) (reflect.Type, bool) {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -58,14 +58,21 @@
 	health    *health.Window
 	once      *once.Table
 	waiting   map[string]chan admitted
-	deadlines map[string]time.Time // of calls in flight, by trace id
-	idle      chan struct{}        // closed when a drained gate has no call left
+	flights   map[string]*flight // calls in flight, by trace id
+	idle      chan struct{}      // closed when a drained gate has no call left
 	told      struct {
 		ready bool
 		slots int
 	}
 }
 
+// flight is what is known of the calls in flight of one trace.
+type flight struct {
+	calls    int
+	deadline time.Time // the latest
+	below    bool      // a call that the server made for them has failed
+}
+
 // admitted is what a waiting call is told.
 type admitted struct {
 	start   bool
@@ -75,14 +82,14 @@
 // New returns a gate without a backend server.
 func New(cfg Config) *Gate {
 	return &Gate{
-		cfg:       cfg,
-		client:    newBackendClient(cfg.MaxConns, cfg.MaxAnswer),
-		admit:     admit.New(admit.Config{Slots: 1}),
-		health:    health.New(health.DefaultConfig()),
-		once:      once.NewTable(once.DefaultConfig(time.Now())),
-		waiting:   map[string]chan admitted{},
-		deadlines: map[string]time.Time{},
-		idle:      make(chan struct{}),
+		cfg:     cfg,
+		client:  newBackendClient(cfg.MaxConns, cfg.MaxAnswer),
+		admit:   admit.New(admit.Config{Slots: 1}),
+		health:  health.New(health.DefaultConfig()),
+		once:    once.NewTable(once.DefaultConfig(time.Now())),
+		waiting: map[string]chan admitted{},
+		flights: map[string]*flight{},
+		idle:    make(chan struct{}),
 	}
 }
 
@@ -140,8 +147,47 @@
 func (g *Gate) Deadline(trace string) (time.Time, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	d, ok := g.deadlines[trace]
-	return d, ok
+	f, ok := g.flights[trace]
+	if !ok {
+		return time.Time{}, false
+	}
+	return f.deadline, true
+}
+
+// FailedBelow notes that a call which the backend server made for a call in
+// flight with a trace id has failed.
+func (g *Gate) FailedBelow(trace string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if f, ok := g.flights[trace]; ok {
+		f.below = true
+	}
+}
+
+// takeOff notes that a call starts at the server. Its caller holds mu.
+func (g *Gate) takeOff(c call.Call) {
+	f, ok := g.flights[c.Trace]
+	if !ok {
+		f = &flight{}
+		g.flights[c.Trace] = f
+	}
+	f.calls++
+	if c.Deadline.After(f.deadline) {
+		f.deadline = c.Deadline
+	}
+}
+
+// land notes that a call has ended and reports whether one that the server
+// made for it has failed. Its caller holds mu.
+func (g *Gate) land(c call.Call) (below bool) {
+	f, ok := g.flights[c.Trace]
+	if !ok {
+		return false
+	}
+	if f.calls--; f.calls == 0 {
+		delete(g.flights, c.Trace)
+	}
+	return f.below
 }
 
 // Inquire answers what became of an attempt, and fences it if it has not
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -165,9 +165,7 @@
 func (g *Gate) run(ctx context.Context, gate *admit.Gate, c call.Call) call.Reply {
 	g.mu.Lock()
 	addr := g.backend.Address
-	if c.Trace != "" {
-		g.deadlines[c.Trace] = c.Deadline
-	}
+	g.takeOff(c)
 	g.mu.Unlock()
 	began := time.Now()
 	var r call.Reply
@@ -176,22 +174,24 @@
 	} else {
 		r = g.client.do(ctx, addr, c)
 	}
-	g.finished(gate, c, r, time.Since(began))
-	return r
+	return g.finished(gate, c, r, time.Since(began))
 }
 
-func (g *Gate) finished(gate *admit.Gate, c call.Call, r call.Reply, took time.Duration) {
+// finished notes that a call has ended and returns its reply, marked if it
+// failed for a call below.
+func (g *Gate) finished(gate *admit.Gate, c call.Call, r call.Reply, took time.Duration) call.Reply {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.running--
+	r.Below = g.land(c) && r.Fate == call.Answered && r.Status >= 500
 	result, judged := resultOf(r)
 	g.tell(gate.Done(now, result, took))
-	delete(g.deadlines, c.Trace)
 	if judged {
 		g.judge(now, c, r, result)
 	}
 	g.checkIdle()
+	return r
 }
 
 // judge lets the outcome of real work decide on the health of the server.
@@ -223,6 +223,8 @@
 		return admit.Shed, true
 	case r.Fate == call.Answered && r.Status < 500:
 		return admit.OK, true
+	case r.Below:
+		return admit.Failed, false
 	case r.Cause == call.CauseDeadline:
 		return admit.Late, true
 	case r.Cause == call.CauseCanceled:
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -43,7 +43,6 @@
 	event.RequestMoved:    true,
 	event.RequestFenced:   true,
 	event.RequestReplayed: true,
-	event.LimitChanged:    true,
 	event.CentreChanged:   true,
 	event.PeerChanged:     true,
 }
--- a/io/mesh/failure_test.go
+++ b/io/mesh/failure_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +17,8 @@
 	sample "tanagerchute/examples"
 	"tanagerchute/io/mesh"
 	"tanagerchute/io/plat"
+	"tanagerchute/io/proxy"
+	"tanagerchute/io/server"
 )
 
 const oneWay = 3500 * time.Microsecond
@@ -302,3 +306,100 @@
 		is.True(runs[key] <= 1)
 	}
 }
+
+// entersWork reports whether nodes elsewhere would send work of a service to an
+// instance's node.
+func entersWork(m *mesh.Mesh, victim *mesh.Instance) bool {
+	for _, in := range m.Instances {
+		view := in.Node.View()
+		if in.Site.DataCentre == victim.Site.DataCentre {
+			for _, r := range view.Upstreams(victim.Site.Service) {
+				if r.Addr == victim.Settings.Listen.Peers && in != victim {
+					return true
+				}
+			}
+			continue
+		}
+		for _, e := range view.Remote.Entries(victim.Site.Service) {
+			if e.Addr == victim.Settings.Listen.Peers {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// TestNoNewWork holds the bounds on how long new work goes to an upstream that
+// leaves, 1 s everywhere, and to one that has died, 5 s everywhere.
+func TestNoNewWork(t *testing.T) {
+	is := is.New(t)
+	m, _ := start(t, small())
+	for _, c := range []struct {
+		name   string
+		victim int
+		bound  time.Duration
+		end    func(int)
+	}{
+		{"leaves", 1, time.Second, func(i int) { m.Instances[i].Node.StartDrain() }},
+		{"dies", 2, 5 * time.Second, func(i int) { m.Kill(i) }},
+	} {
+		victim := m.Instances[c.victim]
+		is.True(entersWork(m, victim))
+		began := time.Now()
+		c.end(c.victim)
+		for entersWork(m, victim) {
+			if time.Since(began) > c.bound {
+				t.Fatalf("%s gets new work %v after it %s", victim.Site.Name, c.bound, c.name)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		t.Logf("%s %s: no new work from anywhere after %v", victim.Site.Name, c.name, time.Since(began).Round(time.Millisecond))
+	}
+}
+
+const chainDocument = `{
+  "deployment": "nordurljos",
+  "services": [{
+    "name": "skraning", "calls": ["skraning"],
+    "classes": [{"name": "lookup", "match": [{"path": "/"}], "answer_within": "5s", "may_wait": "2s"}],
+  }],
+}`
+
+// TestChain calls 16 services deep, while one of the upstreams fails all it is
+// sent, and holds that no depth multiplies attempts. A 17th is refused.
+func TestChain(t *testing.T) {
+	is := is.New(t)
+	attempts, calls := &atomic.Int64{}, &atomic.Int64{}
+	cfg := small()
+	cfg.Document = []byte(chainDocument)
+	cfg.Sites = mesh.Sites([]string{"hafnar", "selfoss"}, map[string]int{"skraning": 6})
+	cfg.Observe = func(s proxy.Sample) {
+		calls.Add(1)
+		attempts.Add(int64(s.Attempts))
+	}
+	m, ctx := start(t, cfg)
+	time.Sleep(5 * time.Second) // no upstream is cold any more
+	chain := func(depth int) string {
+		path := "/end"
+		for range depth - 1 {
+			path = "/next?call=" + url.QueryEscape("skraning"+path)
+		}
+		return path
+	}
+	status, _ := call(t, ctx, m.Instances[0], "GET", "skraning", chain(16), "")
+	is.Equal(status, http.StatusOK)
+	status, _ = call(t, ctx, m.Instances[0], "GET", "skraning", chain(17), "")
+	is.True(status >= 500) // refused at the 17th, passed up by the stand-ins
+	calls.Store(0)
+	attempts.Store(0)
+	m.Instances[3].Backend.SetFaults(server.Faults{Shed: true})
+	good := 0
+	for range 40 {
+		if status, _ := call(t, ctx, m.Instances[0], "GET", "skraning", chain(16), ""); status == http.StatusOK {
+			good++
+		}
+	}
+	ratio := float64(attempts.Load()) / float64(calls.Load())
+	t.Logf("%d of 40 chains answered, %.3f attempts a call over %d calls", good, ratio, calls.Load())
+	is.True(ratio <= 1.1)
+}
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"tanagerchute/core/event"
+	"tanagerchute/core/member"
 )
 
 const (
@@ -18,6 +19,8 @@
 	// joinTries is the number of rounds after which a node takes itself to be
 	// the first of its data centre.
 	joinTries = 3
+	// rejoinEvery is how often seeds that are not up are looked for.
+	rejoinEvery = 5 * time.Second
 	// seedTimeout bounds the reading of seeds from the store at the start.
 	seedTimeout = 2 * time.Second
 	// openAfter is how long a node that is not ready keeps callers away.
@@ -48,6 +51,7 @@
 	wg.Go(func() { n.boot(duties) })
 	wg.Go(func() { n.openToCallers(duties, s) })
 	wg.Go(func() { n.keepKeys(duties) })
+	wg.Go(func() { n.rejoin(duties) })
 
 	select {
 	case <-ctx.Done():
@@ -184,6 +188,23 @@
 	return slices.DeleteFunc(all, func(a string) bool { return a == s.Listen.PeerAddr() })
 }
 
+// rejoin looks for the seeds of the own data centre that are in the settings
+// and not known to be up. A node that started cut off finds the others by it
+// also while the store is down.
+func (n *Node) rejoin(ctx context.Context) {
+	for sleep(ctx, rejoinEvery) {
+		var missing []string
+		view := n.fleet.View()
+		for _, addr := range n.cfg.Settings.Seeds[n.cfg.Settings.DataCentre] {
+			up := slices.ContainsFunc(view.Members, func(m member.Record) bool { return m.Addr == addr && m.Up() })
+			if !up {
+				missing = append(missing, addr)
+			}
+		}
+		n.fleet.Join(ctx, missing)
+	}
+}
+
 func (n *Node) seedsFromStore(ctx context.Context) map[string][]string {
 	if n.seeds == nil {
 		return nil
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -58,7 +58,7 @@
 
 // again decides whether another attempt is safe and affordable.
 func (d *dispatching) again(ctx context.Context, r call.Reply) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || r.Below {
 		return false
 	}
 	switch {
@@ -210,7 +210,7 @@
 
 func routeResult(r call.Reply) route.Result {
 	switch {
-	case r.Fate == call.Answered && r.Status < 500:
+	case r.Fate == call.Answered && (r.Status < 500 || r.Below):
 		return route.Good
 	case r.Cause == call.CauseCanceled:
 		return route.Refused // says nothing of the candidate
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -68,6 +68,7 @@
 		c, bad := p.readCall(r, from, arrived)
 		if bad != nil {
 			span.SetStatus(codes.Error, bad.msg)
+			p.failedBelow(from, span)
 			bad.write(w)
 			return
 		}
@@ -81,11 +82,22 @@
 		if reply.Fate != call.Answered {
 			span.SetStatus(codes.Error, reply.Fate.String()+" "+reply.Cause)
 		}
+		if reply.Fate != call.Answered || reply.Status >= 500 {
+			p.failedBelow(from, span)
+		}
 		p.observe(c, reply, attempts, arrived)
 		writeCaller(w, c, reply)
 	})
 }
 
+// failedBelow notes that a call of the own backend server has failed, so that
+// its answer to the call above is not held against it.
+func (p *Proxy) failedBelow(from string, span trace.Span) {
+	if from != "" {
+		p.cfg.Gate.FailedBelow(span.SpanContext().TraceID().String())
+	}
+}
+
 func (p *Proxy) observe(c call.Call, r call.Reply, attempts int, arrived time.Time) {
 	if p.cfg.Observe == nil {
 		return
