--- a/io/bench/codec_test.go
+++ b/io/bench/codec_test.go
@@ -17,13 +17,13 @@
 	}
 	b.Run("encode", func(b *testing.B) {
 		b.ReportAllocs()
-		b.ReportMetric(float64(len(d)), "delta_bytes")
-		b.ReportMetric(float64(len(next)), "document_bytes")
 		for b.Loop() {
 			if _, err := delta.Encode(base, next); err != nil {
 				b.Fatal(err)
 			}
 		}
+		b.ReportMetric(float64(len(d)), "delta_bytes")
+		b.ReportMetric(float64(len(next)), "document_bytes")
 	})
 	b.Run("decode", func(b *testing.B) {
 		b.ReportAllocs()
--- a/io/bench/fleet.go
+++ b/io/bench/fleet.go
@@ -16,6 +16,7 @@
 	"tanagerchute/io/feed"
 	"tanagerchute/io/mesh"
 	"tanagerchute/io/plat"
+	"tanagerchute/io/timer"
 )
 
 // FleetConfig configures a measurement of the control traffic.
@@ -122,7 +123,7 @@
 		return FleetRow{}, err
 	}
 	row := FleetRow{Nodes: nodes}
-	settle(ctx, 8*time.Second) // connections of the start have been closed
+	timer.Sleep(ctx, 8*time.Second) // connections of the start have been closed
 	idle(ctx, cfg, m, &row)
 	if err := changes(ctx, cfg, m, &row); err != nil {
 		return row, err
@@ -152,20 +153,13 @@
 	return m.WaitReady(ctx)
 }
 
-func settle(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // idle measures a quiet time.
 func idle(ctx context.Context, cfg FleetConfig, m *mesh.Mesh, row *FleetRow) {
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	b0, c0, s0 := controlBytes(m), cpu(), m.Platform.Calls()
-	settle(ctx, cfg.Idle)
+	timer.Sleep(ctx, cfg.Idle)
 	b1, c1, s1 := controlBytes(m), cpu(), m.Platform.Calls()
 	runtime.ReadMemStats(&after)
 	seconds, n := cfg.Idle.Seconds(), float64(row.Nodes)
@@ -203,7 +197,7 @@
 			return fmt.Errorf("version %d: %w", number, err)
 		}
 		_ = h.RecordValue(time.Since(accepted).Microseconds()) // bounded by startLimit
-		settle(ctx, 400*time.Millisecond)                      // what comes late counts as well
+		timer.Sleep(ctx, 400*time.Millisecond)                 // what comes late counts as well
 		elapsed := time.Since(accepted).Seconds()
 		now := controlBytes(m)
 		pairs := float64(cfg.Centres * (cfg.Centres - 1) / 2)
--- a/io/bench/herd.go
+++ b/io/bench/herd.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagerchute/io/mesh"
+	"tanagerchute/io/timer"
 )
 
 // HerdRow is the load on the store while all nodes restart at once.
@@ -90,7 +91,7 @@
 			if n := len(samples); n > 1 {
 				most = max(most, samples[n-1]-samples[max(0, n-1-window)])
 			}
-			settle(ctx, every)
+			timer.Sleep(ctx, every)
 		}
 		result <- most
 	}()
--- a/io/bench/over.go
+++ b/io/bench/over.go
@@ -8,6 +8,7 @@
 	"tanagerchute/io/load"
 	"tanagerchute/io/mesh"
 	"tanagerchute/io/proxy"
+	"tanagerchute/io/timer"
 )
 
 // OverConfig configures a measurement of goodput under overload.
@@ -94,7 +95,7 @@
 	if err := startMesh(ctx, m, []byte(overDocument)); err != nil {
 		return OverRow{}, err
 	}
-	settle(ctx, 5*time.Second) // the upstreams are not cold any more
+	timer.Sleep(ctx, 5*time.Second) // the upstreams are not cold any more
 	capacity := overNodes * overSlots / cfg.Work.Seconds()
 	r := load.Run(ctx, load.Config{
 		Targets: m.Callers(), Rate: times * capacity, Duration: cfg.Duration, Seed: 1, Kinds: overKinds,
--- a/io/bench/path.go
+++ b/io/bench/path.go
@@ -10,6 +10,7 @@
 	"tanagerchute/io/load"
 	"tanagerchute/io/mesh"
 	"tanagerchute/io/server"
+	"tanagerchute/io/timer"
 )
 
 // PathConfig configures a measurement of the latency that the mesh adds.
@@ -52,7 +53,7 @@
 	if err := startMesh(ctx, m, document(2, 0)); err != nil {
 		return nil, err
 	}
-	settle(ctx, 6*time.Second) // the upstream is not cold any more
+	timer.Sleep(ctx, 6*time.Second) // the upstream is not cold any more
 	direct, stop, err := serveDirect(cfg)
 	if err != nil {
 		return nil, err
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -21,6 +21,7 @@
 	"tanagerchute/io/load"
 	"tanagerchute/io/mesh"
 	"tanagerchute/io/plat"
+	"tanagerchute/io/timer"
 )
 
 // Config configures a demonstration.
@@ -152,7 +153,7 @@
 		return errors.Wrap(err, "nodes did not get ready")
 	}
 	s.say("all %d nodes are ready and see each other", len(s.mesh.Instances))
-	if !sleep(ctx, time.Until(s.began.Add(settle))) {
+	if !timer.Sleep(ctx, time.Until(s.began.Add(settle))) {
 		return ctx.Err()
 	}
 	return s.underLoad(ctx)
@@ -188,20 +189,20 @@
 // events shows a change, a death and a planned stop, spread over the load.
 func (s *show) events(ctx context.Context) error {
 	step := s.cfg.Duration / 5
-	if !sleep(ctx, step) {
+	if !timer.Sleep(ctx, step) {
 		return ctx.Err()
 	}
 	changed := bytes.Replace(s.dep.document, []byte(s.dep.old), []byte(s.dep.new), 1)
 	if err := s.apply(ctx, changed); err != nil {
 		return err
 	}
-	if !sleep(ctx, step) {
+	if !timer.Sleep(ctx, step) {
 		return ctx.Err()
 	}
 	victim := len(s.mesh.Instances) - 1
 	s.say("killing the backend server of %s", s.mesh.Instances[victim].Site.Name)
 	s.mesh.KillBackend(victim)
-	if !sleep(ctx, step) {
+	if !timer.Sleep(ctx, step) {
 		return ctx.Err()
 	}
 	stopping := len(s.mesh.Instances) - 2
@@ -229,14 +230,3 @@
 	s.say("version %d is in force everywhere after %.1f ms", number, ms)
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/io/feed/boot.go
+++ b/io/feed/boot.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagerchute/core/vers"
+	"tanagerchute/io/timer"
 )
 
 // Times of a boot.
@@ -36,7 +37,7 @@
 			f.ready.Store(true)
 			return nil
 		}
-		if !sleep(ctx, f.jitter(bootRound)) {
+		if !timer.Sleep(ctx, f.jitter(bootRound)) {
 			return ctx.Err()
 		}
 	}
@@ -70,7 +71,7 @@
 // Wait returns once version s, or a later one, is in force here.
 func (f *Feed) Wait(ctx context.Context, s vers.Stamp) error {
 	for f.Stamp().Number < s.Number {
-		if !sleep(ctx, bootRound/10) {
+		if !timer.Sleep(ctx, bootRound/10) {
 			return ctx.Err()
 		}
 	}
--- a/io/feed/reader.go
+++ b/io/feed/reader.go
@@ -10,6 +10,7 @@
 	"tanagerchute/core/event"
 	"tanagerchute/core/vers"
 	"tanagerchute/io/ledger"
+	"tanagerchute/io/timer"
 )
 
 // rankCheck is how often a node looks whether it is a reader.
@@ -94,7 +95,7 @@
 		if time.Since(began) > retryMax {
 			delay = retryMin
 		}
-		if !sleep(ctx, f.jitter(delay)) {
+		if !timer.Sleep(ctx, f.jitter(delay)) {
 			return
 		}
 		delay = min(2*delay, retryMax)
@@ -120,17 +121,6 @@
 	return d/2 + time.Duration(f.cfg.Rand.Int64N(int64(d)))
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // follow reads the newest version and then watches for later ones. Beside the
 // watch it polls, since a watch whose connection has gone silent looks like one
 // on which nothing happens.
@@ -164,7 +154,7 @@
 // poll checks the store at a steady pace, if this node is the first reader.
 func (f *Feed) poll(ctx context.Context) error {
 	for {
-		if !sleep(ctx, f.jitter(pollEvery)) {
+		if !timer.Sleep(ctx, f.jitter(pollEvery)) {
 			return ctx.Err()
 		}
 		if f.rankAt.Load() != 0 {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -11,6 +11,7 @@
 	"tanagerchute/core/health"
 	"tanagerchute/core/once"
 	"tanagerchute/core/route"
+	"tanagerchute/io/keep"
 )
 
 // Times of the duty.
@@ -44,8 +45,9 @@
 
 // Gate is the gatekeeper. Its methods are safe for concurrent use.
 type Gate struct {
-	cfg    Config
-	client *backendClient
+	cfg     Config
+	client  *backendClient
+	records *keep.Records
 
 	mu        sync.Mutex
 	backend   Backend
@@ -56,7 +58,6 @@
 	running   int       // calls in flight, at a former server as well
 	admit     *admit.Gate
 	health    *health.Window
-	once      *once.Table
 	waiting   map[string]chan admitted
 	flights   map[string]*flight // calls in flight, by trace id
 	idle      chan struct{}      // closed when a drained gate has no call left
@@ -86,7 +87,7 @@
 		client:  newBackendClient(cfg.MaxConns, cfg.MaxAnswer),
 		admit:   admit.New(admit.Config{Slots: 1}),
 		health:  health.New(health.DefaultConfig()),
-		once:    once.NewTable(once.DefaultConfig(time.Now())),
+		records: keep.NewRecords(),
 		waiting: map[string]chan admitted{},
 		flights: map[string]*flight{},
 		idle:    make(chan struct{}),
@@ -193,9 +194,7 @@
 // Inquire answers what became of an attempt, and fences it if it has not
 // begun.
 func (g *Gate) Inquire(key once.Key, attempt string) (once.Verdict, once.Answer) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	v, a := g.once.Inquire(time.Now(), key, attempt)
+	v, a := g.records.Inquire(key, attempt)
 	if v == once.Fenced {
 		g.event(event.RequestFenced, key.ID, "asked about before it had begun")
 	}
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -8,7 +8,6 @@
 	"tanagerchute/core/admit"
 	"tanagerchute/core/call"
 	"tanagerchute/core/event"
-	"tanagerchute/core/once"
 	"tanagerchute/io/keep"
 )
 
@@ -16,7 +15,7 @@
 func (g *Gate) Serve(ctx context.Context, c call.Call) call.Reply {
 	var r call.Reply
 	if c.AtMostOnce {
-		r = keep.Run(ctx, g, c, func() call.Reply {
+		r = keep.Run(ctx, g.records, c, func() call.Reply {
 			// The work goes on when its caller has gone: a repeat is to find
 			// the answer. Its deadline still ends it.
 			return g.admitted(context.WithoutCancel(ctx), c)
@@ -30,27 +29,6 @@
 	return r
 }
 
-// Begin implements keep.Table.
-func (g *Gate) Begin(c call.Call) (once.Verdict, once.Answer) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.once.Begin(time.Now(), once.Key{ID: c.ID, Issued: c.Issued}, c.Attempt)
-}
-
-// Wait implements keep.Table.
-func (g *Gate) Wait(id string, f func()) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.once.Wait(id, f)
-}
-
-// End implements keep.Table.
-func (g *Gate) End(c call.Call, r call.Reply) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	keep.Record(g.once, time.Now(), c, r)
-}
-
 // admitted brings a call through health and admission and runs it.
 func (g *Gate) admitted(ctx context.Context, c call.Call) call.Reply {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
--- a/io/keep/keep.go
+++ b/io/keep/keep.go
@@ -80,15 +80,3 @@
 	}
 	return call.Refuse(call.Unknown, call.CauseLost, 0)
 }
-
-// Record records what came of a run in t.
-func Record(t *once.Table, now time.Time, c call.Call, r call.Reply) {
-	switch r.Fate {
-	case call.Answered:
-		t.Finish(now, c.ID, once.Answer{Status: r.Status, Header: r.Header, Body: r.Body})
-	case call.NotRun:
-		t.Withdraw(c.ID)
-	default:
-		t.Lose(now, c.ID, r.Cause)
-	}
-}
--- /dev/null
+++ b/io/keep/records.go
@@ -0,0 +1,82 @@
+package keep
+
+import (
+	"sync"
+	"time"
+
+	"tanagerchute/core/call"
+	"tanagerchute/core/once"
+)
+
+// Records is a once.Table that is safe for concurrent use.
+type Records struct {
+	mu    sync.Mutex
+	table *once.Table
+}
+
+var _ Table = (*Records)(nil)
+
+// NewRecords returns empty records of a process that starts now.
+func NewRecords() *Records {
+	return &Records{table: once.NewTable(once.DefaultConfig(time.Now()))}
+}
+
+// Begin implements Table.
+func (r *Records) Begin(c call.Call) (once.Verdict, once.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Begin(time.Now(), once.Key{ID: c.ID, Issued: c.Issued}, c.Attempt)
+}
+
+// Wait implements Table.
+func (r *Records) Wait(id string, f func()) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Wait(id, f)
+}
+
+// End implements Table.
+func (r *Records) End(c call.Call, reply call.Reply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	switch reply.Fate {
+	case call.Answered:
+		r.table.Finish(now, c.ID, once.Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body})
+	case call.NotRun:
+		r.table.Withdraw(c.ID)
+	default:
+		r.table.Lose(now, c.ID, reply.Cause)
+	}
+}
+
+// Known reports whether anything is recorded under id.
+func (r *Records) Known(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _, ok := r.table.Look(id)
+	return ok
+}
+
+// Inquire answers what became of an attempt, and fences it if it has not
+// begun.
+func (r *Records) Inquire(key once.Key, attempt string) (once.Verdict, once.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Inquire(time.Now(), key, attempt)
+}
+
+// HandOver answers what is recorded under a key, and fences the key under all
+// attempts if nothing is.
+func (r *Records) HandOver(key once.Key) (once.Verdict, once.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v, a, ok := r.table.Look(key.ID); ok {
+		return v, a
+	}
+	if !key.Issued.After(r.table.Floor()) {
+		return once.TooOld, once.Answer{}
+	}
+	r.table.Fence(key)
+	return once.Fenced, once.Answer{}
+}
--- a/io/ledger/ledger.go
+++ b/io/ledger/ledger.go
@@ -9,6 +9,7 @@
 
 	"tanagerchute"
 	"tanagerchute/core/vers"
+	"tanagerchute/io/timer"
 )
 
 // keepVersions is the number of versions kept in the store. At 1500 changes a
@@ -168,7 +169,7 @@
 		}
 		// The same transaction may be sent again: if the first one took effect,
 		// the condition on head fails, and settle finds our operation.
-		if wait(ctx, retryDelay) != nil {
+		if !timer.Sleep(ctx, retryDelay) {
 			if sent {
 				return vers.Version{}, errors.Wrapf(tanagerchute.ErrOutcomeUnknown, "operation %s", d.Op)
 			}
@@ -205,7 +206,7 @@
 		if err == nil || errors.As(err, &c) {
 			return v, err
 		}
-		if wait(ctx, retryDelay) != nil {
+		if !timer.Sleep(ctx, retryDelay) {
 			return vers.Version{}, errors.Wrapf(tanagerchute.ErrOutcomeUnknown, "operation %s: %v", d.Op, err)
 		}
 	}
@@ -249,14 +250,3 @@
 		f(l.whole(ctx, e.KV.Value, known))
 	})
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -11,6 +11,7 @@
 
 	"tanagerchute/core/event"
 	"tanagerchute/core/member"
+	"tanagerchute/io/timer"
 )
 
 const (
@@ -123,7 +124,7 @@
 func (n *Node) openToCallers(ctx context.Context, s *servers) {
 	limit := time.Now().Add(openAfter)
 	for !n.feed.Ready() && time.Now().Before(limit) {
-		if !sleep(ctx, readyCheck) {
+		if !timer.Sleep(ctx, readyCheck) {
 			return
 		}
 	}
@@ -138,7 +139,7 @@
 // standing.
 func (n *Node) keepKeys(ctx context.Context) {
 	was := false
-	for sleep(ctx, readyCheck) {
+	for timer.Sleep(ctx, readyCheck) {
 		is := n.feed.Ready() && n.fleet.InStanding(time.Now()) && !n.stopped.Load()
 		if is != was {
 			n.fleet.SetKeeper(ctx, is)
@@ -147,17 +148,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // join exchanges tables with the seeds from the settings, and with those from
 // the store if that brings nobody. It returns the addresses of seeds of all
 // data centres.
@@ -192,7 +182,7 @@
 // and not known to be up. A node that started cut off finds the others by it
 // also while the store is down.
 func (n *Node) rejoin(ctx context.Context) {
-	for sleep(ctx, rejoinEvery) {
+	for timer.Sleep(ctx, rejoinEvery) {
 		var missing []string
 		view := n.fleet.View()
 		for _, addr := range n.cfg.Settings.Seeds[n.cfg.Settings.DataCentre] {
@@ -264,7 +254,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	err := s.Shutdown(ctx)
-	if sleep(ctx, acceptGrace) && err == nil {
+	if timer.Sleep(ctx, acceptGrace) && err == nil {
 		err = s.Shutdown(ctx)
 	}
 	if err != nil {
--- a/io/proxy/home.go
+++ b/io/proxy/home.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"slices"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"tanagerchute/core/call"
@@ -13,78 +13,27 @@
 	"tanagerchute/core/tenure"
 	"tanagerchute/io/keep"
 	"tanagerchute/io/peer"
+	"tanagerchute/io/timer"
 	"tanagerchute/io/wire"
 )
 
 // homes records the work that this node is the home of, or brings into the
 // data centre for another one.
 type homes struct {
-	p       *Proxy
-	mu      sync.Mutex
-	table   *once.Table
-	leaving bool
-}
-
-func newHomes(p *Proxy) *homes {
-	return &homes{p: p, table: once.NewTable(once.DefaultConfig(time.Now()))}
+	*keep.Records
+	leaving atomic.Bool
 }
 
 // leave lets no new key begin here. Those that have begun go on, and can be
 // asked about until the node stops.
-func (h *homes) leave() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.leaving = true
-}
+func (h *homes) leave() { h.leaving.Store(true) }
 
 // Begin implements keep.Table.
 func (h *homes) Begin(c call.Call) (once.Verdict, once.Answer) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if _, _, known := h.table.Look(c.ID); h.leaving && !known {
+	if h.leaving.Load() && !h.Known(c.ID) {
 		return once.Fenced, once.Answer{}
 	}
-	return h.table.Begin(time.Now(), once.Key{ID: c.ID, Issued: c.Issued}, c.Attempt)
-}
-
-// Wait implements keep.Table.
-func (h *homes) Wait(id string, f func()) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.table.Wait(id, f)
-}
-
-// End implements keep.Table.
-func (h *homes) End(c call.Call, r call.Reply) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	keep.Record(h.table, time.Now(), c, r)
-}
-
-// inquire answers another node about a key or an attempt. A new home asks on
-// behalf of all attempts, with the key as the attempt, and is told what this
-// node knows of the homes before it.
-func (h *homes) inquire(key once.Key, attempt, asker string) finding {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if v, a, ok := h.table.Look(key.ID); ok {
-		return finding{verdict: v, answer: a}
-	}
-	var f finding
-	if attempt == key.ID {
-		var ok bool
-		f.former, ok = h.p.cfg.Fleet.Former(key.ID, key.Issued, asker)
-		if !ok || !key.Issued.After(h.table.Floor()) {
-			return finding{verdict: once.TooOld}
-		}
-		// The tenure says what this node can speak for; what it can't, the
-		// asker gets from the anchor.
-		h.table.Fence(key)
-		f.verdict = once.Fenced
-		return f
-	}
-	f.verdict, f.answer = h.table.Inquire(time.Now(), key, attempt)
-	return f
+	return h.Records.Begin(c)
 }
 
 // keyID is the key of the table for work of a service under a caller's key.
@@ -105,7 +54,7 @@
 		} else if r.Reached {
 			last = r
 		}
-		if p.lostCentre(centre) || !pause(ctx, resolveEvery/2) || time.Now().After(c.Deadline) {
+		if p.lostCentre(centre) || !timer.Sleep(ctx, resolveEvery/2) || time.Now().After(c.Deadline) {
 			return unsettled(last)
 		}
 	}
@@ -180,10 +129,7 @@
 // askBefore asks the nodes that may have been the home of the key before. ok
 // is true if none of them has run it, nor ever will.
 func (p *Proxy) askBefore(ctx context.Context, c call.Call) (r call.Reply, ok bool) {
-	p.homes.mu.Lock()
-	_, _, known := p.homes.table.Look(c.ID)
-	p.homes.mu.Unlock()
-	if known {
+	if p.homes.Known(c.ID) {
 		return r, true
 	}
 	f, told := p.cfg.Fleet.Former(c.ID, c.Issued, "")
@@ -241,7 +187,7 @@
 		case f.verdict != once.Join:
 			return none, p.cantTell(c, "earlier home "+id+" says "+f.verdict.String()), false
 		}
-		if !pause(ctx, resolveEvery) || time.Now().After(c.Deadline) {
+		if !timer.Sleep(ctx, resolveEvery) || time.Now().After(c.Deadline) {
 			return none, call.Refuse(call.Unknown, call.CauseDeadline, 0), false
 		}
 	}
@@ -257,10 +203,29 @@
 	case call.Mode(req.GetMode()) == call.Upstream:
 		f.verdict, f.answer = p.cfg.Gate.Inquire(key, req.GetAttempt())
 	default:
-		f = p.homes.inquire(key, req.GetAttempt(), req.GetFrom())
+		f = p.inquired(key, req.GetAttempt(), req.GetFrom())
 	}
 	return &wire.InquireReply{
 		Verdict: int32(f.verdict), Answer: peer.ToAnswer(f.answer),
 		Removed: f.former.Removed, Anchor: f.former.Anchor,
 	}
 }
+
+// inquired answers another node about a key or an attempt. A new home asks on
+// behalf of all attempts, with the key as the attempt, and is told what this
+// node knows of the homes before it.
+func (p *Proxy) inquired(key once.Key, attempt, asker string) finding {
+	var f finding
+	if attempt != key.ID {
+		f.verdict, f.answer = p.homes.Inquire(key, attempt)
+		return f
+	}
+	former, ok := p.cfg.Fleet.Former(key.ID, key.Issued, asker)
+	if !ok && !p.homes.Known(key.ID) {
+		f.verdict = once.TooOld
+		return f
+	}
+	f.former = former
+	f.verdict, f.answer = p.homes.HandOver(key)
+	return f
+}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -16,6 +16,7 @@
 	"tanagerchute/io/feed"
 	"tanagerchute/io/fleet"
 	"tanagerchute/io/gate"
+	"tanagerchute/io/keep"
 	"tanagerchute/io/link"
 	"tanagerchute/io/peer"
 )
@@ -99,8 +100,8 @@
 		http:   &http.Client{Transport: peer.NewTransport(cfg.Dial), CheckRedirect: noRedirect},
 		budget: budget.New(budget.Config{Share: retryShare, Burst: retryBurst}),
 		picker: route.New(route.DefaultConfig(cfg.Rand)),
+		homes:  &homes{Records: keep.NewRecords()},
 	}
-	p.homes = newHomes(p)
 	return p
 }
 
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -21,6 +21,7 @@
 	"tanagerchute/core/vers"
 	"tanagerchute/io/keep"
 	"tanagerchute/io/peer"
+	"tanagerchute/io/timer"
 	"tanagerchute/io/wire"
 )
 
@@ -113,7 +114,7 @@
 		default:
 			return keep.Reply(f.verdict, f.answer)
 		}
-		if !pause(ctx, resolveEvery) {
+		if !timer.Sleep(ctx, resolveEvery) {
 			p.event(event.RequestUnknown, c, "answer from "+addr+" was lost ("+was.Cause+") and it can't be asked in time")
 			return was
 		}
@@ -146,14 +147,3 @@
 		former:  tenure.Former{Removed: reply.GetRemoved(), Anchor: reply.GetAnchor()},
 	}, nil
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
