A planned stop closes the listener first and drops no request it has read

Cause, found in the source of net/http after the trace ruled out idle connections: once Shutdown was called, a server drops each request that it reads (conn.serve returns if shuttingDown), so a connection accepted just before got EOF. Waiting and calling Shutdown twice, as tried before, can't help. A listener that hands out what the kernel has pending was needed as well, since a closed one resets that.

Now the listener ends first, the requests on their way are answered, each with the word that the connection ends, and only then Shutdown is called.

--- /dev/null
+++ b/io/node/callers.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"tanagerchute/io/timer"
+)
+
+// Times of the end of the server for callers.
+const (
+	newGrace   = time.Second // for the first request of a connection
+	stateCheck = 5 * time.Millisecond
+)
+
+// conns follows the connections of the server for callers.
+//
+// net/http drops a request that it has read after Shutdown was called. So the
+// listener is closed first, and Shutdown is called only when no connection has
+// a request on its way.
+type conns struct {
+	mu     sync.Mutex
+	states map[net.Conn]http.ConnState
+}
+
+func newConns() *conns { return &conns{states: map[net.Conn]http.ConnState{}} }
+
+// track is the ConnState hook of a server.
+func (c *conns) track(conn net.Conn, s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s == http.StateClosed || s == http.StateHijacked {
+		delete(c.states, conn)
+		return
+	}
+	c.states[conn] = s
+}
+
+// busy reports whether a connection is in one of the given states.
+func (c *conns) busy(states ...http.ConnState) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.states {
+		for _, want := range states {
+			if s == want {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// wait waits until no connection has a request on its way, or ctx ends. A
+// connection that has not sent any is waited for no longer than newGrace.
+func (c *conns) wait(ctx context.Context) {
+	limit := time.Now().Add(newGrace)
+	for c.busy(http.StateActive) || c.busy(http.StateNew) && time.Now().Before(limit) {
+		if !timer.Sleep(ctx, stateCheck) {
+			return
+		}
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -252,6 +252,14 @@
 	callers, egress, peers, admin *http.Server
 	listeners                     []net.Listener
 	failed                        chan error
+	callerConns                   *conns
+	callersOpen                   atomic.Pointer[openListener] // nil until callers are let in
+}
+
+// openListener is a listener that is being served.
+type openListener struct {
+	listener net.Listener
+	ended    chan struct{} // closed when it hands out no connection any more
 }
 
 // listen opens the listeners, or none, but for the one for callers, which is
@@ -264,7 +272,10 @@
 		peers:   peer.NewServer(n.proxy.Peer(control)),
 		admin:   peer.NewServer(admin.Handler(admin.Config{Node: adminNode{n}, Vars: n.vars})),
 		failed:  make(chan error, 4),
+
+		callerConns: newConns(),
 	}
+	s.callers.ConnState = s.callerConns.track
 	l := n.cfg.Settings.Listen
 	for _, addr := range []string{l.Egress, l.Peers, l.Admin} {
 		ln, err := net.Listen("tcp", addr)
@@ -290,19 +301,25 @@
 	})
 }
 
-// openCallers listens for callers again and serves them.
+// openCallers listens for callers and serves them.
 func (s *servers) openCallers(addr string) error {
-	ln, err := net.Listen("tcp", addr)
+	ln, err := link.Listen(addr)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	s.serve(ln, s.callers)
+	open := &openListener{listener: ln, ended: make(chan struct{})}
+	s.callersOpen.Store(open)
+	s.serve(ln, s.callers, open.ended)
 	return nil
 }
 
-func (s *servers) serve(ln net.Listener, srv *http.Server) {
+// serve serves a listener and closes ended when it takes no connection any
+// more.
+func (s *servers) serve(ln net.Listener, srv *http.Server, ended chan struct{}) {
 	go func() {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		defer close(ended)
+		err := srv.Serve(ln)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			s.failed <- err
 		}
 	}()
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -28,8 +28,8 @@
 	openAfter = 5 * time.Second
 	// readyCheck is how often a node looks whether it is ready.
 	readyCheck = 50 * time.Millisecond
-	// acceptGrace is the time in which an accepted connection is registered.
-	acceptGrace = 100 * time.Millisecond
+	// acceptTimeout bounds the wait for connections that are still handed out.
+	acceptTimeout = 2 * time.Second
 	// keeperCheck is how often a node looks whether it can be the home of keys.
 	keeperCheck = 200 * time.Millisecond
 	// closeTimeout bounds the end of the listeners of a planned stop.
@@ -47,9 +47,9 @@
 	defer stop()
 	var wg sync.WaitGroup
 	n.event(event.NodeStarted, "service "+n.cfg.Settings.Service+" in "+n.cfg.Settings.DataCentre)
-	s.serve(s.listeners[0], s.egress)
-	s.serve(s.listeners[1], s.peers)
-	s.serve(s.listeners[2], s.admin)
+	s.serve(s.listeners[0], s.egress, make(chan struct{}))
+	s.serve(s.listeners[1], s.peers, make(chan struct{}))
+	s.serve(s.listeners[2], s.admin, make(chan struct{}))
 	n.start(duties, &wg)
 	wg.Go(func() { n.boot(duties) })
 	wg.Go(func() { n.openToCallers(duties, s) })
@@ -235,7 +235,7 @@
 	}
 	// Until here callers got their answers with the word that their connection
 	// ends, so that none of them sends into a connection that is being closed.
-	closeServer(s.callers, drain.Timeout.Std())
+	s.closeCallers(drain.Timeout.Std())
 	closing, cancelClosing := context.WithTimeout(ctx, closeTimeout)
 	defer cancelClosing()
 	if n.seeds != nil {
@@ -248,22 +248,30 @@
 }
 
 // closeServer stops a server gracefully, and not so if that takes too long.
-//
-// Shutdown overlooks a connection that was accepted in the moment in which the
-// listener is closed and is not registered yet. A second Shutdown, a little
-// later, finds it and waits for its request.
 func closeServer(s *http.Server, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	err := s.Shutdown(ctx)
-	if timer.Sleep(ctx, acceptGrace) && err == nil {
-		err = s.Shutdown(ctx)
-	}
-	if err != nil {
+	if s.Shutdown(ctx) != nil {
 		_ = s.Close()
 	}
 }
 
+// closeCallers stops the server for callers: no new connection is taken, the
+// requests on their way are answered, and then what is left is closed.
+func (s *servers) closeCallers(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if open := s.callersOpen.Load(); open != nil {
+		_ = open.listener.Close() // its end is waited for
+		select {
+		case <-open.ended:
+		case <-time.After(acceptTimeout):
+		}
+		s.callerConns.wait(ctx)
+	}
+	closeServer(s.callers, timeout)
+}
+
 func (n *Node) event(k event.Kind, cause string) {
 	n.journal.Add(event.Event{At: time.Now(), Kind: k, Subject: n.id, Cause: cause})
 }
