--- a/core/route/route.go
+++ b/core/route/route.go
@@ -88,6 +88,8 @@
 	atReport     int // of those, under way when the load was reported
 	latency      time.Duration
 	failures     int // in a row
+	refusals     int // in a row
+	refusedAt    time.Time
 	ejectedUntil time.Time
 	ejection     time.Duration
 	used         time.Time
@@ -203,6 +205,7 @@
 			others := float64(s.load.InFlight + s.load.Queued)
 			load = max(load, others+float64(max(s.sent-s.atReport, 0)))
 		}
+		load += limit * s.reluctance(now, p.cfg.StaleLoad)
 		tie = min(s.latency.Seconds(), 1) * 0.1
 		if s.failures > 0 {
 			tie += 0.1 * float64(s.failures)
@@ -211,6 +214,21 @@
 	return (load/limit + tie) / p.warmth(now, c)
 }
 
+// Cost of refusals, in units of the limit. An upstream that refuses looks idle
+// by its load and would draw more calls the more it refuses.
+const (
+	refusalCost = 0.5
+	maxRefusals = 4
+)
+
+// reluctance returns the cost of the last refusals while they are fresh.
+func (s *stat) reluctance(now time.Time, fresh time.Duration) float64 {
+	if now.Sub(s.refusedAt) >= fresh {
+		return 0
+	}
+	return refusalCost * float64(s.refusals)
+}
+
 // warmth grows from a tenth to 1 while a candidate is cold.
 func (p *Picker) warmth(now time.Time, c Candidate) float64 {
 	if c.Since.IsZero() {
@@ -255,7 +273,10 @@
 	switch o.Result {
 	case Good:
 		s.latency += (o.Latency - s.latency) / 8
-		s.failures, s.ejection = 0, 0
+		s.failures, s.refusals, s.ejection = 0, 0, 0
+	case Refused:
+		s.refusals = min(s.refusals+1, maxRefusals)
+		s.refusedAt = now
 	case Failing, Broken:
 		s.failures++
 		return p.eject(now, s)
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -125,3 +125,26 @@
 	}
 	is.True(cold < 50)
 }
+
+// TestRefusingUpstreamDrawsNoCalls holds that an upstream which refuses all it
+// is sent, and so looks idle, is avoided while others take calls.
+func TestRefusingUpstreamDrawsNoCalls(t *testing.T) {
+	is := is.New(t)
+	p := picker(4)
+	cs := candidates(3, 0)
+	refused := 0
+	now := epoch
+	for range 300 {
+		now = now.Add(10 * time.Millisecond)
+		c, _, _ := p.Pick(now, cs, nil)
+		p.Sent(now, c.ID)
+		o := route.Outcome{Latency: 5 * time.Millisecond, Load: route.Load{InFlight: 2, Limit: 12}}
+		if c.ID == "l0" {
+			refused++
+			o = route.Outcome{Result: route.Refused, Load: route.Load{Limit: 1}}
+		}
+		p.Done(now, c.ID, o)
+	}
+	t.Logf("%d of 300 calls went to it", refused)
+	is.True(refused <= 15) // the share of the retry budget
+}
