One list of neighbours, one summary for each view, no unused Merge

The membership table and the fleet each worked out the ring neighbours along which changes flood; the table now does it for both. The relay derived the summary of its data centre ten times a second from a view that had not changed; a view derives it once, when it is first asked for. errs.List.Merge had no caller. Behaviour is the same.

--- a/core/errs/list.go
+++ b/core/errs/list.go
@@ -56,11 +56,6 @@
 	l.findings = append(l.findings, Finding{Pos: pos, Path: path, Msg: fmt.Sprintf(format, args...)})
 }
 
-// Merge appends all findings of o.
-func (l *List) Merge(o *List) {
-	l.findings = append(l.findings, o.findings...)
-}
-
 // Len returns the number of findings.
 func (l *List) Len() int { return len(l.findings) }
 
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -236,19 +236,26 @@
 	return []Action{{Kind: Broadcast, Targets: targets, Records: []Record{t.self}}}
 }
 
+// Neighbours returns the members that observe this node and those that it
+// observes, each once. Changes flood the data centre along them.
+func (t *Table) Neighbours() []Record {
+	var out []Record
+	l := t.Layout()
+	for _, id := range slices.Concat(l.Observers(t.self.ID), l.Subjects(t.self.ID)) {
+		if e, ok := t.members[id]; ok && !slices.ContainsFunc(out, func(r Record) bool { return r.ID == id }) {
+			out = append(out, e.rec)
+		}
+	}
+	return out
+}
+
 // flush sends waiting records to the neighbours in the layout. Each neighbour
 // passes on what is new to it, so that a change floods the data centre.
 func (t *Table) flush() []Action {
 	if len(t.outbox) == 0 {
 		return nil
 	}
-	var targets []Record
-	l := t.Layout()
-	for _, id := range slices.Concat(l.Observers(t.self.ID), l.Subjects(t.self.ID)) {
-		if e, ok := t.members[id]; ok && !slices.ContainsFunc(targets, func(r Record) bool { return r.ID == id }) {
-			targets = append(targets, e.rec)
-		}
-	}
+	targets := t.Neighbours()
 	if len(targets) == 0 {
 		return nil
 	}
--- a/io/fleet/act.go
+++ b/io/fleet/act.go
@@ -161,14 +161,5 @@
 // passOn floods an update about another data centre to the neighbours.
 func (f *Fleet) passOn(ctx context.Context, u remote.Update) {
 	f.dirty = true
-	ring := f.table.Layout()
-	var targets []member.Record
-	seen := map[string]bool{}
-	for _, id := range append(ring.Observers(f.cfg.Self.ID), ring.Subjects(f.cfg.Self.ID)...) {
-		if m, ok := f.table.Get(id); ok && !seen[id] {
-			seen[id] = true
-			targets = append(targets, m)
-		}
-	}
-	f.broadcast(ctx, targets, &wire.GossipRequest{From: f.cfg.Self.ID, Remotes: peer.ToUpdates([]remote.Update{u})})
+	f.broadcast(ctx, f.table.Neighbours(), &wire.GossipRequest{From: f.cfg.Self.ID, Remotes: peer.ToUpdates([]remote.Update{u})})
 }
--- a/io/fleet/serve.go
+++ b/io/fleet/serve.go
@@ -97,10 +97,7 @@
 }
 
 // Summary returns the summary of this data centre.
-func (f *Fleet) Summary() remote.Summary {
-	v := f.View()
-	return remote.Summarize(v.Self.DataCentre, v.Members)
-}
+func (f *Fleet) Summary() remote.Summary { return f.View().Summary() }
 
 // HeardCentre takes a summary from another data centre, or notes an exchange
 // with it that brought nothing new if s is nil.
--- a/io/fleet/view.go
+++ b/io/fleet/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 
 	"tanagerchute/core/member"
 	"tanagerchute/core/rank"
@@ -19,6 +20,7 @@
 	keys    []string                   // ids of the members that take keys
 	running []string                   // ids of the members that are not about to stop
 	up      []string
+	summary func() remote.Summary
 }
 
 func newView(t *member.Table, r *remote.Table) *View {
@@ -43,9 +45,16 @@
 			v.running = append(v.running, m.ID)
 		}
 	}
+	v.summary = sync.OnceValue(func() remote.Summary {
+		return remote.Summarize(v.Self.DataCentre, v.Members)
+	})
 	return v
 }
 
+// Summary returns what other data centres are told of this one. It is derived
+// once from a view, and only if it is asked for.
+func (v *View) Summary() remote.Summary { return v.summary() }
+
 // Get returns the member called id.
 func (v *View) Get(id string) (member.Record, bool) {
 	m, ok := v.byID[id]
