Times and connections of the operators' document are followed

Cause: HeaderTimeoutMs, IdleTimeoutMs and MaxConns were decoded and not followed: a caller had 5 s and a minute whatever the document said, so that a connection which it may keep idle for longer would be closed under it, and a gatekeeper kept up to 110 connections. Ruled out: changing the fields of http.Server while it serves (a race), and a server for each version (kept connections would stay with old bounds). A wrapped connection asks for the bounds in force each time that one begins; a gate has no more slots than connections. An ingress looks the version and its limits up once per request.

--- a/io/back/doc.go
+++ b/io/back/doc.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	p := back.New(back.Config{MaxConns: 110, MaxAnswer: 8 << 20, Answers: matches})
+//	p := back.New(back.Config{MaxConns: most, MaxAnswer: 8 << 20, Answers: matches})
 //	a, err := p.Do(ctx, "10.0.0.7:8080", back.Request{Method: "GET", Path: "/x", ID: id})
 //	var e *back.Error
 //	if errors.As(err, &e) && !e.Sent { … it has not run … }
--- a/io/back/pool.go
+++ b/io/back/pool.go
@@ -27,7 +27,9 @@
 
 // Config configures a Pool.
 type Config struct {
-	MaxConns  int   // open connections
+	// MaxConns returns how many connections may be open, 0 for no bound. It is
+	// called for each new one.
+	MaxConns  func() int
 	MaxAnswer int64 // bytes of an answer's body
 	// Answers reports whether res is the answer to the request with an id. An
 	// answer that is not is read and dropped, and the next one is waited for.
@@ -76,6 +78,9 @@
 	if cfg.Dial == nil {
 		cfg.Dial = link.Direct
 	}
+	if cfg.MaxConns == nil {
+		cfg.MaxConns = func() int { return 0 }
+	}
 	return &Pool{cfg: cfg}
 }
 
@@ -91,13 +96,6 @@
 	}
 }
 
-// Open returns the number of open connections.
-func (p *Pool) Open() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open
-}
-
 // Do sends a request to the server at addr and returns its whole answer, or an
 // *Error. When ctx ends the connection is closed, which tells the server.
 func (p *Pool) Do(ctx context.Context, addr string, r Request) (Answer, error) {
@@ -152,8 +150,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
+	most := p.cfg.MaxConns()
 	p.mu.Lock()
-	full := p.cfg.MaxConns > 0 && p.open >= p.cfg.MaxConns
+	full := most > 0 && p.open >= most
 	if !full {
 		p.open++
 	}
--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -31,20 +32,29 @@
 	dialect tanagerchute.Dialect
 	pool    *back.Pool
 	dialer  net.Dialer
+	// maxConns returns how many connections the server takes.
+	maxConns func() int
 }
 
 func newClient(cfg Config) *client {
-	if cfg.MaxConns <= 0 {
-		cfg.MaxConns = defaultMaxConns
-	}
 	if cfg.MaxAnswer <= 0 {
 		cfg.MaxAnswer = defaultMaxAnswer
 	}
-	c := &client{dialect: cfg.Dialect, dialer: net.Dialer{Timeout: backendDial}}
-	c.pool = back.New(back.Config{MaxConns: cfg.MaxConns, MaxAnswer: cfg.MaxAnswer, Answers: c.answers})
+	c := &client{dialect: cfg.Dialect, dialer: net.Dialer{Timeout: backendDial}, maxConns: maxConns(cfg.MaxConns)}
+	c.pool = back.New(back.Config{MaxConns: c.maxConns, MaxAnswer: cfg.MaxAnswer, Answers: c.answers})
 	return c
 }
 
+// maxConns puts the default in the place of a bound that is not set.
+func maxConns(set func() int) func() int {
+	return func() int {
+		if set == nil {
+			return defaultMaxConns
+		}
+		return cmp.Or(set(), defaultMaxConns)
+	}
+}
+
 // answers reports whether res is the answer to the request with an id. An
 // answer that names no request can only be to the one that was sent.
 func (b *client) answers(res *http.Response, id string) bool {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -51,7 +51,9 @@
 	// is called on the goroutine of Run.
 	Changed   func(member.Upstream)
 	MaxAnswer int64 // bytes of an answer
-	MaxConns  int   // connections to the backend server
+	// MaxConns returns how many connections the backend server takes, 0 for
+	// the default. nil is the default.
+	MaxConns func() int
 	// Untraced says that the server's own calls can't be told from those of
 	// callers, so that a failed answer may be due to one of them and says
 	// nothing of the server.
@@ -142,6 +144,7 @@
 // announce takes an announcement. Its caller holds mu.
 func (g *Gate) announce(b Backend) {
 	g.announced = time.Now()
+	b.Slots = min(b.Slots, g.client.maxConns()) // a call takes a connection
 	if b.Address != g.backend.Address || b.ID != g.backend.ID || g.left {
 		// Another server than before, which starts cold.
 		g.admit = g.successor(b)
--- a/io/node/callers.go
+++ b/io/node/callers.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"tanagerchute/io/link"
 	"tanagerchute/io/timer"
 )
 
@@ -14,6 +15,9 @@
 const (
 	newGrace   = time.Second // for the first request of a connection
 	stateCheck = 5 * time.Millisecond
+	// spareIdle ends idle connections that are not bounded by node.patience,
+	// which are those of HTTP/2.
+	spareIdle = time.Hour
 )
 
 // conns follows the connections of the server for callers.
@@ -30,6 +34,14 @@
 
 // track is the ConnState hook of a server.
 func (c *conns) track(conn net.Conn, s http.ConnState) {
+	if p, ok := conn.(*link.PatientConn); ok {
+		switch s {
+		case http.StateActive:
+			p.Work()
+		case http.StateIdle:
+			p.Rest()
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s == http.StateClosed || s == http.StateHijacked {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -57,6 +57,8 @@
 	// Crowded reports whether lines that can be spared should not be logged, nil
 	// for never.
 	Crowded func() bool
+	// Dropped returns the number of lines that were not written, nil for none.
+	Dropped func() uint64
 	// Observe is called at the end of each call from a caller, if set.
 	Observe func(proxy.Sample)
 	// OnEvent is called with each journal event, if set.
@@ -118,10 +120,13 @@
 		n.cfg.Dialect = face.Own{}
 	}
 	if cfg.Crowded == nil {
-		cfg.Crowded = func() bool { return false }
+		n.cfg.Crowded = func() bool { return false }
+	}
+	if cfg.Dropped == nil {
+		n.cfg.Dropped = func() uint64 { return 0 }
 	}
 	n.settings.Store(&s)
-	n.requests = logs.NewRequests(n.cfg.Log, cfg.Crowded)
+	n.requests = logs.NewRequests(n.cfg.Log, n.cfg.Crowded)
 	n.journal = event.NewJournal(event.Config{Node: n.id, Capacity: s.Limits.Events, Observe: n.observeEvent()})
 	tp, err := trace.New(context.Background(), trace.Config{
 		Node: s.Name, OTLP: s.Trace.OTLP, File: s.Trace.File, Slow: s.Trace.Slow.Std(), Sample: s.Trace.Sample,
@@ -197,7 +202,7 @@
 	})
 	n.buildStore()
 	n.gate = gate.New(gate.Config{
-		Node: n.id, Journal: n.journal, MaxAnswer: s.Limits.AnswerBytes, MaxConns: s.Limits.Connections,
+		Node: n.id, Journal: n.journal, MaxAnswer: s.Limits.AnswerBytes, MaxConns: n.maxConns,
 		Service: s.Service, Dialect: n.cfg.Dialect, NoProbe: s.TrustHeartbeats, Untraced: s.LocalCallers,
 		Changed: func(u member.Upstream) { n.fleet.SetUpstream(context.Background(), u) },
 	})
@@ -216,6 +221,18 @@
 	})
 }
 
+// maxConns returns how many connections the own backend server takes: what the
+// version in force says of its service, or the settings, or 0.
+func (n *Node) maxConns() int {
+	s := n.cfg.Settings
+	if v := n.feed.Snapshot(); v != nil {
+		if of, _ := v.Table.Service(s.Service); of.MaxConns > 0 {
+			return of.MaxConns
+		}
+	}
+	return s.Limits.Connections
+}
+
 func (n *Node) buildStore() {
 	s := n.cfg.Settings
 	src, track := n.cfg.Source, n.cfg.Track
@@ -346,6 +363,7 @@
 		callerConns: newConns(),
 	}
 	s.callers.ConnState = s.callerConns.track
+	s.callers.ReadHeaderTimeout, s.callers.IdleTimeout = 0, spareIdle // see patience
 	base, giveUp := context.WithCancel(context.Background())
 	s.callers.BaseContext = func(net.Listener) context.Context { return base }
 	s.giveUp = giveUp
@@ -414,15 +432,21 @@
 	})
 }
 
+// patience returns how long callers may take by the version in force.
+func (n *Node) patience() link.Patience {
+	l := n.proxy.Limits()
+	return link.Patience{Idle: l.IdleTimeout, Header: l.HeaderTimeout}
+}
+
 // openCallers listens for callers and serves them.
-func (s *servers) openCallers(addr string) error {
+func (s *servers) openCallers(addr string, patience func() link.Patience) error {
 	ln, err := link.Listen(addr)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
 	open := &openListener{listener: ln, ended: make(chan struct{})}
 	s.callersOpen.Store(open)
-	s.serve(ln, s.callers, open.ended)
+	s.serve(link.Patient(ln, patience), s.callers, open.ended)
 	return nil
 }
 
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -50,6 +50,7 @@
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var wg sync.WaitGroup
+	began := time.Now()
 	n.event(event.NodeStarted, "service "+n.cfg.Settings.Service+" in "+n.cfg.Settings.DataCentre)
 	for _, v := range s.served {
 		s.serve(v.listener, v.server, make(chan struct{}))
@@ -71,6 +72,7 @@
 	wg.Wait()
 	n.proxy.Close()
 	n.client.Close()
+	n.event(event.NodeStopped, "after "+time.Since(began).Round(time.Second).String())
 	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	return errors.Join(err, n.tracer.Close(closing))
@@ -170,7 +172,7 @@
 			return
 		}
 	}
-	if err := s.openCallers(n.cfg.Settings.Listen.Callers); err != nil {
+	if err := s.openCallers(n.cfg.Settings.Listen.Callers, n.patience); err != nil {
 		s.failed <- err
 		return
 	}
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -21,6 +21,7 @@
 	"tanagerchute/core/event"
 	"tanagerchute/core/once"
 	"tanagerchute/core/table"
+	"tanagerchute/core/vers"
 )
 
 // HeaderKey is the idempotency key of a caller.
@@ -30,6 +31,8 @@
 const (
 	maxHeaderBytes = 16 << 10
 	maxDepth       = 16
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = time.Minute
 )
 
 var (
@@ -59,19 +62,28 @@
 	Backend bool
 }
 
+// arrival is what holds for a request from its arrival on, whatever comes into
+// force meanwhile.
+type arrival struct {
+	at       time.Time
+	from     Origin
+	snapshot *vers.Snapshot // nil before the first version
+	limits   table.Limits
+}
+
 // Ingress serves the calls that callers or the node's own backend server make.
 func (p *Proxy) Ingress(from Origin) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		arrived := time.Now()
-		limits := p.limits()
-		if bad := checkForm(r, limits.HeaderBytes); bad != nil {
+		a := arrival{at: time.Now(), from: from, snapshot: p.cfg.Feed.Snapshot()}
+		a.limits = p.limits(a.snapshot)
+		if bad := checkForm(r, a.limits.HeaderBytes); bad != nil {
 			p.reject(w, call.Call{}, bad)
 			return
 		}
 		ctx := propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 		ctx, span := p.cfg.Tracer.Start(ctx, "ingress", trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
-		c, bad := p.readCall(r, from, arrived)
+		c, bad := p.readCall(r, a)
 		if bad != nil {
 			span.SetStatus(codes.Error, bad.msg)
 			p.failedBelow(from, span)
@@ -93,7 +105,7 @@
 		if reply.Fate != call.Answered || reply.Status >= 500 {
 			p.failedBelow(from, span)
 		}
-		p.observe(c, reply, effort, arrived)
+		p.observe(c, reply, effort, a.at)
 		p.writeCaller(w, c, reply)
 	})
 }
@@ -158,11 +170,12 @@
 
 var traceparentRE = regexp.MustCompile(`^[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}(-.*)?$`)
 
-// limits returns the bounds on requests: those of the version in force, or the
+// Limits returns the bounds on callers: those of the version in force, or the
 // defaults for what it does not bound.
-func (p *Proxy) limits() table.Limits {
-	l := table.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: p.cfg.MaxBody}
-	s := p.cfg.Feed.Snapshot()
+func (p *Proxy) Limits() table.Limits { return p.limits(p.cfg.Feed.Snapshot()) }
+
+func (p *Proxy) limits(s *vers.Snapshot) table.Limits {
+	l := table.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: p.cfg.MaxBody, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	if s == nil {
 		return l
 	}
@@ -173,6 +186,12 @@
 	if of.BodyBytes > 0 {
 		l.BodyBytes = of.BodyBytes
 	}
+	if of.HeaderTimeout > 0 {
+		l.HeaderTimeout = of.HeaderTimeout
+	}
+	if of.IdleTimeout > 0 {
+		l.IdleTimeout = of.IdleTimeout
+	}
 	return l
 }
 
@@ -194,39 +213,38 @@
 }
 
 // readCall reads a call whole and classifies it.
-func (p *Proxy) readCall(r *http.Request, from Origin, arrived time.Time) (call.Call, *badRequest) {
+func (p *Proxy) readCall(r *http.Request, a arrival) (call.Call, *badRequest) {
 	ask, err := p.cfg.Dialect.Ask(r.Header)
 	if err != nil {
 		return call.Call{}, &badRequest{http.StatusBadRequest, err.Error()}
 	}
-	c := call.Call{ID: ask.ID, Issued: arrived, Method: r.Method, Host: r.Host, Path: pathOf(r), Depth: ask.Depth}
+	c := call.Call{ID: ask.ID, Issued: a.at, Method: r.Method, Host: r.Host, Path: pathOf(r), Depth: ask.Depth}
 	if c.ID == "" {
 		c.ID, c.Issued = newID()
 	}
 	if ask.Depth >= maxDepth {
 		return c, &badRequest{http.StatusLoopDetected, "calls are nested more than 16 deep"}
 	}
-	snapshot := p.cfg.Feed.Snapshot()
-	if snapshot == nil || !p.cfg.Feed.Ready() {
+	if a.snapshot == nil || !p.cfg.Feed.Ready() {
 		return c, &badRequest{http.StatusServiceUnavailable, "node has no configuration yet"}
 	}
-	rt, bad := p.classify(snapshot.Table, r, from)
+	rt, bad := p.classify(a.snapshot.Table, r, a.from)
 	if bad != nil {
 		return c, bad
 	}
 	c.Service = rt.Pick(p.draw())
-	c.Version = snapshot.Version.Number
-	c = c.WithRoute(rt, arrived)
-	if bad := p.bound(&c, r, ask, from, arrived); bad != nil {
+	c.Version = a.snapshot.Version.Number
+	c = c.WithRoute(rt, a.at)
+	if bad := p.bound(&c, r, ask, a); bad != nil {
 		return c, bad
 	}
-	if c.Body, bad = p.readBody(r, p.limits().BodyBytes); bad != nil {
+	if c.Body, bad = p.readBody(r, a.limits.BodyBytes); bad != nil {
 		return c, bad
 	}
 	c.Header = endToEnd(r.Header)
 	c.Header.Del(headerCall)
 	c.Header.Del(headerAnswer)
-	p.cfg.Dialect.Admit(c.Header, from.Service)
+	p.cfg.Dialect.Admit(c.Header, a.from.Service)
 	return c, nil
 }
 
@@ -267,14 +285,14 @@
 
 // bound brings the deadline of a call forward if the call above it, or its
 // caller, has less time left than its class allows.
-func (p *Proxy) bound(c *call.Call, r *http.Request, ask tanagerchute.Ask, from Origin, arrived time.Time) *badRequest {
+func (p *Proxy) bound(c *call.Call, r *http.Request, ask tanagerchute.Ask, a arrival) *badRequest {
 	if ask.TimeLeft > 0 {
-		c.Deadline = earlier(c.Deadline, arrived.Add(ask.TimeLeft))
+		c.Deadline = earlier(c.Deadline, a.at.Add(ask.TimeLeft))
 	}
 	if c.Deadline.IsZero() {
 		return &badRequest{http.StatusBadRequest, "neither the request nor its route has a deadline"}
 	}
-	if from.Backend {
+	if a.from.Backend {
 		parent := trace.SpanContextFromContext(propagator.Extract(context.Background(), propagation.HeaderCarrier(r.Header)))
 		if above, ok := p.cfg.Gate.Deadline(parent.TraceID().String()); ok {
 			c.Deadline = earlier(c.Deadline, above)
