Stand-ins of the platform grow from our own

Cause: the stand-in upstream stood beside io/server with a second ledger and second faults, and the store's stand-in could only be closed. io/server takes a Form (names of headers); its ledger tells the begin and the end of a run.

--- a/io/server/server.go
+++ b/io/server/server.go
@@ -25,11 +25,13 @@
 	Work    time.Duration // duration of a call
 	Egress  string        // egress address of the own node
 	Cold    time.Duration // time after the start in which calls take five times as long
+	Form    Form          // how it speaks, nil for the product's own dialect
 }
 
 // Faults are the faults that can be switched while a Server runs.
 type Faults struct {
 	Fail        bool           `json:"fail"`         // answer 500 without running
+	FailAfter   bool           `json:"fail_after"`   // run, then answer 500
 	Shed        bool           `json:"shed"`         // refuse as not run
 	Slow        jsonc.Duration `json:"slow"`         // additional time of a call
 	Hang        bool           `json:"hang"`         // run and never answer
@@ -37,16 +39,24 @@
 	DropAfter   bool           `json:"drop_after"`   // run, then cut the connection
 	CutAnswer   bool           `json:"cut_answer"`   // run, then cut the answer in the middle
 	CrossAnswer bool           `json:"cross_answer"` // run, and answer under another call's id
+	ExtraAnswer bool           `json:"extra_answer"` // run, and answer twice
 	HugeAnswer  bool           `json:"huge_answer"`  // run, and answer over every bound
 	HealthLies  bool           `json:"health_lies"`  // the health endpoint says the opposite
 }
 
 // Entry is one run of a call.
 type Entry struct {
-	Request  string `json:"request"` // id that the mesh gave it
-	Key      string `json:"key"`     // idempotency key, or the caller's X-Work
-	Path     string `json:"path"`
-	Canceled bool   `json:"canceled,omitempty"` // abandoned before it was done
+	Request  string         `json:"request"` // id that the mesh gave it
+	Key      string         `json:"key"`     // idempotency key, or the caller's X-Work
+	Method   string         `json:"method"`
+	Host     string         `json:"host"`
+	Path     string         `json:"path"`
+	Target   string         `json:"target"`             // path and query, as they came
+	Caller   string         `json:"caller,omitempty"`   // service that made the call
+	Left     jsonc.Duration `json:"left,omitempty"`     // time until the deadline, at the arrival
+	At       time.Time      `json:"at"`                 // arrival
+	Done     bool           `json:"done,omitempty"`     // its work came to the end
+	Canceled bool           `json:"canceled,omitempty"` // abandoned before it was done
 }
 
 const (
@@ -72,6 +82,9 @@
 
 // New returns a server that has not run anything.
 func New(cfg Config) *Server {
+	if cfg.Form == nil {
+		cfg.Form = ownForm{}
+	}
 	s := &Server{cfg: cfg, started: time.Now(), mux: http.NewServeMux(), client: &http.Client{}}
 	s.mux.HandleFunc("GET /standin/ledger", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Ledger()) })
 	s.mux.HandleFunc("GET /standin/faults", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Faults()) })
@@ -98,7 +111,7 @@
 	s.faults = f
 }
 
-// Ledger returns all that ran, oldest first.
+// Ledger returns all that has begun to run, oldest first.
 func (s *Server) Ledger() []Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,11 +121,23 @@
 // MostRunning returns the highest number of calls that ran at the same time.
 func (s *Server) MostRunning() int { return int(s.most.Load()) }
 
-func (s *Server) record(e Entry) {
+// record notes a run that begins, and returns its place in the ledger.
+func (s *Server) record(e Entry) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.ledger) < maxEntries {
 		s.ledger = append(s.ledger, e)
+		return len(s.ledger) - 1
+	}
+	return -1
+}
+
+// end notes how a run has ended.
+func (s *Server) end(at int, how func(*Entry)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at >= 0 {
+		how(&s.ledger[at])
 	}
 }
 
@@ -147,8 +172,7 @@
 		http.Error(w, "broken", http.StatusInternalServerError)
 		return
 	case f.Shed:
-		w.Header().Set(face.HeaderOutcome, "not_run")
-		http.Error(w, "too busy", http.StatusServiceUnavailable)
+		s.cfg.Form.Refuse(w)
 		return
 	}
 	s.run(w, r, f)
@@ -160,14 +184,18 @@
 	defer s.running.Add(-1)
 	for m := s.most.Load(); n > m && !s.most.CompareAndSwap(m, n); m = s.most.Load() {
 	}
-	e := Entry{Request: r.Header.Get(face.HeaderRequest), Key: workKey(r), Path: r.URL.Path}
+	asked := s.cfg.Form.Read(r.Header)
+	e := Entry{
+		Request: asked.ID, Key: workKey(r), Method: r.Method, Host: r.Host, Path: r.URL.Path, Target: r.RequestURI,
+		Caller: asked.Caller, Left: jsonc.Duration(asked.Left), At: time.Now(),
+	}
+	at := s.record(e)
 	if !s.work(r.Context(), s.duration(r, f)) {
-		e.Canceled = true
-		s.record(e)
+		s.end(at, func(e *Entry) { e.Canceled = true })
 		return
 	}
 	nested, err := s.nested(r)
-	s.record(e)
+	s.end(at, func(e *Entry) { e.Done = true })
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
@@ -237,8 +265,8 @@
 }
 
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, f Faults, nested string) {
-	id := r.Header.Get(face.HeaderRequest)
-	w.Header().Set(face.HeaderRequest, id)
+	id := s.cfg.Form.Read(r.Header).ID
+	s.cfg.Form.Mark(w.Header(), id)
 	switch {
 	case f.Hang:
 		<-r.Context().Done()
@@ -246,7 +274,7 @@
 	case f.DropAfter:
 		panic(http.ErrAbortHandler)
 	case f.CrossAnswer:
-		w.Header().Set(face.HeaderRequest, id+"-other")
+		s.cfg.Form.Mark(w.Header(), id+"-other")
 	case f.CutAnswer:
 		w.Header().Set("Content-Length", "1000")
 		fmt.Fprint(w, "half of it")
@@ -256,6 +284,12 @@
 			fmt.Fprint(w, strings.Repeat("x", 1<<10))
 		}
 		return
+	case f.ExtraAnswer:
+		s.answerTwice(w, id)
+		return
+	case f.FailAfter:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
 	}
 	text := s.cfg.Service + " did " + r.Method + " " + r.URL.Path + " " + workKey(r) + nested
 	if n, err := strconv.Atoi(r.URL.Query().Get("bytes")); err == nil && n <= maxBody {
