--- a/cmd/tanagerchute/node.go
+++ b/cmd/tanagerchute/node.go
@@ -57,7 +57,9 @@
 		return misused("node wants -settings FILE")
 	}
 	reloads := newReloader(file, read)
-	p, log, err := n.build(file)
+	ring := logs.NewRing(os.Stdout)
+	defer ring.Close()
+	p, log, err := n.build(file, ring)
 	if err != nil {
 		return fail(err)
 	}
@@ -78,20 +80,20 @@
 }
 
 // build returns the node of the settings in file.
-func (n *nodeCmd) build(file string) (*node.Node, *zap.Logger, error) {
+func (n *nodeCmd) build(file string, ring *logs.Ring) (*node.Node, *zap.Logger, error) {
 	if n.settings != "" {
-		return ownNode(file)
+		return ownNode(file, ring)
 	}
-	return platformNode(file)
+	return platformNode(file, ring)
 }
 
 // ownNode returns a node by settings in the product's own format.
-func ownNode(file string) (*node.Node, *zap.Logger, error) {
+func ownNode(file string, ring *logs.Ring) (*node.Node, *zap.Logger, error) {
 	s, err := setup.ReadNode(file)
 	if err != nil {
 		return nil, nil, err
 	}
-	log, err := logs.New(logs.Config{Level: s.Log, Out: os.Stdout})
+	log, err := logs.New(logs.Config{Level: s.Log, Out: ring})
 	if err != nil {
 		return nil, nil, err
 	}
@@ -99,21 +101,20 @@
 	if len(s.Store) > 0 {
 		store = etcd.New(etcd.Config{Endpoints: s.Store})
 	}
-	p, err := node.New(node.Config{Settings: s, Store: store, Log: log})
+	p, err := node.New(node.Config{Settings: s, Store: store, Log: log, Crowded: ring.Crowded, Dropped: ring.Dropped})
 	return p, log, err
 }
 
 // platformNode returns a node by the settings of the users' platform.
-func platformNode(file string) (*node.Node, *zap.Logger, error) {
+func platformNode(file string, ring *logs.Ring) (*node.Node, *zap.Logger, error) {
 	s, err := platform.Read(file)
 	if err != nil {
 		return nil, nil, err
 	}
-	ring := logs.NewRing(os.Stdout)
 	log, err := logs.New(logs.Config{Level: s.Node.Log, Out: ring})
 	if err != nil {
 		return nil, nil, err
 	}
-	p, err := platform.NewNode(platform.Config{Settings: s, Log: log, Crowded: ring.Crowded})
+	p, err := platform.NewNode(platform.Config{Settings: s, Log: log, Crowded: ring.Crowded, Dropped: ring.Dropped})
 	return p, log, err
 }
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -94,6 +94,7 @@
 	inFlight    int
 	queue       queue
 	service     time.Duration                   // smoothed service time
+	guessed     bool                            // service is a guess
 	services    [table.Priorities]time.Duration // the same by priority, 0 if not known
 	usage       usage                           // of slots by calls that ended
 	offered     usage                           // of slots by all calls that were offered, would they run
@@ -107,7 +108,7 @@
 	if cfg.MaxQueue <= 0 {
 		cfg.MaxQueue = defaultMaxQueue
 	}
-	g := &Gate{cfg: cfg, queue: newQueue(), service: serviceGuess}
+	g := &Gate{cfg: cfg, queue: newQueue(), service: serviceGuess, guessed: true}
 	g.limit = max(1, float64(cfg.Slots))
 	return g
 }
@@ -121,7 +122,7 @@
 // Service returns the smoothed time of a call at the server, 0 if it is not
 // known.
 func (g *Gate) Service() time.Duration {
-	if g.service == serviceGuess {
+	if g.guessed {
 		return 0
 	}
 	return g.service
@@ -296,7 +297,8 @@
 	switch r {
 	case OK, Late:
 		g.usage.add(now, p, took)
-		g.service = smoothed(g.service, took, g.service == serviceGuess)
+		g.service = smoothed(g.service, took, g.guessed)
+		g.guessed = false
 		g.services[p] = smoothed(g.services[p], took, g.services[p] == 0)
 		g.limit = min(g.limit+1/g.limit, float64(g.cfg.Slots))
 	case Failed:
@@ -304,6 +306,7 @@
 		if took > g.serviceOf(p) {
 			g.usage.add(now, p, took)
 			g.service = smoothed(g.service, max(took, g.service), false)
+			g.guessed = false
 			g.services[p] = smoothed(g.services[p], took, g.services[p] == 0)
 		}
 	case Shed:
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -28,6 +28,7 @@
 	ReloadRefused   Kind = "reload_refused"
 	NodeReady       Kind = "node_ready"
 	NodeDraining    Kind = "node_draining"
+	NodeStopped     Kind = "node_stopped"
 	NodePaused      Kind = "node_paused"
 	VersionApplied  Kind = "version_applied"
 	VersionRefused  Kind = "version_refused"
--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -176,11 +176,7 @@
 }
 
 func (c *Client) read(ctx context.Context, path string, req, res any) error {
-	err := c.call(ctx, path, req, res)
-	if errors.Is(err, tanagerchute.ErrOutcomeUnknown) {
-		return errors.Wrap(tanagerchute.ErrUnavailable, err.Error())
-	}
-	return err
+	return tanagerchute.ReadError(c.call(ctx, path, req, res))
 }
 
 func (c *Client) call(ctx context.Context, path string, req, res any) error {
@@ -193,7 +189,7 @@
 	defer r.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnswer))
 	if err != nil {
-		return errors.Wrap(tanagerchute.ErrOutcomeUnknown, err.Error())
+		return tanagerchute.CallError(err)
 	}
 	if err := json.Unmarshal(body, res); err != nil {
 		return errors.Wrap(tanagerchute.ErrOutcomeUnknown, err.Error())
@@ -219,7 +215,7 @@
 	res, err := c.http.Do(req)
 	if err != nil {
 		c.next.Add(1)
-		return nil, transportError(err)
+		return nil, tanagerchute.CallError(err)
 	}
 	if res.StatusCode == http.StatusOK {
 		return res, nil
@@ -228,15 +224,6 @@
 	return nil, statusError(res)
 }
 
-// transportError tells a call that never left from one whose answer is lost.
-func transportError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return errors.Wrap(tanagerchute.ErrUnavailable, err.Error())
-	}
-	return errors.Wrap(tanagerchute.ErrOutcomeUnknown, err.Error())
-}
-
 // Codes of gRPC that the gateway reports.
 const (
 	codeNotFound          = 5
--- a/io/logs/async.go
+++ b/io/logs/async.go
@@ -4,36 +4,55 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
-// ringLines is the number of lines that wait to be written.
-const ringLines = 1024
+const (
+	ringLines    = 1024 // that wait to be written
+	closeTimeout = 500 * time.Millisecond
+)
 
 // Ring hands lines to a slow writer without ever blocking whoever logs. Lines
 // that find it full are dropped and counted. It is safe for concurrent use.
 type Ring struct {
 	lines   chan []byte
 	dropped atomic.Uint64
-	done    chan struct{}
 	once    sync.Once
+	closing chan struct{}
+	done    chan struct{}
 }
 
 // NewRing starts writing to out.
 func NewRing(out io.Writer) *Ring {
-	r := &Ring{lines: make(chan []byte, ringLines), done: make(chan struct{})}
+	r := &Ring{lines: make(chan []byte, ringLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go r.run(out)
 	return r
 }
 
 func (r *Ring) run(out io.Writer) {
 	defer close(r.done)
-	for line := range r.lines {
-		if _, err := out.Write(line); err != nil {
-			r.dropped.Add(1) // nobody reads, which must not stop the process
+	for {
+		select {
+		case line := <-r.lines:
+			r.put(out, line)
+			continue
+		case <-r.closing:
+		}
+		select {
+		case line := <-r.lines:
+			r.put(out, line)
+		default:
+			return
 		}
 	}
 }
 
+func (r *Ring) put(out io.Writer, line []byte) {
+	if _, err := out.Write(line); err != nil {
+		r.dropped.Add(1) // nobody reads, which must not stop the process
+	}
+}
+
 // Write implements io.Writer. It keeps a copy of line.
 func (r *Ring) Write(line []byte) (int, error) {
 	select {
@@ -51,8 +70,12 @@
 // can be spared should not be written.
 func (r *Ring) Crowded() bool { return len(r.lines) > ringLines/2 }
 
-// Close writes what waits. Nothing may be written afterwards.
+// Close writes what waits, for no longer than closeTimeout if nobody reads. What
+// is logged afterwards is lost.
 func (r *Ring) Close() {
-	r.once.Do(func() { close(r.lines) })
-	<-r.done
+	r.once.Do(func() { close(r.closing) })
+	select {
+	case <-r.done:
+	case <-time.After(closeTimeout):
+	}
 }
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -230,10 +230,18 @@
 	}
 }
 
-func (c *checks) addr(path, v string) {
+// CheckAddr returns an error if v is not an IP number with a port.
+func CheckAddr(v string) error {
 	host, port, err := net.SplitHostPort(v)
 	if err != nil || net.ParseIP(host) == nil || port == "" {
-		c.add(path, "%q is not an IP number with a port", v)
+		return errors.Errorf("%q is not an IP number with a port", v)
+	}
+	return nil
+}
+
+func (c *checks) addr(path, v string) {
+	if err := CheckAddr(v); err != nil {
+		c.add(path, "%v", err)
 	}
 }
 
--- a/store.go
+++ b/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -22,6 +23,25 @@
 	ErrLeaseGone = errors.New("store lease lapsed")
 )
 
+// CallError returns the error of a call to a store over the network that failed
+// with err: ErrUnavailable if it never left, else ErrOutcomeUnknown.
+func CallError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return errors.Wrap(ErrOutcomeUnknown, err.Error())
+}
+
+// ReadError returns the error of a call that changes nothing, of which err says
+// how it failed: that its answer was lost matters to nobody.
+func ReadError(err error) error {
+	if errors.Is(err, ErrOutcomeUnknown) {
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return err
+}
+
 // KV is a key with its value at a revision.
 type KV struct {
 	Key            string
