Nothing is resent where many attempts fail

Cause: a lookup that failed because a call below it was turned away was sent on to a second upstream, which made its two calls again: one vault that could do 12 slots of work was asked for 23 and more. A resend helps a call that was unlucky, not one whose service is full.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -153,6 +153,9 @@
 	Below bool
 }
 
+// Good reports whether a backend server has answered, and not for a failure.
+func (r Reply) Good() bool { return r.Fate == Answered && r.Status < http.StatusInternalServerError }
+
 // Refuse returns a refusal.
 func Refuse(f Fate, cause string, retryAfter time.Duration) Reply {
 	return Reply{Fate: f, Cause: cause, RetryAfter: retryAfter, Reached: true}
--- a/core/resend/course.go
+++ b/core/resend/course.go
@@ -1,7 +1,6 @@
 package resend
 
 import (
-	"net/http"
 	"time"
 
 	"tanagerchute/core/call"
@@ -61,7 +60,7 @@
 	case r.Fate == call.NotRun:
 	case !c.cfg.Safe || r.Cause == call.CauseDeadline:
 		return false
-	case r.Fate == call.Answered && r.Status < http.StatusInternalServerError:
+	case r.Good():
 		return false
 	}
 	return c.arrived < c.cfg.Most && c.cfg.Spend != nil && c.cfg.Spend()
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -241,7 +241,7 @@
 	switch {
 	case r.Shed:
 		return admit.Shed, true
-	case r.Fate == call.Answered && r.Status < 500:
+	case r.Good():
 		return admit.OK, true
 	case r.Below:
 		return admit.Failed, false
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -159,7 +159,7 @@
 	n.requests.Log(logs.Done{
 		ID: s.ID, Trace: s.Trace, Route: s.Class, Service: s.Service, Version: s.Version, SentTo: s.SentTo, Node: r.Node,
 		Fate: r.Fate.String(), Status: r.Status, Cause: r.Cause, Attempts: s.Attempts, Arrived: s.Arrived,
-		Took: s.Took, Left: s.Target - s.Took, Good: r.Fate == call.Answered && r.Status < http.StatusInternalServerError,
+		Took: s.Took, Left: s.Target - s.Took, Good: r.Good(),
 	})
 	if n.cfg.Observe != nil {
 		n.cfg.Observe(s)
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -52,6 +52,9 @@
 			d.p.event(event.RequestMoved, d.call, "to "+target.Addr+": "+string(cause))
 		}
 		r := d.attempt(ctx, target)
+		if !r.FreeMove() && r.Cause != call.CauseCanceled {
+			d.p.budgets.of(d.call.Service).Note(r.Good())
+		}
 		if !d.course.Next(time.Now(), r) || ctx.Err() != nil || d.p.cfg.Policy == RoundRobin && !r.FreeMove() {
 			return d.course.Final()
 		}
@@ -143,7 +146,7 @@
 		select {
 		case r := <-replies:
 			under--
-			if under == 0 || r.Fate == call.Answered && r.Status < 500 {
+			if under == 0 || r.Good() {
 				return r
 			}
 		case <-timer.C:
