A short queue while more is offered than can be done; the free slot first

Cause: with a server offered more than it can do, the queue stood at the longest that still met the target: calls inside a request took 170 to 210 ms of their 200, and the requests above them came late. A longer queue serves no more calls, and each of them later. Under overload a call now waits for at most a quarter of the time to its target, or two turns. And a late call was refused in the same moment in which a slot came free for it: what can start starts first, the timely ones of all ranks before the late ones.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -1,6 +1,8 @@
 package admit
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"tanagerchute/core/table"
@@ -75,6 +77,9 @@
 	// overload is the work offered, as a share of what the limit allows, from
 	// which late calls are not kept.
 	overload = 1.0
+	// crowdedPart is the part of the time until its target for which a call may
+	// wait while more work is offered than the server can do.
+	crowdedPart = 0.25
 	// leastLeft is the share of the slots that a priority can count on.
 	leastLeft  = 0.1
 	leastRetry = 100 * time.Millisecond
@@ -153,7 +158,7 @@
 func (g *Gate) Drain() Outcome {
 	g.draining = true
 	var out Outcome
-	for it := g.queue.pop(); it != nil; it = g.queue.pop() {
+	for it := g.queue.pop(false); it != nil; it = g.queue.pop(false) {
 		out.Refused = append(out.Refused, Refusal{ID: it.ID, Cause: CauseDrain})
 	}
 	return out
@@ -188,10 +193,14 @@
 	}
 	g.demote(now)
 	service := g.serviceOf(it.Priority)
-	start := now.Add(g.wait(now, it.Priority, g.queue.ahead(it, false)))
+	wait := g.wait(now, it.Priority, g.queue.ahead(it, false))
+	start := now.Add(wait)
 	if start.After(it.WaitUntil) {
 		return false, why, false
 	}
+	if g.overloaded(now) && wait > g.crowdedWait(now, it) {
+		return false, why, false
+	}
 	if !start.Add(service).After(it.target()) {
 		return false, why, true
 	}
@@ -202,6 +211,14 @@
 	return true, why, !start.Add(service).After(lateLimit(it))
 }
 
+// crowdedWait returns how long a call may wait while more work is offered than
+// the server can do. A longer queue would serve no more calls, and each of them
+// later. It is long enough for the slots to stay in use.
+func (g *Gate) crowdedWait(now time.Time, it *Item) time.Duration {
+	busy := 2 * g.serviceOf(it.Priority) / time.Duration(g.Limit())
+	return max(busy, time.Duration(crowdedPart*float64(it.target().Sub(now))))
+}
+
 // lateLimit returns the time by which the answer of a call that can't meet its
 // target has to be expected.
 func lateLimit(it *Item) time.Time {
@@ -338,18 +355,21 @@
 			g.crowded = now.Add(crowdedFor)
 		}
 	}
+	slices.SortFunc(out.Refused, func(a, b Refusal) int { return cmp.Compare(a.ID, b.ID) }) // the same every time
 	for _, r := range out.Refused {
 		g.queue.remove(r.ID)
 	}
-	out.Refused = append(out.Refused, g.dropLate(now)...)
+	g.demote(now)
+	crowded := g.overloaded(now)
 	for g.inFlight < g.Limit() {
-		it := g.queue.pop()
+		it := g.queue.pop(crowded)
 		if it == nil {
 			break
 		}
 		g.inFlight++
 		out.Start = append(out.Start, *it)
 	}
+	out.Refused = append(out.Refused, g.dropLate(now)...)
 	return out
 }
 
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -138,18 +138,32 @@
 	}
 }
 
-// pop removes the item that starts next, or returns nil.
-func (q *queue) pop() *Item {
+// pop removes the item that starts next, or returns nil. timely puts the late
+// items of all priorities behind all others.
+func (q *queue) pop(timely bool) *Item {
+	var late *line
 	for i := range q.lanes {
-		for _, l := range []*line{&q.lanes[i].timely, &q.lanes[i].late} {
-			if l.Len() > 0 {
-				it := heap.Pop(l).(*Item)
-				delete(q.byID, it.ID)
-				return it
+		if l := &q.lanes[i].timely; l.Len() > 0 {
+			return q.take(l)
+		}
+		if l := &q.lanes[i].late; l.Len() > 0 && late == nil {
+			if !timely {
+				return q.take(l)
 			}
+			late = l
 		}
 	}
-	return nil
+	if late == nil {
+		return nil
+	}
+	return q.take(late)
+}
+
+// take removes the first item of a line.
+func (q *queue) take(l *line) *Item {
+	it := heap.Pop(l).(*Item)
+	delete(q.byID, it.ID)
+	return it
 }
 
 func (q *queue) remove(id string) bool {
