A call that is expected back in time from its own data centre stays there

Cause: an upstream in another data centre drew calls whenever it was a little faster than the slowest at home. A call now leaves only if it is not expected back within 0.7 of the time to its target.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -5,8 +5,9 @@
 // word, the calls that this node has sent to it since, how it failed of late,
 // and whether it is cold. Each estimate is blurred a little, so that nodes with
 // the same knowledge don't all choose the same. Another data centre costs the
-// way there, and much more for a call with a large answer. A candidate that
-// keeps failing is ejected for a while.
+// way there, and much more for a call with a large answer; a call that is
+// expected back in good time from its own data centre stays there. A candidate
+// that keeps failing is ejected for a while.
 //
 // # Usage
 //
@@ -37,6 +38,8 @@
 type Ask struct {
 	Tried []string // ids that are out of the question
 	Large bool     // the answer will be large
+	// Target is when the answer is worth most, zero if that is not known.
+	Target time.Time
 }
 
 // Load is what a gatekeeper says of itself in each answer.
@@ -78,6 +81,9 @@
 	Far        time.Duration // cost of another data centre
 	FarLarge   time.Duration // the same for a call with a large answer
 	Sample     int           // candidates that are compared for one choice
+	// Comfort is the part of the time until its target by which a call has to be
+	// expected back from the own data centre to stay there in any case.
+	Comfort float64
 }
 
 // DefaultConfig returns the settings that nodes use.
@@ -93,6 +99,7 @@
 		Far:        60 * time.Millisecond,
 		FarLarge:   500 * time.Millisecond,
 		Sample:     8,
+		Comfort:    0.7,
 	}
 }
 
@@ -173,14 +180,21 @@
 	}
 	cs = p.sample(cs)
 	typical := p.typical(cs)
-	best, least := cs[0], time.Duration(0)
+	var best, near *Candidate
+	var least, nearLeast time.Duration
 	for i, c := range cs {
 		cost := p.cost(now, c, ask, typical)
-		if i == 0 || cost < least {
-			best, least = c, cost
+		if best == nil || cost < least {
+			best, least = &cs[i], cost
 		}
+		if !c.Remote && (near == nil || cost < nearLeast) {
+			near, nearLeast = &cs[i], cost
+		}
+	}
+	if near != nil && !ask.Target.IsZero() && nearLeast <= time.Duration(p.cfg.Comfort*float64(ask.Target.Sub(now))) {
+		return *near, true
 	}
-	return best, true
+	return *best, true
 }
 
 // sample returns at most Sample candidates, those of the own data centre first
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -148,3 +148,24 @@
 	t.Logf("%d of 300 calls went to it", refused)
 	is.True(refused <= 15) // the share of the retry budget
 }
+
+// TestStaysWhereItIsInTime holds that a call stays in its data centre while it
+// is expected back in good time from there, however much faster another one is,
+// and leaves when it is not.
+func TestStaysWhereItIsInTime(t *testing.T) {
+	is := is.New(t)
+	p := picker(1)
+	cs := candidates(1, 1)
+	tell := func(id string, service time.Duration, queued int) {
+		p.Sent(epoch, id)
+		p.Done(epoch, id, route.Outcome{Result: route.Good, Load: route.Load{InFlight: 12, Queued: queued, Limit: 12, Service: service}})
+	}
+	ask := route.Ask{Target: epoch.Add(600 * time.Millisecond)}
+	tell("f0", 50*time.Millisecond, 0)
+	tell("l0", 250*time.Millisecond, 0)
+	c, _, _ := p.Pick(epoch, cs, ask)
+	is.Equal(c.ID, "l0")
+	tell("l0", 250*time.Millisecond, 24) // two rounds of calls wait
+	c, _, _ = p.Pick(epoch, cs, ask)
+	is.Equal(c.ID, "f0")
+}
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -100,7 +100,7 @@
 			cs = append(cs, route.Candidate{ID: e.Addr, Addr: e.Addr, Slots: e.Slots, Remote: true, Entry: true})
 		}
 	}
-	return d.p.choose(cs, route.Ask{Tried: d.tried, Large: d.call.Large})
+	return d.p.choose(cs, route.Ask{Tried: d.tried, Large: d.call.Large, Target: d.call.Target})
 }
 
 func (p *Proxy) choose(cs []route.Candidate, ask route.Ask) (route.Candidate, route.Cause, bool) {
