The collector runs at 100 percent

Cause: memory is priced for the time that it is held, and at 400 percent a node held twice of what it needs.

--- a/cmd/tanagerchute/memory.go
+++ b/cmd/tanagerchute/memory.go
@@ -7,9 +7,9 @@
 	// the 256 MB that a node may use.
 	memoryLimit = 160 << 20
 	// collectAt is the growth of the heap, in percent, after which garbage is
-	// collected. A node's heap is small, and at the default of 100 the
-	// collector runs many times a second under load.
-	collectAt = 400
+	// collected. At 400 a node takes twice the memory and saves a fifteenth of
+	// its processor time.
+	collectAt = 100
 )
 
 // tuneMemory sets the collector up for the memory that a node has.
