--- a/io/node/run.go
+++ b/io/node/run.go
@@ -301,6 +301,7 @@
 	n.proxy.Leave()
 	n.gate.StartDrain()
 	n.fleet.Leave(ctx)
+	unlisted := n.unlist(ctx)
 
 	flight, cancelFlight := context.WithDeadline(ctx, began.Add(drain.Timeout.Std()))
 	defer cancelFlight()
@@ -313,18 +314,26 @@
 	s.closeCallers(flight)
 	closing, cancelClosing := context.WithTimeout(ctx, closeTimeout)
 	defer cancelClosing()
-	n.goodbye(closing)
+	n.fleet.Stop(closing)
 	s.closeOthers(closing)
+	<-unlisted
 }
 
-// goodbye removes what others know of this node.
-func (n *Node) goodbye(ctx context.Context) {
-	var wg sync.WaitGroup
-	if n.seeds != nil {
-		wg.Go(func() { n.seeds.Close(ctx) })
-	}
-	wg.Go(func() { n.fleet.Stop(ctx) })
-	wg.Wait()
+// unlist removes the node's record from the store, if that can be done soon, and
+// closes the channel that it returns. The record is for those who start, who
+// need not find a node that stops.
+func (n *Node) unlist(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if n.seeds == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+		defer cancel()
+		n.seeds.Close(ctx)
+	}()
+	return done
 }
 
 // closeOthers stops the servers other than that for callers gracefully.
--- a/io/seeds/seeds.go
+++ b/io/seeds/seeds.go
@@ -55,6 +55,8 @@
 // Seeds is the duty.
 type Seeds struct {
 	cfg     Config
+	closing chan struct{} // closed by Close, ends a step under way
+	once    sync.Once
 	mu      sync.Mutex // guards the fields below
 	lease   int64
 	renewed time.Time
@@ -68,7 +70,9 @@
 }
 
 // New returns the duty.
-func New(cfg Config) *Seeds { return &Seeds{cfg: cfg, swept: time.Now()} }
+func New(cfg Config) *Seeds {
+	return &Seeds{cfg: cfg, closing: make(chan struct{}), swept: time.Now()}
+}
 
 func (s *Seeds) prefix() string { return ledger.Prefix(s.cfg.Deployment) + "seeds/" }
 
@@ -92,6 +96,15 @@
 
 // Run keeps this node's record while it is one of the seeds, until ctx ends.
 func (s *Seeds) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-s.closing:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	t := time.NewTicker(aloneEvery)
 	defer t.Stop()
 	for {
@@ -209,8 +222,10 @@
 	return nil
 }
 
-// Close removes this node's record.
+// Close ends Run and removes this node's record. A step that waits for the store
+// is given up: the record lapses by itself if it can't be removed.
 func (s *Seeds) Close(ctx context.Context) {
+	s.once.Do(func() { close(s.closing) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.drop(ctx)
