A stopping node leaves its upstream when its callers have their answers

Ruled out: leaving later in any case (the grace bounds the whole stop), and closing the listener first (the upstream's own calls come by it). TestServesOnWhileCallersWait fails without it.

--- a/io/node/callers.go
+++ b/io/node/callers.go
@@ -26,11 +26,14 @@
 // listener is closed first, and Shutdown is called only when no connection has
 // a request on its way.
 type conns struct {
-	mu     sync.Mutex
-	states map[net.Conn]http.ConnState
+	mu      sync.Mutex
+	states  map[net.Conn]http.ConnState
+	changes map[net.Conn]int // of the state, counted
 }
 
-func newConns() *conns { return &conns{states: map[net.Conn]http.ConnState{}} }
+func newConns() *conns {
+	return &conns{states: map[net.Conn]http.ConnState{}, changes: map[net.Conn]int{}}
+}
 
 // track is the ConnState hook of a server.
 func (c *conns) track(conn net.Conn, s http.ConnState) {
@@ -46,9 +49,11 @@
 	defer c.mu.Unlock()
 	if s == http.StateClosed || s == http.StateHijacked {
 		delete(c.states, conn)
+		delete(c.changes, conn)
 		return
 	}
 	c.states[conn] = s
+	c.changes[conn]++
 }
 
 // busy reports whether a connection is in one of the given states.
@@ -65,6 +70,34 @@
 	return false
 }
 
+// settle waits until the requests that are on their way now have ended, or ctx
+// has. Others may come meanwhile.
+func (c *conns) settle(ctx context.Context) {
+	c.mu.Lock()
+	busy := map[net.Conn]int{}
+	for conn, s := range c.states {
+		if s == http.StateActive {
+			busy[conn] = c.changes[conn]
+		}
+	}
+	c.mu.Unlock()
+	for c.still(busy) && timer.Sleep(ctx, stateCheck) {
+	}
+}
+
+// still reports whether a connection has not changed its state since it was
+// counted.
+func (c *conns) still(counted map[net.Conn]int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, n := range counted {
+		if c.changes[conn] == n {
+			return true
+		}
+	}
+	return false
+}
+
 // wait waits until no connection has a request on its way, or ctx ends. A
 // connection that has not sent any is waited for no longer than newGrace.
 func (c *conns) wait(ctx context.Context) {
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -28,6 +28,9 @@
 	openAfter = 5 * time.Second
 	// readyCheck is how often a node looks whether it is ready.
 	readyCheck = 50 * time.Millisecond
+	// lastCalls is the part of a planned stop that is left to the calls at the own
+	// backend server.
+	lastCalls = 1500 * time.Millisecond
 	// acceptTimeout bounds the wait for connections that are still handed out.
 	acceptTimeout = 2 * time.Second
 	// keeperCheck is how often a node looks whether it can be the home of keys.
@@ -286,7 +289,8 @@
 // this node takes no new work, and what still arrives is refused as not run;
 // then the calls in flight end; then the node stays to answer for the keys that
 // it was the home of; last it tells that it has gone. A node whose backend
-// server goes on serves it until its callers have turned away.
+// server goes on serves it until its callers have turned away and got their
+// answers.
 func (n *Node) stop(ctx context.Context, s *servers) {
 	began := time.Now()
 	n.event(event.NodeDraining, "planned stop")
@@ -297,6 +301,9 @@
 	lingered := began.Add(drain.Linger.Std())
 	if drain.ServeOn {
 		timer.Sleep(ctx, time.Until(lingered))
+		settling, cancel := context.WithDeadline(ctx, began.Add(drain.Timeout.Std()-lastCalls))
+		s.callerConns.settle(settling)
+		cancel()
 	}
 	n.proxy.Leave()
 	n.gate.StartDrain()
