A resend goes only to an upstream that does well; near is not failing; forgotten connections

Whether a resend may help hangs on where it would go, not on the share of all attempts: it goes only to an upstream of which less than a fifth of the calls fail. And a call stays in its data centre in any case only at an upstream of which less than a tenth fail.

Also: an upstream may drop an idle connection sooner than it says. A request that may be repeated is sent once more over a new connection if its own ends at once, and the pool trusts no connection for half as long as the one that was dropped for ten seconds.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -4,15 +4,10 @@
 // whole one. Under a failure that hits all calls the attempts therefore stay
 // below (1 + share) times the calls, at each hop, however deep the chain.
 //
-// A resend helps a call that was unlucky. Where many attempts fail, the next
-// one will fail as well, and takes the place of a call that might not have: then
-// nothing is resent, whatever has been saved up.
-//
 // # Usage
 //
 //	b := budget.New(budget.Config{Share: 0.05, Burst: 5})
 //	b.Earn()
-//	b.Note(good)
 //	if b.Spend() { … resend … }
 package budget
 
@@ -24,19 +19,11 @@
 	Burst float64 // most resends that can be saved up
 }
 
-// Share of failed attempts from which nothing is resent, and the weight of one
-// attempt in it.
-const (
-	hopeless  = 0.2
-	smoothing = 0.05
-)
-
 // Budget counts resends. It is safe for concurrent use.
 type Budget struct {
-	cfg     Config
-	mu      sync.Mutex
-	tokens  float64
-	failing float64 // smoothed share of attempts that failed
+	cfg    Config
+	mu     sync.Mutex
+	tokens float64
 }
 
 // New returns a budget that starts with its burst saved up.
@@ -57,21 +44,11 @@
 	b.tokens = min(b.tokens+b.cfg.Share, b.cfg.Burst)
 }
 
-// Note notes how an attempt came out.
-func (b *Budget) Note(good bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.failing -= smoothing * b.failing
-	if !good {
-		b.failing += smoothing
-	}
-}
-
-// Spend takes one resend and reports whether there was one that may help.
+// Spend takes one resend and reports whether there was one.
 func (b *Budget) Spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < 1 || b.failing >= hopeless {
+	if b.tokens < 1 {
 		return false
 	}
 	b.tokens--
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -6,8 +6,8 @@
 // and whether it is cold. Each estimate is blurred a little, so that nodes with
 // the same knowledge don't all choose the same. Another data centre costs the
 // way there, and much more for a call with a large answer; a call that is
-// expected back in good time from its own data centre stays there. A candidate
-// that keeps failing is ejected for a while.
+// expected back in good time from its own data centre stays there, if few calls fail. A
+// candidate that keeps failing is ejected for a while.
 //
 // # Usage
 //
@@ -187,7 +187,7 @@
 		if best == nil || cost < least {
 			best, least = &cs[i], cost
 		}
-		if !c.Remote && (near == nil || cost < nearLeast) {
+		if !c.Remote && p.well(c.ID) && (near == nil || cost < nearLeast) {
 			near, nearLeast = &cs[i], cost
 		}
 	}
@@ -197,6 +197,12 @@
 	return *best, true
 }
 
+// well reports whether few of the calls to a candidate fail.
+func (p *Picker) well(id string) bool {
+	s, ok := p.stats[id]
+	return !ok || s.failing < wellShare
+}
+
 // sample returns at most Sample candidates, those of the own data centre first
 // for three quarters of the places.
 func (p *Picker) sample(cs []Candidate) []Candidate {
@@ -246,6 +252,8 @@
 	fillWeight = 0.1 // cost of a full server against an idle one, as a share of its service time
 	coldFactor = 2   // service time of a cold server against a warm one
 	maxFailing = 0.9 // bound on the share of failures
+	hopeless   = 0.2 // share of failures from which nothing is resent to a server
+	wellShare  = 0.1 // share of failures up to which a server counts as well
 )
 
 // cost is the time in which a call is expected to be answered by c, more for
@@ -373,6 +381,14 @@
 	return true
 }
 
+// Hopeless reports whether so many of the calls to a candidate fail that one
+// which has failed elsewhere would be sent there in vain, and would take the
+// place of a call that might not fail.
+func (p *Picker) Hopeless(id string) bool {
+	s, ok := p.stats[id]
+	return ok && s.failing >= hopeless
+}
+
 // forget drops what is known of candidates that have not been used lately.
 func (p *Picker) forget(now time.Time) {
 	for id, s := range p.stats {
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -46,6 +46,14 @@
 	}
 }
 
+// rested returns how long the connection has been idle, 0 for a new one.
+func (c *conn) rested(now time.Time) time.Duration {
+	if c.since.IsZero() {
+		return 0
+	}
+	return max(now.Sub(c.since), 1)
+}
+
 // usable reports whether the connection may carry another request: it has not
 // been idle for too long, and the server has neither closed it nor sent
 // anything on it.
--- a/io/back/pool.go
+++ b/io/back/pool.go
@@ -71,8 +71,21 @@
 	addr string
 	idle []*conn // the last used at the end
 	open int
+	// short bounds, until a time, how long a connection may have been idle: the
+	// server has forgotten one that was idle for longer.
+	short      time.Duration
+	shortUntil time.Time
 }
 
+// Times of servers that forget connections.
+const (
+	// atOnce is how soon after a request a connection ends that the server had
+	// forgotten before: nothing has run.
+	atOnce = 20 * time.Millisecond
+	// shortFor is how long the pool remembers it.
+	shortFor = 10 * time.Second
+)
+
 // New returns a pool without connections.
 func New(cfg Config) *Pool {
 	if cfg.Dial == nil {
@@ -97,12 +110,57 @@
 }
 
 // Do sends a request to the server at addr and returns its whole answer, or an
-// *Error. When ctx ends the connection is closed, which tells the server.
+// *Error. When ctx ends the connection is closed, which tells the server. A
+// request that may be repeated is sent once more if the server had forgotten its
+// connection.
 func (p *Pool) Do(ctx context.Context, addr string, r Request) (Answer, error) {
 	c, err := p.take(ctx, addr, r.Idle)
 	if err != nil {
 		return Answer{}, &Error{Err: err}
 	}
+	rested, began := c.rested(time.Now()), time.Now()
+	a, err := p.do(ctx, c, r)
+	if err == nil || rested == 0 || ctx.Err() != nil || time.Since(began) > atOnce {
+		return a, err
+	}
+	p.forgotten(rested)
+	if !r.Repeat {
+		return a, err
+	}
+	if c, err = p.dial(ctx, addr); err != nil {
+		return Answer{}, &Error{Sent: true, Err: err}
+	}
+	return p.do(ctx, c, r)
+}
+
+// forgotten notes that the server has forgotten a connection that had been idle
+// for a time.
+func (p *Pool) forgotten(rested time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if now.After(p.shortUntil) || rested/2 < p.short {
+		p.short = rested / 2
+	}
+	p.shortUntil = now.Add(shortFor)
+}
+
+// longest returns how long a connection may have been idle for a request, 0 for
+// no bound.
+func (p *Pool) longest(r time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Now().After(p.shortUntil) {
+		return r
+	}
+	if r == 0 {
+		return p.short
+	}
+	return min(r, p.short)
+}
+
+// do sends a request over a connection and returns its answer.
+func (p *Pool) do(ctx context.Context, c *conn, r Request) (Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // ends reads and writes
 	a, keep, err := p.exchange(c, r)
 	if !stop() || err != nil || !keep {
@@ -115,6 +173,7 @@
 
 // take returns an idle connection that can be used, or a new one.
 func (p *Pool) take(ctx context.Context, addr string, idle time.Duration) (*conn, error) {
+	idle = p.longest(idle)
 	for {
 		c := p.pop(addr)
 		if c == nil {
--- a/io/back/request.go
+++ b/io/back/request.go
@@ -22,6 +22,9 @@
 	// used for the request, 0 for any. The server may be closing one that has
 	// been idle for long, and whether the request ran is not known then.
 	Idle time.Duration
+	// Repeat says that the request may be sent again over a new connection if its
+	// own ends at once, as one does that the server had forgotten.
+	Repeat bool
 }
 
 // framed are the headers that writeHead writes itself.
--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -114,6 +114,7 @@
 	}
 	b.dialect.Onward(h, tanagerchute.Onward{ID: c.ID, TimeLeft: left, Depth: c.Depth + 1, Instance: server.ID})
 	r := back.Request{Method: c.Method, Path: c.Path, Host: c.Host, Header: h, Body: c.Body, ID: c.ID}
+	r.Repeat = c.Safe()
 	if c.AtMostOnce {
 		r.Idle = onceIdle
 	}
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -52,9 +52,6 @@
 			d.p.event(event.RequestMoved, d.call, "to "+target.Addr+": "+string(cause))
 		}
 		r := d.attempt(ctx, target)
-		if !r.FreeMove() && r.Cause != call.CauseCanceled {
-			d.p.budgets.of(d.call.Service).Note(r.Good())
-		}
 		if !d.course.Next(time.Now(), r) || ctx.Err() != nil || d.p.cfg.Policy == RoundRobin && !r.FreeMove() {
 			return d.course.Final()
 		}
@@ -67,7 +64,7 @@
 // noneRetry is when a call for which there is no upstream should come back.
 const noneRetry = time.Second
 
-// spend takes a resend from the budget of the call's service.
+// spend takes a resend from the budget of the call's service, if it may help.
 func (d *dispatching) spend() bool {
 	switch d.p.cfg.Policy {
 	case RoundRobin:
@@ -75,7 +72,15 @@
 	case RetryAlways:
 		return true
 	}
-	return d.p.budgets.of(d.call.Service).Spend()
+	next, _, ok := d.pick()
+	return ok && !d.p.hopeless(next.ID) && d.p.budgets.of(d.call.Service).Spend()
+}
+
+// hopeless reports whether nothing is to be resent to a candidate.
+func (p *Proxy) hopeless(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.picker.Hopeless(id)
 }
 
 // most returns the number of backend servers that the call may be sent to.
