A resend goes to the very upstream that it was judged by

Read again: a resend was granted by one choice of an upstream, and sent by a second one, which is blurred and could fall on another. The choice that was paid for is kept; the list of candidates is built once. The simulation does the same.

--- a/core/sim_test.go
+++ b/core/sim_test.go
@@ -271,16 +271,25 @@
 	resends.Earn()
 	target := s.now.Add(c.target)
 	var tried []string
+	var paid *simUpstream // the upstream of a resend that has been paid for
 	course := resend.New(resend.Config{Safe: c.safe, Most: 2, Deadline: deadline, Spend: func() bool {
 		if s.policy.roundRobin {
 			return false
 		}
-		next := s.pick(from, c, target, tried)
-		return next != nil && !from.picker.Hopeless(next.id) && resends.Spend()
+		u := s.pick(from, c, target, tried)
+		if u == nil || from.picker.Hopeless(u.id) || !resends.Spend() {
+			return false
+		}
+		paid = u
+		return true
 	}})
 	var next func()
 	next = func() {
-		u := s.pick(from, c, target, tried)
+		u := paid
+		paid = nil
+		if u == nil {
+			u = s.pick(from, c, target, tried)
+		}
 		if u == nil {
 			if len(tried) > 0 {
 				then(course.Final())
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -36,11 +36,18 @@
 	course *resend.Course
 	effort Effort
 	hedges int
+	next   *choice // for the resend that has been paid for, nil if none has
+}
+
+// choice is an upstream with the reason for it.
+type choice struct {
+	target route.Candidate
+	cause  route.Cause
 }
 
 func (d *dispatching) run(ctx context.Context) call.Reply {
 	for sent := false; ; sent = true {
-		target, cause, ok := d.pick()
+		c, ok := d.pick()
 		switch {
 		case ok:
 		case sent:
@@ -48,10 +55,10 @@
 		default:
 			return call.Refuse(call.NotRun, call.CauseNone, noneRetry)
 		}
-		if cause != route.CauseLocal {
-			d.p.event(event.RequestMoved, d.call, "to "+target.Addr+": "+string(cause))
+		if c.cause != route.CauseLocal {
+			d.p.event(event.RequestMoved, d.call, "to "+c.target.Addr+": "+string(c.cause))
 		}
-		r := d.attempt(ctx, target)
+		r := d.attempt(ctx, c.target)
 		if !d.course.Next(time.Now(), r) || ctx.Err() != nil || d.p.cfg.Policy == RoundRobin && !r.FreeMove() {
 			return d.course.Final()
 		}
@@ -64,7 +71,8 @@
 // noneRetry is when a call for which there is no upstream should come back.
 const noneRetry = time.Second
 
-// spend takes a resend from the budget of the call's service, if it may help.
+// spend takes a resend from the budget of the call's service, if it may help
+// where it would go.
 func (d *dispatching) spend() bool {
 	switch d.p.cfg.Policy {
 	case RoundRobin:
@@ -72,8 +80,12 @@
 	case RetryAlways:
 		return true
 	}
-	next, _, ok := d.pick()
-	return ok && !d.p.hopeless(next.ID) && d.p.budgets.of(d.call.Service).Spend()
+	next, ok := d.pick()
+	if !ok || d.p.hopeless(next.target.ID) || !d.p.budgets.of(d.call.Service).Spend() {
+		return false
+	}
+	d.next = &next
+	return true
 }
 
 // hopeless reports whether nothing is to be resent to a candidate.
@@ -91,8 +103,13 @@
 	return maxAttempts
 }
 
-// pick chooses the next candidate.
-func (d *dispatching) pick() (route.Candidate, route.Cause, bool) {
+// pick chooses the next candidate, or returns the one that has been chosen for a
+// resend.
+func (d *dispatching) pick() (choice, bool) {
+	if c := d.next; c != nil {
+		d.next = nil
+		return *c, true
+	}
 	view := d.p.cfg.Fleet.View()
 	var cs []route.Candidate
 	for _, m := range view.Upstreams(d.call.Service) {
@@ -105,7 +122,8 @@
 			cs = append(cs, route.Candidate{ID: e.Addr, Addr: e.Addr, Slots: e.Slots, Remote: true, Entry: true})
 		}
 	}
-	return d.p.choose(cs, route.Ask{Tried: d.tried, Large: d.call.Large, Target: d.call.Target})
+	target, cause, ok := d.p.choose(cs, route.Ask{Tried: d.tried, Large: d.call.Large, Target: d.call.Target})
+	return choice{target, cause}, ok
 }
 
 func (p *Proxy) choose(cs []route.Candidate, ask route.Ask) (route.Candidate, route.Cause, bool) {
@@ -168,13 +186,13 @@
 
 // second picks another upstream for a slow lookup, if the budget allows it.
 func (d *dispatching) second() (route.Candidate, bool) {
-	target, _, ok := d.pick()
+	c, ok := d.pick()
 	if !ok || !d.p.budgets.of(d.call.Service).Spend() {
 		return route.Candidate{}, false
 	}
-	d.tried = append(d.tried, target.ID)
-	d.p.event(event.RequestMoved, d.call, "hedged to "+target.Addr)
-	return target, true
+	d.tried = append(d.tried, c.target.ID)
+	d.p.event(event.RequestMoved, d.call, "hedged to "+c.target.Addr)
+	return c.target, true
 }
 
 // try makes one attempt at one candidate and settles what became of it.
