Admission demotes once a turn; one reading of a candidate's failures; limits in one place

Read again, no change in behaviour: both callers of dropLate have just demoted; well and Hopeless read the same share; four ifs said the same.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -241,9 +241,8 @@
 }
 
 // dropLate refuses the queued calls that can't meet their target any more, if
-// they would wait in vain.
+// they would wait in vain. They have been demoted.
 func (g *Gate) dropLate(now time.Time) []Refusal {
-	g.demote(now)
 	if !g.overloaded(now) {
 		return nil
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -6,8 +6,8 @@
 // and whether it is cold. Each estimate is blurred a little, so that nodes with
 // the same knowledge don't all choose the same. Another data centre costs the
 // way there, and much more for a call with a large answer; a call that is
-// expected back in good time from its own data centre stays there, if few calls fail. A
-// candidate that keeps failing is ejected for a while.
+// expected back in good time from its own data centre stays there, if few calls
+// fail. A candidate that keeps failing is ejected for a while.
 //
 // # Usage
 //
@@ -187,7 +187,7 @@
 		if best == nil || cost < least {
 			best, least = &cs[i], cost
 		}
-		if !c.Remote && p.well(c.ID) && (near == nil || cost < nearLeast) {
+		if !c.Remote && p.failing(c.ID) < wellShare && (near == nil || cost < nearLeast) {
 			near, nearLeast = &cs[i], cost
 		}
 	}
@@ -197,10 +197,12 @@
 	return *best, true
 }
 
-// well reports whether few of the calls to a candidate fail.
-func (p *Picker) well(id string) bool {
-	s, ok := p.stats[id]
-	return !ok || s.failing < wellShare
+// failing returns the smoothed share of the calls to a candidate that fail.
+func (p *Picker) failing(id string) float64 {
+	if s, ok := p.stats[id]; ok {
+		return s.failing
+	}
+	return 0
 }
 
 // sample returns at most Sample candidates, those of the own data centre first
@@ -384,10 +386,7 @@
 // Hopeless reports whether so many of the calls to a candidate fail that one
 // which has failed elsewhere would be sent there in vain, and would take the
 // place of a call that might not fail.
-func (p *Picker) Hopeless(id string) bool {
-	s, ok := p.stats[id]
-	return ok && s.failing >= hopeless
-}
+func (p *Picker) Hopeless(id string) bool { return p.failing(id) >= hopeless }
 
 // forget drops what is known of candidates that have not been used lately.
 func (p *Picker) forget(now time.Time) {
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -180,19 +180,20 @@
 		return l
 	}
 	of := s.Table.Limits()
-	if of.HeaderBytes > 0 {
-		l.HeaderBytes = of.HeaderBytes
+	return table.Limits{
+		HeaderBytes:   positive(of.HeaderBytes, l.HeaderBytes),
+		BodyBytes:     positive(of.BodyBytes, l.BodyBytes),
+		HeaderTimeout: positive(of.HeaderTimeout, l.HeaderTimeout),
+		IdleTimeout:   positive(of.IdleTimeout, l.IdleTimeout),
 	}
-	if of.BodyBytes > 0 {
-		l.BodyBytes = of.BodyBytes
-	}
-	if of.HeaderTimeout > 0 {
-		l.HeaderTimeout = of.HeaderTimeout
-	}
-	if of.IdleTimeout > 0 {
-		l.IdleTimeout = of.IdleTimeout
+}
+
+// positive returns v, or otherwise if v bounds nothing.
+func positive[T int | int64 | time.Duration](v, otherwise T) T {
+	if v > 0 {
+		return v
 	}
-	return l
+	return otherwise
 }
 
 // checkForm checks what can be checked of a request without its class.
