--- a/io/node/callers.go
+++ b/io/node/callers.go
@@ -26,15 +26,18 @@
 // listener is closed first, and Shutdown is called only when no connection has
 // a request on its way.
 type conns struct {
-	mu      sync.Mutex
-	states  map[net.Conn]http.ConnState
-	changes map[net.Conn]int // of the state, counted
+	mu sync.Mutex
+	by map[net.Conn]progress
 }
 
-func newConns() *conns {
-	return &conns{states: map[net.Conn]http.ConnState{}, changes: map[net.Conn]int{}}
+// progress is how far a connection has come.
+type progress struct {
+	state   http.ConnState
+	changes int // of the state so far
 }
 
+func newConns() *conns { return &conns{by: map[net.Conn]progress{}} }
+
 // track is the ConnState hook of a server.
 func (c *conns) track(conn net.Conn, s http.ConnState) {
 	if p, ok := conn.(*link.PatientConn); ok {
@@ -48,21 +51,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s == http.StateClosed || s == http.StateHijacked {
-		delete(c.states, conn)
-		delete(c.changes, conn)
+		delete(c.by, conn)
 		return
 	}
-	c.states[conn] = s
-	c.changes[conn]++
+	c.by[conn] = progress{s, c.by[conn].changes + 1}
 }
 
 // busy reports whether a connection is in one of the given states.
 func (c *conns) busy(states ...http.ConnState) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, s := range c.states {
+	for _, p := range c.by {
 		for _, want := range states {
-			if s == want {
+			if p.state == want {
 				return true
 			}
 		}
@@ -74,10 +75,10 @@
 // has. Others may come meanwhile.
 func (c *conns) settle(ctx context.Context) {
 	c.mu.Lock()
-	busy := map[net.Conn]int{}
-	for conn, s := range c.states {
-		if s == http.StateActive {
-			busy[conn] = c.changes[conn]
+	busy := map[net.Conn]progress{}
+	for conn, p := range c.by {
+		if p.state == http.StateActive {
+			busy[conn] = p
 		}
 	}
 	c.mu.Unlock()
@@ -85,13 +86,12 @@
 	}
 }
 
-// still reports whether a connection has not changed its state since it was
-// counted.
-func (c *conns) still(counted map[net.Conn]int) bool {
+// still reports whether one of some connections has come no further.
+func (c *conns) still(before map[net.Conn]progress) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for conn, n := range counted {
-		if c.changes[conn] == n {
+	for conn, p := range before {
+		if c.by[conn] == p {
 			return true
 		}
 	}
