The end of a stop gives up any call of the seeds' duty

Read again: only a step of Run was given up by Close; Introduce, which a node calls as it starts, held the same lock over its calls. The lock is taken in one place now, which binds the calls to the life of the duty; a channel, a goroutine and a Once go.

--- a/io/seeds/seeds.go
+++ b/io/seeds/seeds.go
@@ -55,8 +55,8 @@
 // Seeds is the duty.
 type Seeds struct {
 	cfg     Config
-	closing chan struct{} // closed by Close, ends a step under way
-	once    sync.Once
+	life    context.Context // ended by Close, and with it what is under way
+	end     context.CancelFunc
 	mu      sync.Mutex // guards the fields below
 	lease   int64
 	renewed time.Time
@@ -71,7 +71,8 @@
 
 // New returns the duty.
 func New(cfg Config) *Seeds {
-	return &Seeds{cfg: cfg, closing: make(chan struct{}), swept: time.Now()}
+	life, end := context.WithCancel(context.Background())
+	return &Seeds{cfg: cfg, life: life, end: end, swept: time.Now()}
 }
 
 func (s *Seeds) prefix() string { return ledger.Prefix(s.cfg.Deployment) + "seeds/" }
@@ -96,21 +97,14 @@
 
 // Run keeps this node's record while it is one of the seeds, until ctx ends.
 func (s *Seeds) Run(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		select {
-		case <-s.closing:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
 	t := time.NewTicker(aloneEvery)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-s.life.Done():
+			return
 		case now := <-t.C:
 			s.step(ctx, now)
 		}
@@ -120,8 +114,8 @@
 // step does what is due. What fails is due again at the next step: the
 // addresses known from before serve until then.
 func (s *Seeds) step(ctx context.Context, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	ctx, done := s.begin(ctx)
+	defer done()
 	rank := s.cfg.Fleet.View().RankInCentre("reader", perCentre)
 	if rank < 0 {
 		s.drop(ctx)
@@ -143,6 +137,19 @@
 	}
 }
 
+// begin takes the lock for calls to the store, whose context ends with Close as
+// well, so that Close never waits for them. done gives the lock back.
+func (s *Seeds) begin(ctx context.Context) (_ context.Context, done func()) {
+	s.mu.Lock()
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(s.life, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+		s.mu.Unlock()
+	}
+}
+
 // pace returns the time between two readings.
 func (s *Seeds) pace() time.Duration {
 	if len(s.cfg.Fleet.View().Running()) <= 1 {
@@ -154,8 +161,8 @@
 // Introduce writes this node's record at once, so that nodes that start at the
 // same time find each other. It is called before Run.
 func (s *Seeds) Introduce(ctx context.Context) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	ctx, done := s.begin(ctx)
+	defer done()
 	if s.renew(ctx) == nil {
 		s.renewed = time.Now()
 	}
@@ -222,10 +229,10 @@
 	return nil
 }
 
-// Close ends Run and removes this node's record. A step that waits for the store
-// is given up: the record lapses by itself if it can't be removed.
+// Close ends Run and removes this node's record. What waits for the store is
+// given up: the record lapses by itself if it can't be removed.
 func (s *Seeds) Close(ctx context.Context) {
-	s.once.Do(func() { close(s.closing) })
+	s.end()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.drop(ctx)
