A connection that ends right after its last request was not forgotten

The pool learns from a request that ends within 20 ms on a reused connection how soon the server forgets idle ones, half of the time for which it was idle, and keeps to that for 10 s. Servers that crash or reset answers end connections that were idle for a millisecond; from then on each request opened one of its own, and any later reset prolonged it.

Now only connections that were idle for 0.1 s or more teach that, and the bound is not below it. Resends are as before.

TestLostAnswerIsNotForgetting: 22 connections before, 2 now.

--- a/io/back/pool.go
+++ b/io/back/pool.go
@@ -84,6 +84,10 @@
 	atOnce = 20 * time.Millisecond
 	// shortFor is how long the pool remembers it.
 	shortFor = 10 * time.Second
+	// leastRest is how long a connection has to have been idle to be forgotten.
+	// One that ends after less has been reset for another reason, as by a server
+	// that crashes or loses answers, and says nothing about idle ones.
+	leastRest = 100 * time.Millisecond
 )
 
 // New returns a pool without connections.
@@ -136,11 +140,14 @@
 // forgotten notes that the server has forgotten a connection that had been idle
 // for a time.
 func (p *Pool) forgotten(rested time.Duration) {
+	if rested < leastRest {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	if now.After(p.shortUntil) || rested/2 < p.short {
-		p.short = rested / 2
+		p.short = max(rested/2, leastRest)
 	}
 	p.shortUntil = now.Add(shortFor)
 }
--- a/io/back/pool_test.go
+++ b/io/back/pool_test.go
@@ -23,6 +23,7 @@
 	mu    sync.Mutex
 	conns int
 	runs  int
+	lose  int // answers to lose from now on: their connections are reset
 }
 
 func newForgetful(t *testing.T, limit time.Duration) *forgetful {
@@ -66,7 +67,15 @@
 		}
 		f.mu.Lock()
 		f.runs++
+		lost := f.lose > 0
+		if lost {
+			f.lose--
+		}
 		f.mu.Unlock()
+		if lost {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		}
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nok", req.Header.Get("X-Id"))
 	}
 }
@@ -127,3 +136,24 @@
 	conns, _ := f.counts()
 	is.Equal(conns, 1)
 }
+
+// TestLostAnswerIsNotForgetting loses an answer on a connection that had hardly
+// been idle, as a server does that crashes, and holds that later requests use
+// their connections again.
+func TestLostAnswerIsNotForgetting(t *testing.T) {
+	is := is.New(t)
+	f := newForgetful(t, time.Minute)
+	p := back.New(back.Config{MaxAnswer: 1000})
+	is.NoErr(f.ask(p, true))
+	f.mu.Lock()
+	f.lose = 1
+	f.mu.Unlock()
+	is.NoErr(f.ask(p, true)) // sent again on a second connection
+	for range 20 {
+		time.Sleep(10 * time.Millisecond)
+		is.NoErr(f.ask(p, true))
+	}
+	conns, runs := f.counts()
+	is.Equal(conns, 2)
+	is.Equal(runs, 23)
+}
