Tests of hopeless upstreams and of failing ones next door

The two bounds on failing upstreams, from when nothing is resent to one and from when a call does not stay near, had no direct tests; only the loads in virtual time went through them. Both pass on the code as it is.

--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -169,3 +169,55 @@
 	c, _, _ = p.Pick(epoch, cs, ask)
 	is.Equal(c.ID, "f0")
 }
+
+// TestFailingNearIsLeft holds that a call which would be in time in its own data
+// centre does not stay at an upstream of which a tenth of the calls fail.
+func TestFailingNearIsLeft(t *testing.T) {
+	is := is.New(t)
+	p := picker(5)
+	cs := candidates(1, 1)
+	tell := func(id string, r route.Result, service time.Duration) {
+		p.Sent(epoch, id)
+		p.Done(epoch, id, route.Outcome{Result: r, Load: route.Load{InFlight: 2, Limit: 12, Service: service}})
+	}
+	ask := route.Ask{Target: epoch.Add(600 * time.Millisecond)}
+	tell("l0", route.Good, 250*time.Millisecond)
+	tell("f0", route.Good, 50*time.Millisecond)
+	c, _, _ := p.Pick(epoch, cs, ask)
+	is.Equal(c.ID, "l0")
+	tell("l0", route.Erring, 250*time.Millisecond)
+	tell("l0", route.Erring, 250*time.Millisecond)
+	c, _, _ = p.Pick(epoch, cs, ask)
+	is.Equal(c.ID, "f0")
+	for range 20 {
+		tell("l0", route.Good, 250*time.Millisecond)
+	}
+	c, _, _ = p.Pick(epoch, cs, ask)
+	is.Equal(c.ID, "l0")
+}
+
+// TestHopeless holds that an upstream is hopeless from the third failure in a
+// row on, of ones that it may not be to blame for as well, and until enough calls
+// have gone well; refusals for load don't count.
+func TestHopeless(t *testing.T) {
+	is := is.New(t)
+	p := picker(6)
+	tell := func(r route.Result) {
+		p.Sent(epoch, "l0")
+		p.Done(epoch, "l0", route.Outcome{Result: r})
+	}
+	is.True(!p.Hopeless("l0")) // nothing is known of it
+	for range 10 {
+		tell(route.Refused)
+	}
+	is.True(!p.Hopeless("l0"))
+	tell(route.Erring)
+	tell(route.Erring)
+	is.True(!p.Hopeless("l0")) // 19 of 100
+	tell(route.Erring)
+	is.True(p.Hopeless("l0")) // 27 of 100
+	for range 3 {
+		tell(route.Good)
+	}
+	is.True(!p.Hopeless("l0"))
+}
