The log's output is handed to a node as one thing

Crowded and Dropped went through two configurations as a pair of functions; now an Output of the root package does. No behaviour changes.

--- a/cmd/tanagerchute/node.go
+++ b/cmd/tanagerchute/node.go
@@ -101,7 +101,7 @@
 	if len(s.Store) > 0 {
 		store = etcd.New(etcd.Config{Endpoints: s.Store})
 	}
-	p, err := node.New(node.Config{Settings: s, Store: store, Log: log, Crowded: ring.Crowded, Dropped: ring.Dropped})
+	p, err := node.New(node.Config{Settings: s, Store: store, Log: log, Output: ring})
 	return p, log, err
 }
 
@@ -115,6 +115,6 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	p, err := platform.NewNode(platform.Config{Settings: s, Log: log, Crowded: ring.Crowded, Dropped: ring.Dropped})
+	p, err := platform.NewNode(platform.Config{Settings: s, Log: log, Output: ring})
 	return p, log, err
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -53,12 +53,8 @@
 	// product's own.
 	Dialect tanagerchute.Dialect
 	Log     *zap.Logger
-	Dial    link.Dial // nil for direct connections
-	// Crowded reports whether lines that can be spared should not be logged, nil
-	// for never.
-	Crowded func() bool
-	// Dropped returns the number of lines that were not written, nil for none.
-	Dropped func() uint64
+	Dial    link.Dial           // nil for direct connections
+	Output  tanagerchute.Output // of Log, nil for one that is never crowded
 	// Observe is called at the end of each call from a caller, if set.
 	Observe func(proxy.Sample)
 	// OnEvent is called with each journal event, if set.
@@ -108,6 +104,12 @@
 	return strconv.FormatInt(now.UnixMilli(), 36)
 }
 
+// roomy is an output that is never crowded.
+type roomy struct{}
+
+func (roomy) Crowded() bool   { return false }
+func (roomy) Dropped() uint64 { return 0 }
+
 // New returns a node that has opened nothing yet.
 func New(cfg Config) (*Node, error) {
 	s := cfg.Settings
@@ -119,14 +121,11 @@
 	if cfg.Dialect == nil {
 		n.cfg.Dialect = face.Own{}
 	}
-	if cfg.Crowded == nil {
-		n.cfg.Crowded = func() bool { return false }
-	}
-	if cfg.Dropped == nil {
-		n.cfg.Dropped = func() uint64 { return 0 }
+	if cfg.Output == nil {
+		n.cfg.Output = roomy{}
 	}
 	n.settings.Store(&s)
-	n.requests = logs.NewRequests(n.cfg.Log, n.cfg.Crowded)
+	n.requests = logs.NewRequests(n.cfg.Log, n.cfg.Output.Crowded)
 	n.journal = event.NewJournal(event.Config{Node: n.id, Capacity: s.Limits.Events, Observe: n.observeEvent()})
 	tp, err := trace.New(context.Background(), trace.Config{
 		Node: s.Name, OTLP: s.Trace.OTLP, File: s.Trace.File, Slow: s.Trace.Slow.Std(), Sample: s.Trace.Sample,
