--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -33,52 +33,41 @@
 		return nil, l.Err()
 	}
 	d := &Document{}
-	places, findings := jsonc.Decode(file, data, d)
-	if !places.Known() {
-		return nil, findings.Err() // the syntax is broken
+	decoded, err := jsonc.Decode(file, data, d)
+	if err != nil {
+		return nil, err
 	}
-	c := &checks{places: places, findings: findings, undecoded: findings.Clone()}
+	c := &checks{decoded}
 	c.document(d)
-	if err := findings.Err(); err != nil {
+	if err := c.Err(); err != nil {
 		return nil, err
 	}
 	return d, nil
 }
 
-type checks struct {
-	places    jsonc.Places
-	findings  *errs.List
-	undecoded errs.List // findings of the decoder
-}
-
-// add notes a finding, unless the value could not be decoded.
-func (c *checks) add(path, format string, args ...any) {
-	if c.undecoded.Covers(path) {
-		return
-	}
-	c.findings.Add(c.places.At(path), path, format, args...)
-}
+// checks says what is wrong beyond syntax and types.
+type checks struct{ *jsonc.Checks }
 
 func (c *checks) name(path, name string) {
 	if !nameRE.MatchString(name) || len(name) > maxNameBytes {
-		c.add(path, "%q is not a name of lower-case letters, digits and dashes", name)
+		c.Add(path, "%q is not a name of lower-case letters, digits and dashes", name)
 	}
 }
 
 func (c *checks) document(d *Document) {
 	c.name("deployment", d.Deployment)
 	if len(d.Services) == 0 {
-		c.add("services", "lists no service")
+		c.Add("services", "lists no service")
 	}
 	if len(d.Services) > maxServices {
-		c.add("services", "lists %d services, more than the limit of %d", len(d.Services), maxServices)
+		c.Add("services", "lists %d services, more than the limit of %d", len(d.Services), maxServices)
 	}
 	seen := map[string]bool{}
 	for i, s := range d.Services {
 		path := fmt.Sprintf("services.%d", i)
 		c.name(path+".name", s.Name)
 		if seen[s.Name] {
-			c.add(path+".name", "service %q appears twice", s.Name)
+			c.Add(path+".name", "service %q appears twice", s.Name)
 		}
 		seen[s.Name] = true
 		c.service(d, s, path)
@@ -88,21 +77,21 @@
 func (c *checks) service(d *Document, s Service, path string) {
 	for i, to := range s.Calls {
 		if _, ok := d.Service(to); !ok {
-			c.add(fmt.Sprintf("%s.calls.%d", path, i), "service %q does not exist", to)
+			c.Add(fmt.Sprintf("%s.calls.%d", path, i), "service %q does not exist", to)
 		}
 	}
 	if len(s.Classes) == 0 {
-		c.add(path+".classes", "lists no class")
+		c.Add(path+".classes", "lists no class")
 	}
 	if len(s.Classes) > maxClasses {
-		c.add(path+".classes", "lists %d classes, more than the limit of %d", len(s.Classes), maxClasses)
+		c.Add(path+".classes", "lists %d classes, more than the limit of %d", len(s.Classes), maxClasses)
 	}
 	names := map[string]bool{}
 	matches := map[Match]string{}
 	for i, k := range s.Classes {
 		sub := fmt.Sprintf("%s.classes.%d", path, i)
 		if names[k.Name] {
-			c.add(sub+".name", "class %q appears twice", k.Name)
+			c.Add(sub+".name", "class %q appears twice", k.Name)
 		}
 		names[k.Name] = true
 		c.class(k, sub)
@@ -113,13 +102,13 @@
 func (c *checks) class(k Class, path string) {
 	c.name(path+".name", k.Name)
 	if k.AnswerWithin <= 0 || k.AnswerWithin.Std() > maxDeadline {
-		c.add(path+".answer_within", "must be over 0 and at most %v", maxDeadline)
+		c.Add(path+".answer_within", "must be over 0 and at most %v", maxDeadline)
 	}
 	if k.MayWait < 0 || k.AnswerWithin > 0 && k.MayWait > k.AnswerWithin {
-		c.add(path+".may_wait", "must be between 0 and answer_within")
+		c.Add(path+".may_wait", "must be between 0 and answer_within")
 	}
 	if len(k.Match) == 0 {
-		c.add(path+".match", "lists no match, so no call can belong to the class")
+		c.Add(path+".match", "lists no match, so no call can belong to the class")
 	}
 }
 
@@ -127,13 +116,13 @@
 	for i, m := range k.Match {
 		sub := fmt.Sprintf("%s.match.%d", path, i)
 		if m.Method != "" && !slices.Contains(methods, m.Method) {
-			c.add(sub+".method", "%q is not one of %s", m.Method, strings.Join(methods, ", "))
+			c.Add(sub+".method", "%q is not one of %s", m.Method, strings.Join(methods, ", "))
 		}
 		if !strings.HasPrefix(m.Path, "/") {
-			c.add(sub+".path", "%q does not start with /", m.Path)
+			c.Add(sub+".path", "%q does not start with /", m.Path)
 		}
 		if other, ok := seen[m]; ok {
-			c.add(sub, "is the same as a match of class %q", other)
+			c.Add(sub, "is the same as a match of class %q", other)
 		}
 		seen[m] = k.Name
 	}
--- a/core/errs/list.go
+++ b/core/errs/list.go
@@ -70,9 +70,6 @@
 	return false
 }
 
-// Len returns the number of findings.
-func (l *List) Len() int { return len(l.findings) }
-
 // Findings returns a sorted copy of the findings.
 func (l *List) Findings() []Finding {
 	out := slices.Clone(l.findings)
--- a/core/jsonc/decode.go
+++ b/core/jsonc/decode.go
@@ -36,57 +36,18 @@
 // Std returns d as a time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
-// Places finds the positions of a document's values by their dotted paths.
-type Places struct {
-	file  string
-	lines lineIndex
-	root  hujson.Value
-}
-
-// Known reports whether the document's syntax could be read.
-func (p Places) Known() bool { return p.root.Value != nil }
-
-// At returns the position of path, or of its nearest parent that exists.
-func (p Places) At(path string) errs.Pos {
-	if p.root.Value == nil {
-		return errs.Pos{File: p.file}
-	}
-	for {
-		if v := p.root.Find(pointer(path)); v != nil {
-			return p.pos(v.StartOffset)
-		}
-		i := strings.LastIndexByte(path, '.')
-		if i < 0 {
-			return p.pos(p.root.StartOffset)
-		}
-		path = path[:i]
-	}
-}
-
-func (p Places) pos(offset int) errs.Pos {
-	line, col := p.lines.find(offset)
-	return errs.Pos{File: p.file, Line: line, Col: col}
-}
-
-// pointer returns the JSON pointer for a dotted path.
-func pointer(path string) string {
-	if path == "" {
-		return ""
-	}
-	return "/" + strings.NewReplacer("~", "~0", "/", "~1", ".", "/").Replace(path)
-}
-
-// Decode parses data, which came from file, into dst, a pointer to a struct.
-// The findings are complete for syntax and types. What could be decoded is in
+// Decode parses data, which came from file, into dst, a pointer to a struct. The
+// error, if any, is an *errs.Error with the place where the syntax is broken.
+// Otherwise the checks hold all findings about types. What could be decoded is in
 // dst, so that it can be checked further; values with a finding are left out.
-func Decode(file string, data []byte, dst any) (Places, *errs.List) {
-	c := &checker{places: Places{file: file, lines: newLineIndex(data)}}
+func Decode(file string, data []byte, dst any) (*Checks, error) {
+	c := &checker{places: places{file: file, lines: newLineIndex(data)}}
 	// The syntax tree shares the bytes that it was parsed from, and is changed
 	// below.
 	v, err := hujson.Parse(bytes.Clone(data))
 	if err != nil {
 		c.syntax(err)
-		return c.places, &c.findings
+		return nil, c.findings.Err()
 	}
 	c.places.root = v
 	c.value(v, reflect.TypeOf(dst).Elem(), nil)
@@ -98,7 +59,7 @@
 	if err != nil {
 		c.findings.Add(errs.Pos{File: file}, "", "%v", err)
 	}
-	return c.places, &c.findings
+	return &Checks{places: c.places, findings: c.findings, undecoded: c.findings.Clone()}, nil
 }
 
 // without returns a JSON text without the values that have findings. In lists
@@ -145,7 +106,7 @@
 }
 
 type checker struct {
-	places   Places
+	places   places
 	findings errs.List
 }
 
--- a/core/jsonc/doc.go
+++ b/core/jsonc/doc.go
@@ -8,8 +8,9 @@
 // # Usage
 //
 //	var d config.Document
-//	places, findings := jsonc.Decode("mesh.jsonc", data, &d)
-//	findings.Add(places.At("services.0.name"), "services.0.name", "is empty")
+//	c, err := jsonc.Decode("mesh.jsonc", data, &d)
+//	c.Add("services.0.name", "is empty")
+//	err = c.Err()
 //
 // Durations are the type Duration: strings with units, such as "250ms".
 package jsonc
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -16,7 +16,6 @@
 
 	"github.com/go-faster/errors"
 
-	"tanagerchute/core/errs"
 	"tanagerchute/core/jsonc"
 )
 
@@ -153,7 +152,7 @@
 		return n, err
 	}
 	c.node(n)
-	if err := c.findings.Err(); err != nil {
+	if err := c.Err(); err != nil {
 		return n, err
 	}
 	return n.WithDefaults(), nil
@@ -171,10 +170,10 @@
 	c.addr("node", u.Node)
 	c.addr("egress", u.Egress)
 	if u.Slots < 1 || u.Slots > 4096 {
-		c.add("slots", "must be between 1 and 4096")
+		c.Add("slots", "must be between 1 and 4096")
 	}
 	c.level(u.Log)
-	return u, c.findings.Err()
+	return u, c.Err()
 }
 
 // WithDefaults returns n with the defaults in place of what is not set.
@@ -198,35 +197,24 @@
 	return n
 }
 
-type checks struct {
-	places    jsonc.Places
-	findings  *errs.List
-	undecoded errs.List // findings of the decoder
-}
+// checks says what is wrong beyond syntax and types.
+type checks struct{ *jsonc.Checks }
 
 func read(file string, dst any) (*checks, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return nil, errors.Wrap(err, "settings")
 	}
-	places, findings := jsonc.Decode(file, data, dst)
-	if !places.Known() {
-		return nil, findings.Err()
-	}
-	return &checks{places, findings, findings.Clone()}, nil
-}
-
-// add notes a finding, unless the value could not be decoded.
-func (c *checks) add(path, format string, args ...any) {
-	if c.undecoded.Covers(path) {
-		return
+	decoded, err := jsonc.Decode(file, data, dst)
+	if err != nil {
+		return nil, err
 	}
-	c.findings.Add(c.places.At(path), path, format, args...)
+	return &checks{decoded}, nil
 }
 
 func (c *checks) name(path, v string) {
 	if !nameRE.MatchString(v) {
-		c.add(path, "%q is not a name of lower-case letters, digits and dashes", v)
+		c.Add(path, "%q is not a name of lower-case letters, digits and dashes", v)
 	}
 }
 
@@ -241,13 +229,13 @@
 
 func (c *checks) addr(path, v string) {
 	if err := CheckAddr(v); err != nil {
-		c.add(path, "%v", err)
+		c.Add(path, "%v", err)
 	}
 }
 
 func (c *checks) level(v string) {
 	if !slices.Contains([]string{"", "debug", "info", "warn", "error"}, v) {
-		c.add("log", "%q is not debug, info, warn or error", v)
+		c.Add("log", "%q is not debug, info, warn or error", v)
 	}
 }
 
@@ -274,34 +262,34 @@
 	c.sources(n)
 	c.level(n.Log)
 	if n.Trace.OTLP != "" && n.Trace.File != "" {
-		c.add("trace", "names both a collector and a file")
+		c.Add("trace", "names both a collector and a file")
 	}
 	if n.Trace.Sample < 0 || n.Trace.Sample > 1 {
-		c.add("trace.sample", "must be between 0 and 1")
+		c.Add("trace.sample", "must be between 0 and 1")
 	}
 	if n.Limits.RequestBytes < 0 || n.Limits.AnswerBytes < 0 || n.Limits.Connections < 0 || n.Limits.Events < 0 || n.Limits.RetryShare < 0 || n.Limits.RetrySlack < 0 {
-		c.add("limits", "must not be negative")
+		c.Add("limits", "must not be negative")
 	}
 	if n.Drain.Timeout < 0 || n.Drain.Linger < 0 {
-		c.add("drain", "must not be negative")
+		c.Add("drain", "must not be negative")
 	}
 }
 
 func (c *checks) centres(n Node) {
 	if !slices.Contains(n.DataCentres, n.DataCentre) {
-		c.add("data_centres", "does not list the own data centre %q", n.DataCentre)
+		c.Add("data_centres", "does not list the own data centre %q", n.DataCentre)
 	}
 	if n.Region != "" && !slices.Contains(n.Regions, n.Region) {
-		c.add("regions", "does not list the own region %q", n.Region)
+		c.Add("regions", "does not list the own region %q", n.Region)
 	}
 	if n.Region == "" && len(n.Regions) > 0 {
-		c.add("region", "is missing, though regions are listed")
+		c.Add("region", "is missing, though regions are listed")
 	}
 	seen := map[string]bool{}
 	for _, d := range n.DataCentres {
 		c.name("data_centres", d)
 		if seen[d] {
-			c.add("data_centres", "lists %q twice", d)
+			c.Add("data_centres", "lists %q twice", d)
 		}
 		seen[d] = true
 	}
@@ -310,23 +298,23 @@
 func (c *checks) loopback(path, v string) {
 	host, _, err := net.SplitHostPort(v)
 	if ip := net.ParseIP(host); err == nil && ip != nil && !ip.IsLoopback() {
-		c.add(path, "%q is not a loopback address", v)
+		c.Add(path, "%q is not a loopback address", v)
 	}
 }
 
 // sources checks where a node can find the others and the configuration.
 func (c *checks) sources(n Node) {
 	if len(n.Store) == 0 && len(n.Seeds) == 0 {
-		c.add("store", "is missing, and there are no seeds either")
+		c.Add("store", "is missing, and there are no seeds either")
 	}
 	for _, u := range n.Store {
 		if !strings.HasPrefix(u, "http://") && !strings.HasPrefix(u, "https://") {
-			c.add("store", "%q is not an http or https URL", u)
+			c.Add("store", "%q is not an http or https URL", u)
 		}
 	}
 	for centre, addrs := range n.Seeds {
 		if !slices.Contains(n.Groups(), centre) {
-			c.add("seeds."+centre, "is not one of data_centres, or of regions where they are set")
+			c.Add("seeds."+centre, "is not one of data_centres, or of regions where they are set")
 		}
 		for _, a := range addrs {
 			c.addr("seeds."+centre, a)
