Admission refuses the call that its slots wait for, not the gatekeeper beside it

The refusal of a nested call while all slots are held by calls that wait for calls of their own stood in io/gate, in front of the admission that decides on all other calls, and only TestChain went through it. Nothing is decided otherwise than before.

Besides: a factor of 1 in overloaded is gone, the fields of a Gate say which times are by priority and which are guessed, and whether a nested call failed is asked of Reply.Good instead of being spelled out again.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -74,9 +74,6 @@
 	// crowdedFor is how long after a queued call had to be refused no call is
 	// queued that can't meet its target: its turn would not come either.
 	crowdedFor = time.Second
-	// overload is the work offered, as a share of what the limit allows, from
-	// which late calls are not kept.
-	overload = 1.0
 	// crowdedPart is the part of the time until its target for which a call may
 	// wait while more work is offered than the server can do.
 	crowdedPart = 0.25
@@ -100,8 +97,8 @@
 	queue       queue
 	service     time.Duration                   // smoothed time for which a call holds its slot
 	work        time.Duration                   // the same without the time in which the server waited for calls of its own
-	guessed     bool                            // service is a guess
-	services    [table.Priorities]time.Duration // the same by priority, 0 if not known
+	services    [table.Priorities]time.Duration // service by priority, 0 if not known
+	guessed     bool                            // service and work are not known
 	usage       usage                           // of slots by calls that ended
 	offered     usage                           // of slots by all calls that were offered, would they run
 	crowded     time.Time                       // until when calls that can't meet their target are not queued
@@ -170,6 +167,9 @@
 // Offer decides on a call. A refusal is for the call itself; others are calls
 // that had been waiting and have to give way.
 func (g *Gate) Offer(now time.Time, it Item) (Verdict, Refusal, []Refusal) {
+	if g.stuck(it) {
+		return Refuse, Refusal{ID: it.ID, Cause: CauseOverload, RetryAfter: g.RetryAfter(now)}, nil
+	}
 	if g.draining {
 		return Refuse, Refusal{ID: it.ID, Cause: CauseDrain}, nil
 	}
@@ -186,6 +186,12 @@
 	return Wait, Refusal{}, g.giveWay(now)
 }
 
+// stuck reports whether no slot is free and all are held by calls that may be
+// waiting for it: it is better off elsewhere.
+func (g *Gate) stuck(it Item) bool {
+	return g.inFlight >= g.Limit() && it.Behind >= g.inFlight
+}
+
 // place decides whether a call may be queued, and whether among those that
 // can't meet their target.
 func (g *Gate) place(now time.Time, it *Item) (late bool, why Refusal, ok bool) {
@@ -240,7 +246,7 @@
 // vain: more work is offered than the server can do, or a queued call had to be
 // refused a moment ago.
 func (g *Gate) overloaded(now time.Time) bool {
-	return now.Before(g.crowded) || g.offered.above(now, table.Priorities) > overload*float64(g.Limit())
+	return now.Before(g.crowded) || g.offered.above(now, table.Priorities) > float64(g.Limit())
 }
 
 // dropLate refuses the queued calls that can't meet their target any more, if
--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -154,6 +154,27 @@
 	}
 }
 
+// TestStuck holds that a call is refused at once when all slots are held by calls
+// that may be waiting for it, and only then.
+func TestStuck(t *testing.T) {
+	is := is.New(t)
+	g := admit.New(admit.Config{Slots: 2})
+	offer := func(id string, behind int) admit.Verdict {
+		deadline := epoch.Add(time.Second)
+		v, r, _ := g.Offer(epoch, admit.Item{ID: id, Deadline: deadline, WaitUntil: deadline, Behind: behind})
+		if v == admit.Refuse {
+			is.Equal(r.Cause, admit.CauseOverload)
+			is.True(r.RetryAfter > 0)
+		}
+		return v
+	}
+	is.Equal(offer("a", 0), admit.Start)
+	is.Equal(offer("b", 1), admit.Start) // a slot is free
+	is.Equal(offer("c", 2), admit.Refuse)
+	is.Equal(offer("d", 1), admit.Wait) // the other one may end
+	is.Equal(offer("e", 0), admit.Wait)
+}
+
 // TestRefusesEarly holds that a call which can't start in time learns it at
 // once, with a time to come back.
 func TestRefusesEarly(t *testing.T) {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -16,8 +16,11 @@
 	Target    time.Time
 	Deadline  time.Time
 	WaitUntil time.Time // when it has to have started
-	line      *line     // that holds it
-	index     int
+	// Behind is how many of the calls in flight may be waiting for this one, since
+	// they wait for calls of their own and it is such a call.
+	Behind int
+	line   *line // that holds it
+	index  int
 }
 
 // target returns the target of the item.
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -90,11 +90,10 @@
 		r := call.Refuse(call.NotRun, call.CauseFailing, time.Second)
 		return gate, nil, &r
 	}
-	if g.stuck(c) {
-		r := call.Refuse(call.NotRun, string(admit.CauseOverload), gate.RetryAfter(now))
-		return gate, nil, &r
-	}
 	it := admit.Item{ID: id, Priority: c.Priority, Target: c.Target, Deadline: c.Deadline, WaitUntil: c.WaitUntil}
+	if c.Depth > 0 {
+		it.Behind = g.flights.Waiting()
+	}
 	verdict, refusal, displaced := gate.Offer(now, it)
 	g.tellRefused(displaced)
 	switch verdict {
@@ -115,14 +114,6 @@
 	return gate, ch, nil
 }
 
-// stuck reports whether no slot is free and all are held by calls that wait for
-// calls of their own. One that is such a call itself may be what they wait for,
-// and is better off elsewhere. Its caller holds mu.
-func (g *Gate) stuck(c call.Call) bool {
-	held := g.admit.InFlight()
-	return c.Depth > 0 && held >= g.admit.Limit() && g.flights.Waiting() >= held
-}
-
 func selfDisplaced(rs []admit.Refusal, id string) bool {
 	for _, r := range rs {
 		if r.ID == id {
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -96,7 +96,7 @@
 			span.SetAttributes(attribute.String("service", c.Service), attribute.String("class", c.Class))
 		}
 		reply, effort, bad := p.answer(ctx, c)
-		ended(bad != nil || reply.Fate != call.Answered || reply.Status >= 500)
+		ended(bad != nil || !reply.Good())
 		if bad != nil {
 			p.reject(w, c, bad)
 			return
