The trace of a call is read once

For a call of its own server a node read traceparent twice: for the span, and again to find the call above, whose trace is the same. The arrival holds the trace of the span now. A call without a parent asks for a trace that no call in flight has, as before.

--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -67,6 +67,7 @@
 type arrival struct {
 	at       time.Time
 	from     Origin
+	trace    string         // W3C trace id
 	snapshot *vers.Snapshot // nil before the first version
 	limits   table.Limits
 }
@@ -83,8 +84,8 @@
 		ctx := propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 		ctx, span := p.cfg.Tracer.Start(ctx, "ingress", trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
+		a.trace = span.SpanContext().TraceID().String()
 		c, bad := p.readCall(r, a)
-		c.Trace = span.SpanContext().TraceID().String()
 		ended := p.below(from, c)
 		if bad != nil {
 			span.SetStatus(codes.Error, bad.msg)
@@ -218,9 +219,9 @@
 func (p *Proxy) readCall(r *http.Request, a arrival) (call.Call, *badRequest) {
 	ask, err := p.cfg.Dialect.Ask(r.Header)
 	if err != nil {
-		return call.Call{}, &badRequest{http.StatusBadRequest, err.Error()}
+		return call.Call{Trace: a.trace}, &badRequest{http.StatusBadRequest, err.Error()}
 	}
-	c := call.Call{ID: ask.ID, Issued: a.at, Method: r.Method, Host: r.Host, Path: pathOf(r), Depth: ask.Depth}
+	c := call.Call{Trace: a.trace, ID: ask.ID, Issued: a.at, Method: r.Method, Host: r.Host, Path: pathOf(r), Depth: ask.Depth}
 	if c.ID == "" {
 		c.ID, c.Issued = newID()
 	}
@@ -237,7 +238,7 @@
 	c.Service = rt.Pick(p.draw())
 	c.Version = a.snapshot.Version.Number
 	c = c.WithRoute(rt, a.at)
-	if bad := p.bound(&c, r, ask, a); bad != nil {
+	if bad := p.bound(&c, ask, a); bad != nil {
 		return c, bad
 	}
 	if c.Body, bad = p.readBody(r, a.limits.BodyBytes); bad != nil {
@@ -287,7 +288,7 @@
 
 // bound brings the deadline of a call forward if the call above it, or its
 // caller, has less time left than its class allows.
-func (p *Proxy) bound(c *call.Call, r *http.Request, ask tanagerchute.Ask, a arrival) *badRequest {
+func (p *Proxy) bound(c *call.Call, ask tanagerchute.Ask, a arrival) *badRequest {
 	if ask.TimeLeft > 0 {
 		c.Deadline = earlier(c.Deadline, a.at.Add(ask.TimeLeft))
 	}
@@ -295,8 +296,7 @@
 		return &badRequest{http.StatusBadRequest, "neither the request nor its route has a deadline"}
 	}
 	if a.from.Backend {
-		parent := trace.SpanContextFromContext(propagator.Extract(context.Background(), propagation.HeaderCarrier(r.Header)))
-		if above, ok := p.cfg.Gate.Deadline(parent.TraceID().String()); ok {
+		if above, ok := p.cfg.Gate.Deadline(a.trace); ok {
 			c.Deadline = earlier(c.Deadline, above)
 		}
 	}
