io/proxy: wait for a node that acknowledges late, inquire beside the wait

Cause of key_too_old: one failed inquiry to an earlier home that is up refused the key for good.

Change: a late acknowledgement no longer ends an attempt. The timeout follows the acknowledgements seen (core/acks, RFC 6298). At the timeout an at-most-once call is inquired about beside the wait, with pauses and timeouts that double; an idempotent one is hedged if there is budget, else awaited. Calls with large answers have a connection of their own, so that acknowledgements do not wait behind 90 KB. An earlier home that is up is asked again. A call that its caller gave up no longer counts as a refusal of the candidate; a hedge counts among the arrivals.

--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -60,13 +60,15 @@
 type Result int
 
 // Results of an attempt. AmbiguousError, UpstreamError and TransportError raise
-// the failure rate; the last two also count towards ejection.
+// the failure rate; the last two also count towards ejection. Unjudged says
+// nothing about the candidate.
 const (
 	Success        Result = iota
 	Refused               // refused for load, the call has not started
 	AmbiguousError        // the backend server failed, timed out or cut off its answer, perhaps because of load or of another service
 	UpstreamError         // the backend server failed, or its gatekeeper considers it failing
 	TransportError        // no answer, or a corrupt one
+	Unjudged              // the sender has given it up, or Silent has been called for it
 )
 
 // Outcome describes one completed attempt at a candidate.
@@ -378,13 +380,26 @@
 	case AmbiguousError:
 		s.failureRate += (1 - s.failureRate) * failureRateSmoothing
 	case UpstreamError, TransportError:
-		s.failureRate += (1 - s.failureRate) * failureRateSmoothing
-		s.consecutiveFailures++
-		return p.maybeEject(now, s)
+		return p.addFailure(now, s)
 	}
 	return false
 }
 
+// Silent records that the candidate id has not acknowledged a call in time. The
+// call may still be answered. It reports whether this ejects the candidate.
+func (p *Picker) Silent(now time.Time, id string) bool {
+	s, ok := p.stats[id]
+	return ok && p.addFailure(now, s)
+}
+
+// addFailure counts a failure toward the failure rate and the ejection of a
+// candidate. It reports whether it ejects the candidate.
+func (p *Picker) addFailure(now time.Time, s *candidateStats) bool {
+	s.failureRate += (1 - s.failureRate) * failureRateSmoothing
+	s.consecutiveFailures++
+	return p.maybeEject(now, s)
+}
+
 // failureRateSmoothing is the weight of one outcome in the failure rate.
 const failureRateSmoothing = 0.1
 
--- a/core/resend/tracker.go
+++ b/core/resend/tracker.go
@@ -68,6 +68,19 @@
 	return t.arrived < t.cfg.MaxUpstreams && t.cfg.Spend != nil && t.cfg.Spend()
 }
 
+// Hedge reports whether the call may be sent to one more upstream while the
+// present attempt goes on, and counts that attempt. It takes one resend from the
+// retry budget.
+func (t *Tracker) Hedge() bool {
+	const present = 1 // counted when it ends
+	if t.arrived+present >= t.cfg.MaxUpstreams || t.cfg.Spend == nil || !t.cfg.Spend() {
+		return false
+	}
+	t.attempts++
+	t.arrived++
+	return true
+}
+
 // record adds a reply.
 func (t *Tracker) record(r call.Reply) {
 	t.attempts++
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -23,7 +23,6 @@
 	d.tracker = resend.New(resend.Config{Idempotent: c.Idempotent(), MaxUpstreams: d.maxUpstreams(), Deadline: c.Deadline, Spend: d.spendRetryBudget})
 	r := d.run(ctx)
 	d.summary.Attempts, d.summary.Arrived = d.tracker.Attempts()
-	d.summary.Attempts += d.hedges
 	return r, d.summary
 }
 
@@ -35,7 +34,6 @@
 	tried      []string // ids of the candidates that it was sent to
 	tracker    *resend.Tracker
 	summary    AttemptSummary
-	hedges     int
 	paidResend *choice // where to resend to, nil if the retry budget has not been charged
 }
 
@@ -148,13 +146,12 @@
 	return cs[p.roundRobinCount%uint64(len(cs))], pick.CauseLocal, true
 }
 
-// attempt sends the call to target. An idempotent call is hedged if the proxy is
-// configured to do so.
+// attempt sends the call to target. An idempotent call may be hedged.
 func (d *dispatchState) attempt(ctx context.Context, target pick.Candidate) call.Reply {
 	d.tried = append(d.tried, target.ID)
 	d.summary.SentTo = target.ID
-	if !d.p.cfg.Hedge || !d.call.Idempotent() {
-		return d.p.tryCandidate(ctx, target, d.call)
+	if !d.call.Idempotent() {
+		return d.p.tryCandidate(ctx, target, d.call, func() {})
 	}
 	return d.attemptHedged(ctx, target)
 }
@@ -163,17 +160,23 @@
 // an unanswered call is hedged.
 const hedgeDelayShare = 0.3
 
-// attemptHedged sends the call to first, and to a second upstream if first has
-// not answered within the hedge delay. It returns the first successful reply, or
-// else the last reply, and cancels the other attempt.
+// attemptHedged sends the call to first. It hedges the call, that is, sends it to
+// a second upstream too, if first does not acknowledge it in time, or if the proxy
+// is configured to hedge and first has not answered within the hedge delay. It
+// returns the first successful reply, or else the last reply, and cancels the
+// other attempt.
 func (d *dispatchState) attemptHedged(ctx context.Context, first pick.Candidate) call.Reply {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	replies := make(chan call.Reply, 2)
-	go func() { replies <- d.p.tryCandidate(ctx, first, d.call) }()
-	timer := time.NewTimer(time.Duration(hedgeDelayShare * float64(time.Until(d.call.Deadline))))
-	defer timer.Stop()
-	pending := 1
+	silent := make(chan struct{}, 2)
+	start := func(target pick.Candidate) {
+		go func() { replies <- d.p.tryCandidate(ctx, target, d.call, func() { silent <- struct{}{} }) }()
+	}
+	start(first)
+	hedgeDue, stop := d.hedgeTimer()
+	defer stop()
+	pending, hedged := 1, false
 	for {
 		select {
 		case r := <-replies:
@@ -181,23 +184,40 @@
 			if pending == 0 || r.Succeeded() {
 				return r
 			}
-		case <-timer.C:
-			second, ok := d.pickHedge()
-			if !ok {
-				continue
-			}
+			continue
+		case <-hedgeDue:
+		case <-silent:
+		}
+		if hedged {
+			continue
+		}
+		if second, ok := d.pickHedge(); ok {
+			hedged = true
 			pending++
-			d.hedges++
-			go func() { replies <- d.p.tryCandidate(ctx, second, d.call) }()
+			start(second)
 		}
 	}
 }
 
+// hedgeTimer returns a channel that receives a value when the hedge delay has
+// passed, and a function that stops the timer. The channel is nil if the proxy is
+// not configured to hedge slow calls.
+func (d *dispatchState) hedgeTimer() (<-chan time.Time, func() bool) {
+	if !d.p.cfg.Hedge {
+		return nil, func() bool { return true }
+	}
+	t := time.NewTimer(time.Duration(hedgeDelayShare * float64(time.Until(d.call.Deadline))))
+	return t.C, t.Stop
+}
+
 // pickHedge picks the upstream for a hedged attempt, if the retry budget allows
 // one.
 func (d *dispatchState) pickHedge() (pick.Candidate, bool) {
+	if !d.tracker.Hedge() {
+		return pick.Candidate{}, false
+	}
 	c, ok := d.pickUpstream()
-	if !ok || !d.p.SpendRetry(d.call.Service) {
+	if !ok {
 		return pick.Candidate{}, false
 	}
 	d.tried = append(d.tried, c.target.ID)
@@ -205,9 +225,9 @@
 	return c.target, true
 }
 
-// tryCandidate makes one attempt at one candidate. If the reply to an
-// at-most-once call leaves its outcome unknown, it asks the candidate for it.
-func (p *Proxy) tryCandidate(ctx context.Context, target pick.Candidate, c call.Call) call.Reply {
+// tryCandidate makes one attempt at one candidate. It calls onSilent if the
+// candidate does not acknowledge the call in time.
+func (p *Proxy) tryCandidate(ctx context.Context, target pick.Candidate, c call.Call, onSilent func()) call.Reply {
 	id, _ := newID()
 	mode := call.Upstream
 	if target.Entry {
@@ -218,22 +238,28 @@
 	c.Version = p.configVersion()
 	p.recordSent(target.ID)
 	start := time.Now()
-	var r call.Reply
-	if target.ID == p.cfg.Node {
-		r = p.cfg.Gate.Serve(ctx, c)
-	} else {
-		r = p.send(ctx, target.Addr, c)
-	}
+	r := p.sendTo(ctx, target, c, func() {
+		p.recordSilent(c, target)
+		onSilent()
+	})
 	p.recordOutcome(c, target, r, time.Since(start))
 	if p.cfg.OnAttempt != nil {
 		p.cfg.OnAttempt(c.Service, r)
 	}
-	if r.Fate == call.Unknown && c.AtMostOnce && target.ID != p.cfg.Node {
-		return p.resolveOutcome(ctx, target, c, r)
-	}
 	return r
 }
 
+// sendTo sends an attempt to its target, which may be this node.
+func (p *Proxy) sendTo(ctx context.Context, target pick.Candidate, c call.Call, onSilent func()) call.Reply {
+	switch {
+	case target.ID == p.cfg.Node:
+		return p.cfg.Gate.Serve(ctx, c)
+	case c.AtMostOnce:
+		return p.sendAtMostOnce(ctx, target, c, onSilent)
+	}
+	return p.send(ctx, target.Addr, c, onSilent)
+}
+
 // recordSent tells the picker that a call is sent to a candidate.
 func (p *Proxy) recordSent(id string) {
 	p.mu.Lock()
@@ -241,21 +267,36 @@
 	p.picker.Sent(time.Now(), id)
 }
 
-// recordOutcome tells the picker how an attempt ended, and records an event if
-// the candidate is ejected for it.
+// recordSilent tells the picker that a candidate has not acknowledged a call in
+// time.
+func (p *Proxy) recordSilent(c call.Call, target pick.Candidate) {
+	p.mu.Lock()
+	ejected := p.picker.Silent(time.Now(), target.ID)
+	p.mu.Unlock()
+	if ejected {
+		p.recordEjection(c, target, call.CauseSilent)
+	}
+}
+
+// recordOutcome tells the picker how an attempt ended.
 func (p *Proxy) recordOutcome(c call.Call, target pick.Candidate, r call.Reply, took time.Duration) {
 	o := pick.Outcome{Result: p.pickResult(r), Latency: took, Load: r.Load}
 	p.mu.Lock()
 	ejected := p.picker.Done(time.Now(), target.ID, o)
 	p.mu.Unlock()
 	if ejected {
-		p.cfg.Journal.Add(event.Event{
-			At: time.Now(), Kind: event.UpstreamEjected, Subject: target.ID, Trace: c.Trace,
-			Cause: "consecutive failures, the last: " + r.Fate.String() + " " + r.Cause,
-		})
+		p.recordEjection(c, target, r.Fate.String()+" "+r.Cause)
 	}
 }
 
+// recordEjection records that a candidate is ejected after the given failure.
+func (p *Proxy) recordEjection(c call.Call, target pick.Candidate, failure string) {
+	p.cfg.Journal.Add(event.Event{
+		At: time.Now(), Kind: event.UpstreamEjected, Subject: target.ID, Trace: c.Trace,
+		Cause: "consecutive failures, the last: " + failure,
+	})
+}
+
 // pickResult classifies a reply by what it says about the health of the
 // candidate.
 func (p *Proxy) pickResult(r call.Reply) pick.Result {
@@ -268,8 +309,8 @@
 		return pick.AmbiguousError
 	case r.Fate == call.Answered && (r.Status < 500 || r.NestedFailure):
 		return pick.Success
-	case r.Cause == call.CauseCanceled:
-		return pick.Refused // canceled by the caller, so it is not counted as a failure of the candidate
+	case r.Cause == call.CauseCanceled, r.Cause == call.CauseSilent:
+		return pick.Unjudged // given up by the caller, or recorded by recordSilent
 	case r.Fate == call.Answered || r.Cause == call.CauseUpstreamFailing:
 		return pick.UpstreamError
 	case r.Fate == call.NotRun && r.Replied:
--- a/io/proxy/home.go
+++ b/io/proxy/home.go
@@ -89,7 +89,7 @@
 		if len(relays) == 0 || p.dataCentreUnreachable(centre) {
 			return call.Refuse(call.Unknown, call.CauseHomeUnreachable, time.Second), false
 		}
-		r = p.send(ctx, relays[try%len(relays)], c)
+		r = p.sendUntilSilent(ctx, relays[try%len(relays)], c)
 	}
 	settled := r.Replied && r.Cause != call.CauseMoved && r.Cause != call.CauseFenced
 	return r, settled
@@ -107,7 +107,7 @@
 	if !ok {
 		return call.Refuse(call.Unknown, call.CauseHomeUnreachable, time.Second)
 	}
-	return p.send(ctx, m.Addr, c)
+	return p.sendUntilSilent(ctx, m.Addr, c)
 }
 
 // runAsHome runs a call of whose key this node is the home.
@@ -180,11 +180,11 @@
 		return none, p.refuseUnverified(c, "earlier home "+id+" is not up"), false
 	}
 	inquiry := c.WithAttempt(c.ID, call.Home)
-	for {
-		res, err := p.inquire(ctx, m.Addr, id, inquiry)
+	for pace := newInquiryPace(); ; {
+		res, err := p.inquire(ctx, m.Addr, id, inquiry, pace.timeout)
 		switch {
 		case err != nil:
-			return none, p.refuseUnverified(c, "earlier home "+id+" can't be asked"), false
+			// A busy node may answer the next inquiry.
 		case res.verdict == dedup.Fenced:
 			return res.former, call.Reply{}, true
 		case res.verdict == dedup.Replay:
@@ -193,7 +193,10 @@
 		case res.verdict != dedup.Join:
 			return none, p.refuseUnverified(c, "earlier home "+id+" says "+res.verdict.String()), false
 		}
-		if !timer.Sleep(ctx, inquiryInterval) || time.Now().After(c.Deadline) {
+		if m, known := p.cfg.Fleet.View().Get(id); err != nil && (!known || !m.IsUp()) {
+			return none, p.refuseUnverified(c, "earlier home "+id+" can't be asked"), false
+		}
+		if !pace.wait(ctx, err) || time.Now().After(c.Deadline) {
 			return none, call.Refuse(call.Unknown, call.CauseDeadline, 0), false
 		}
 	}
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -17,45 +17,29 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"tanagerchute/core/call"
-	"tanagerchute/core/dedup"
 	"tanagerchute/core/event"
-	"tanagerchute/core/homes"
-	"tanagerchute/core/pick"
 	"tanagerchute/core/vers"
 	"tanagerchute/io/peer"
-	"tanagerchute/io/runner"
-	"tanagerchute/io/timer"
-	"tanagerchute/io/wire"
 )
 
-// inquiryInterval is the pause between two inquiries about an attempt.
-const inquiryInterval = 100 * time.Millisecond
-
-// inquiryTimeout is the timeout of one inquiry about an attempt.
-const inquiryTimeout = 500 * time.Millisecond
-
 // callPath is the URL path of calls between nodes. The path of the call itself is
 // in its metadata.
 const callPath = "/call"
 
-// ackTimeout is the time in which a node must acknowledge the arrival of a call,
-// which it does with status 102 (Processing). A node that takes longer is
-// partitioned or frozen, or a middlebox has dropped the state of the
-// connection.
-const ackTimeout = 300 * time.Millisecond
-
-// errNoAck is the cancellation cause of an attempt that its node has not
-// acknowledged within ackTimeout.
-var errNoAck = errors.New("node did not acknowledge the call in time")
+// errUnreachable is the cancellation cause of an attempt that got no connection to
+// its node in the time in which the node should have acknowledged it.
+var errUnreachable = errors.New("no connection to the node in time")
 
 // propagator injects and extracts the traceparent header.
 var propagator = propagation.TraceContext{}
 
-// send makes one attempt at another node, in a span of its own.
-func (p *Proxy) send(ctx context.Context, addr string, c call.Call) call.Reply {
+// send makes one attempt at another node, in a span of its own. It calls onSilent
+// if the node does not acknowledge the call in time, and goes on waiting for the
+// answer until ctx or the deadline of the call ends.
+func (p *Proxy) send(ctx context.Context, addr string, c call.Call, onSilent func()) call.Reply {
 	ctx, span := p.cfg.Tracer.Start(ctx, "attempt "+c.Service, trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
-	r := p.exchange(ctx, addr, c)
+	r := p.exchange(ctx, addr, c, onSilent)
 	span.SetAttributes(attribute.String("peer", addr), attribute.String("fate", r.Fate.String()))
 	if r.Fate != call.Answered {
 		span.SetStatus(codes.Error, r.Cause)
@@ -66,23 +50,33 @@
 	return r
 }
 
+// sendUntilSilent is like send, but ends the attempt if the node does not
+// acknowledge the call in time.
+func (p *Proxy) sendUntilSilent(ctx context.Context, addr string, c call.Call) call.Reply {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	return p.send(ctx, addr, c, cancel)
+}
+
 // exchange sends a call to the node at addr and reads its reply.
-func (p *Proxy) exchange(ctx context.Context, addr string, c call.Call) call.Reply {
+func (p *Proxy) exchange(ctx context.Context, addr string, c call.Call, onSilent func()) call.Reply {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	ctx, cancelAttempt := context.WithCancelCause(ctx)
 	defer cancelAttempt(nil)
-	ackTimer := time.AfterFunc(ackTimeout, func() { cancelAttempt(errNoAck) })
-	defer ackTimer.Stop()
-	var gotConn atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) },
-		Got1xxResponse: func(int, textproto.MIMEHeader) error {
-			ackTimer.Stop()
-			return nil
-		},
-	})
-	req, err := http.NewRequestWithContext(traced, c.Method, "http://"+addr+callPath, bytes.NewReader(c.Body))
+	client := p.clients.get(clientKey{addr, c.LargeResponse})
+	a := newAckWatch(client.acks)
+	a.onTimeout = func() {
+		if !a.connected.Load() {
+			cancelAttempt(errUnreachable)
+			return
+		}
+		p.clients.replace(client)
+		onSilent()
+	}
+	a.start()
+	defer a.stop()
+	req, err := http.NewRequestWithContext(a.trace(ctx), c.Method, "http://"+addr+callPath, bytes.NewReader(c.Body))
 	if err != nil {
 		return call.Refuse(call.NotRun, err.Error(), 0)
 	}
@@ -91,41 +85,36 @@
 	propagator.Inject(ctx, propagation.HeaderCarrier(req.Header))
 	req.Header.Set(headerCall, encodeHeader(callMeta(c, time.Now())))
 	req.Header.Set(peer.HeaderDeployment, p.cfg.Deployment)
-	client := p.clients.get(addr)
-	res, err := client.Do(req)
+	res, err := client.http.Do(req)
 	if err != nil {
-		r := failedReply(ctx, gotConn.Load())
-		if r.Cause == call.CauseSilent {
-			p.clients.replace(addr, client)
-		}
-		return r
+		return failedReply(ctx, a)
 	}
-	ackTimer.Stop()
+	a.stop()
 	defer res.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(res.Body, p.cfg.MaxAnswerBytes+1))
 	if err != nil || int64(len(body)) > p.cfg.MaxAnswerBytes {
-		return failedReply(ctx, true)
+		return failedReply(ctx, a)
 	}
 	r, err := decodeReply(c, res, body)
 	if err != nil {
 		p.recordEvent(event.FrameDropped, c, addr+": "+err.Error())
-		return failedReply(ctx, true)
+		return failedReply(ctx, a)
 	}
 	return r
 }
 
 // failedReply returns the reply for an attempt that got no valid answer. Without a
 // connection the call can't have run, otherwise its fate is unknown.
-func failedReply(ctx context.Context, gotConn bool) call.Reply {
+func failedReply(ctx context.Context, a *ackWatch) call.Reply {
+	connected := a.connected.Load()
 	r := call.Reply{Fate: call.Unknown, Cause: call.CauseBrokenAnswer}
-	if !gotConn {
+	if !connected {
 		r = call.Reply{Fate: call.NotRun, Cause: call.CauseUnreachable}
 	}
 	switch {
-	case errors.Is(context.Cause(ctx), errNoAck):
-		if gotConn {
-			r.Cause = call.CauseSilent
-		}
+	case connected && a.silent():
+		r.Cause = call.CauseSilent
+	case errors.Is(context.Cause(ctx), errUnreachable):
 	case errors.Is(ctx.Err(), context.Canceled):
 		r.Cause = call.CauseCanceled
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -134,73 +123,47 @@
 	return r
 }
 
-// resolveOutcome asks the target for the outcome of an attempt whose answer was
-// lost. The inquiry fences an attempt that has not started, so that the call may
-// be sent to another upstream. It returns unresolved if the outcome can't be
-// learned in time.
-func (p *Proxy) resolveOutcome(ctx context.Context, target pick.Candidate, c call.Call, unresolved call.Reply) call.Reply {
-	// Continue if the caller disconnects, so that the outcome is known when the
-	// caller repeats the call.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.Deadline)
-	defer cancel()
-	for {
-		res, err := p.inquire(ctx, target.Addr, processID(target), c)
-		switch {
-		case err != nil || res.verdict == dedup.Join:
-		case res.verdict == dedup.Fenced:
-			p.recordEvent(event.RequestFenced, c, "answer from "+target.Addr+" was lost, the attempt had not started")
-			return call.Refuse(call.NotRun, call.CauseFenced, 0)
-		default:
-			return runner.ReplyFor(res.verdict, res.answer)
-		}
-		if p.processEnded(target) || !timer.Sleep(ctx, inquiryInterval) {
-			p.recordEvent(event.RequestUnknown, c, "answer from "+target.Addr+" was lost ("+unresolved.Cause+") and it can't be asked in time")
-			return unresolved
-		}
-	}
+// ackWatch watches one attempt for the acknowledgement of its node, which is
+// status 102 (Processing). A node that takes longer than acks.Estimator expects is
+// partitioned or frozen, or a middlebox has dropped the state of the connection.
+type ackWatch struct {
+	times     *ackTimes
+	onTimeout func()
+	startedAt time.Time
+	timer     *time.Timer
+	connected atomic.Bool // the attempt has a connection
+	expired   atomic.Bool
+	acked     atomic.Bool
 }
 
-// processEnded reports whether the process that an attempt was sent to is known to
-// have ended, so that it can no longer be asked. It is false for an entry node,
-// whose process is not known.
-func (p *Proxy) processEnded(target pick.Candidate) bool {
-	m, known := p.cfg.Fleet.View().Get(target.ID)
-	return !target.Entry && (!known || !m.IsUp())
-}
+func newAckWatch(times *ackTimes) *ackWatch { return &ackWatch{times: times} }
 
-// processID returns the id of the process that an attempt was sent to. It is empty
-// for an entry node, of which only the address is known.
-func processID(c pick.Candidate) string {
-	if c.Entry {
-		return ""
-	}
-	return c.ID
+// start starts the wait for the acknowledgement.
+func (a *ackWatch) start() {
+	a.startedAt = time.Now()
+	a.timer = time.AfterFunc(a.times.timeout(), func() {
+		a.expired.Store(true)
+		a.onTimeout()
+	})
 }
 
-// inquiryResult is the reply of a node to an inquiry about an attempt or a key.
-type inquiryResult struct {
-	verdict dedup.Verdict
-	answer  dedup.Answer
-	former  homes.History // what the node knows of the earlier homes of the key
-}
+// stop ends the wait.
+func (a *ackWatch) stop() { a.timer.Stop() }
 
-// inquire asks the node at addr for the outcome of an attempt. It uses a new
-// connection, since the existing one may be dead. If id is not empty, only the
-// process with that id may answer.
-func (p *Proxy) inquire(ctx context.Context, addr, id string, c call.Call) (inquiryResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
-	defer cancel()
-	client, closeIdle := p.cfg.Client.DedicatedTo(addr)
-	defer closeIdle()
-	reply, err := client.Inquire(ctx, &wire.InquireRequest{
-		Key: c.ID, Issued: c.Issued.UnixNano(), Attempt: c.Attempt, Mode: wire.Mode(c.Mode), From: p.cfg.Node, To: id,
+// silent reports whether the acknowledgement did not come in time and has not come
+// since.
+func (a *ackWatch) silent() bool { return a.expired.Load() && !a.acked.Load() }
+
+// trace returns a context for the request of the attempt. With it, the transport
+// reports the connection and the acknowledgement.
+func (a *ackWatch) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
+		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			a.acked.Store(true)
+			a.stop()
+			a.times.observe(time.Since(a.startedAt))
+			return nil
+		},
 	})
-	if err != nil {
-		return inquiryResult{}, err
-	}
-	return inquiryResult{
-		verdict: dedup.Verdict(reply.GetVerdict()),
-		answer:  peer.FromAnswer(reply.GetAnswer()),
-		former:  homes.History{Removed: reply.GetRemoved(), Anchor: reply.GetAnchor()},
-	}, nil
 }
