proxy: each node uses a subset of the upstreams of a service

Cause: a node chose among all upstreams of a service. With 231 of them it used each connection every quarter of a minute, so that nearly every call opened one (idle ones close after 5 s), and each choice walked over all of them; connections, memory and processor time of a node grew with the fleet.

If none of them is available, all are candidates.

--- a/io/proxy/ack_test.go
+++ b/io/proxy/ack_test.go
@@ -131,6 +131,18 @@
 	unanswered atomic.Int32
 }
 
+func (h *busyHome) Probe(context.Context, *wire.ProbeRequest) (*wire.ProbeReply, error) {
+	return &wire.ProbeReply{}, nil
+}
+
+func (h *busyHome) Sync(context.Context, *wire.SyncRequest) (*wire.SyncReply, error) {
+	return &wire.SyncReply{}, nil
+}
+
+func (h *busyHome) Gossip(context.Context, *wire.GossipRequest) (*wire.GossipReply, error) {
+	return &wire.GossipReply{}, nil
+}
+
 func (h *busyHome) Inquire(context.Context, *wire.InquireRequest) (*wire.InquireReply, error) {
 	if h.unanswered.Add(-1) >= 0 {
 		return nil, twirp.NewError(twirp.Unavailable, "busy")
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -115,19 +115,12 @@
 		d.paidResend = nil
 		return *c, true
 	}
-	view := d.p.cfg.Fleet.View()
-	var cs []pick.Candidate
-	for _, m := range view.Upstreams(d.call.Service) {
-		cs = append(cs, pick.Candidate{
-			ID: m.ID, Addr: m.Addr, Slots: m.Slots, Remote: m.DataCentre != view.Self.DataCentre, WarmupEnd: m.WarmupEnd,
-		})
+	criteria := pick.Criteria{Exclude: d.tried, LargeResponse: d.call.LargeResponse, Target: d.call.Target}
+	cs := d.p.candidates.get(d.p.cfg.Fleet.View(), d.call.Service)
+	target, cause, ok := d.p.chooseCandidate(cs.used(d.local), criteria)
+	if cs.isSubset && (!ok || cause == pick.CausePanic) {
+		target, cause, ok = d.p.chooseCandidate(cs.all(d.local), criteria)
 	}
-	if !d.local {
-		for _, e := range view.Remote.Entries(d.call.Service) {
-			cs = append(cs, pick.Candidate{ID: e.Addr, Addr: e.Addr, Slots: e.Slots, Remote: true, Entry: true})
-		}
-	}
-	target, cause, ok := d.p.chooseCandidate(cs, pick.Criteria{Exclude: d.tried, LargeResponse: d.call.LargeResponse, Target: d.call.Target})
 	return choice{target, cause}, ok
 }
 
@@ -138,7 +131,7 @@
 	if p.cfg.Policy != RoundRobin {
 		return p.picker.Pick(time.Now(), cs, criteria)
 	}
-	cs = slices.DeleteFunc(cs, func(c pick.Candidate) bool { return c.Remote || slices.Contains(criteria.Exclude, c.ID) })
+	cs = slices.DeleteFunc(slices.Clone(cs), func(c pick.Candidate) bool { return c.Remote || slices.Contains(criteria.Exclude, c.ID) })
 	if len(cs) == 0 {
 		return pick.Candidate{}, pick.CauseNoUpstream, false
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -85,10 +85,11 @@
 
 // Proxy forwards calls to upstreams. It is safe for concurrent use.
 type Proxy struct {
-	cfg       Config
-	clients   *clientPool
-	budgets   *retryBudgets
-	homeTable *homeTable
+	cfg        Config
+	clients    *clientPool
+	candidates *candidateCache
+	budgets    *retryBudgets
+	homeTable  *homeTable
 
 	mu              sync.Mutex // protects the fields below and Config.Rand
 	picker          *pick.Picker
@@ -104,11 +105,12 @@
 		cfg.MaxAnswerBytes = defaultMaxAnswerBytes
 	}
 	p := &Proxy{
-		cfg:       cfg,
-		clients:   newClientPool(cfg.Dial),
-		budgets:   newRetryBudgets(cfg.Retry, func() int { return len(cfg.Fleet.View().ActiveIDs()) }),
-		picker:    pick.New(pick.DefaultConfig(cfg.Rand)),
-		homeTable: &homeTable{SyncTable: runner.NewSyncTable()},
+		cfg:        cfg,
+		clients:    newClientPool(cfg.Dial),
+		candidates: newCandidateCache(cfg.Node),
+		budgets:    newRetryBudgets(cfg.Retry, func() int { return len(cfg.Fleet.View().ActiveIDs()) }),
+		picker:     pick.New(pick.DefaultConfig(cfg.Rand)),
+		homeTable:  &homeTable{SyncTable: runner.NewSyncTable()},
 	}
 	return p
 }
