member, fleet, rank: the cost of a change no longer grows with the members

Change: changes flood a graph of three hash rings (rank.Overlay, at most six edges apart at 300), batched for 50 ms after a broadcast; tables are compared in 64 buckets and only those that differ are sent (wire: digests in Sync, old nodes are answered in full); quorum, suspects and dead are indexed; dead addresses are dialled by those that would observe them, and not once replaced; a view is at least 50 ms old before it is replaced; a node joins three random seeds; the store is polled often by one reader of a region, by the others every 15 s.

--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -2,16 +2,23 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
 // Merge applies records received from a peer and returns the resulting actions.
 func (t *Table) Merge(now time.Time, records []Record) []Action {
+	acts := t.mergeAll(now, records)
+	return append(acts, t.flushOutbox(now)...)
+}
+
+// mergeAll applies records without sending the changes.
+func (t *Table) mergeAll(now time.Time, records []Record) []Action {
 	var acts []Action
 	for _, r := range records {
 		acts = append(acts, t.mergeRecord(now, r)...)
 	}
-	return append(acts, t.flushOutbox()...)
+	return acts
 }
 
 func (t *Table) mergeRecord(now time.Time, r Record) []Action {
@@ -78,6 +85,8 @@
 	}
 	t.supersede(now, r)
 	e := &memberState{nextProbe: now.Add(t.cfg.ProbeEvery)}
+	at, _ := t.find(r.ID)
+	t.order = slices.Insert(t.order, at, e)
 	t.members[r.ID] = e
 	t.setRecord(now, e, r, "joined")
 	if r.State == Suspect {
@@ -89,8 +98,8 @@
 // supersede declares an earlier process at the address of r dead. Member ids
 // are unique to a process, so a restarted node is a new member.
 func (t *Table) supersede(now time.Time, r Record) {
-	for _, e := range t.members {
-		if e.rec.Addr == r.Addr && e.rec.IsUp() && r.IsUp() && e.rec.StartMs < r.StartMs {
+	for _, e := range t.byAddr[r.Addr] {
+		if e.rec.IsUp() && r.IsUp() && e.rec.StartMs < r.StartMs {
 			t.setRecord(now, e, e.rec.WithState(Dead, t.self.ID), "superseded by "+r.ID+" at its address")
 		}
 	}
@@ -101,20 +110,49 @@
 func (t *Table) setRecord(now time.Time, e *memberState, r Record, cause string) {
 	old := e.rec
 	if old.ID != "" {
-		t.digest ^= old.hash()
+		t.removeFromIndexes(e)
 	}
-	t.digest ^= r.hash()
-	e.rec = r
+	t.updateAddr(r.Addr, func() {
+		e.rec = r
+		t.byAddr[r.Addr] = append(t.byAddr[r.Addr], e)
+	})
+	t.toggleDigest(r)
 	e.changed = now
 	if r.State != Suspect {
 		e.confirmers = nil
 		e.suspicionDeadline = time.Time{}
 	}
-	t.layoutStale = t.layoutStale || old.ID == "" || old.IsUp() != r.IsUp()
+	switch r.State {
+	case Suspect:
+		t.suspects[r.ID] = e
+	case Dead:
+		t.dead[r.ID] = e
+	}
+	wasUp := old.ID != "" && old.IsUp()
+	switch {
+	case r.IsUp() && !wasUp:
+		t.layout, t.overlay = t.layout.With(r.ID), t.overlay.With(r.ID)
+	case wasUp && !r.IsUp():
+		t.layout, t.overlay = t.layout.Without(r.ID), t.overlay.Without(r.ID)
+	}
 	t.outbox[r.ID] = r
 	t.notify(Change{At: now, Old: old, New: r, Cause: cause})
 }
 
+// removeFromIndexes removes e from the state that is derived from its record.
+func (t *Table) removeFromIndexes(e *memberState) {
+	t.toggleDigest(e.rec)
+	delete(t.suspects, e.rec.ID)
+	delete(t.dead, e.rec.ID)
+	addr := e.rec.Addr
+	t.updateAddr(addr, func() {
+		t.byAddr[addr] = slices.DeleteFunc(t.byAddr[addr], func(x *memberState) bool { return x == e })
+	})
+	if len(t.byAddr[addr]) == 0 {
+		delete(t.byAddr, addr)
+	}
+}
+
 func (t *Table) notify(c Change) {
 	if t.cfg.NotifyChange != nil {
 		t.cfg.NotifyChange(c)
--- a/core/member/network_test.go
+++ b/core/member/network_test.go
@@ -23,6 +23,15 @@
 	delayed      []delivery
 	declaredDead map[string]time.Time // when a member was first declared dead by any other
 	err          error
+	sent         traffic
+	sentBy       map[string]int // broadcast messages by sender
+}
+
+// traffic counts messages.
+type traffic struct {
+	messages   int // of any kind, replies included
+	broadcasts int // those that carry changes
+	records    int // in messages
 }
 
 // delivery is a message in transit.
@@ -43,6 +52,7 @@
 		paused:       map[string]bool{},
 		cut:          map[[2]string]bool{},
 		declaredDead: map[string]time.Time{},
+		sentBy:       map[string]int{},
 	}
 	for i := range n {
 		net.add(fmt.Sprintf("m%02d", i))
@@ -57,9 +67,12 @@
 	return net
 }
 
-func (net *testNetwork) add(id string) {
+func (net *testNetwork) add(id string) { net.addAt(id, id+":1") }
+
+// addAt adds a member with the given id and address.
+func (net *testNetwork) addAt(id, addr string) {
 	cfg := member.DefaultConfig()
-	cfg.Self = member.Record{ID: id, Addr: id + ":1", DataCentre: "dc", Incarnation: 1, StartMs: net.now.UnixMilli()}
+	cfg.Self = member.Record{ID: id, Addr: addr, DataCentre: "dc", Incarnation: 1, StartMs: net.now.UnixMilli()}
 	cfg.Rand = net.rng
 	cfg.NotifyChange = net.checkChange
 	net.tables[id] = member.NewTable(cfg)
@@ -101,6 +114,10 @@
 
 func (net *testNetwork) broadcast(from string, a member.Action) {
 	for _, t := range a.Targets {
+		net.sent.messages++
+		net.sent.broadcasts++
+		net.sent.records += len(a.Records)
+		net.sentBy[from]++
 		if net.delivers(from, t.ID) {
 			net.deliver(delivery{t.ID, a.Records})
 		}
@@ -122,6 +139,7 @@
 func (net *testNetwork) probe(from string, a member.Action) {
 	target := a.Targets[0].ID
 	t := net.tables[from]
+	net.sent.messages += 2
 	if net.roundTrip(from, target) {
 		other := net.tables[target]
 		var records []member.Record
@@ -149,9 +167,17 @@
 	if !net.roundTrip(a, b) {
 		return
 	}
-	ra, rb := net.tables[a].Records(), net.tables[b].Records()
-	net.perform(b, net.tables[b].Merge(net.now, ra))
-	net.perform(a, net.tables[a].Merge(net.now, rb))
+	reply, acts := net.tables[b].AnswerSync(net.now, net.tables[a].SyncRequest())
+	net.perform(b, acts)
+	net.sent.messages += 2
+	net.sent.records += 1 + len(reply.Records)
+	missing, acts := net.tables[a].CompleteSync(net.now, reply)
+	net.perform(a, acts)
+	if len(missing) > 0 && net.delivers(a, b) {
+		net.sent.messages++
+		net.sent.records += len(missing)
+		net.deliver(delivery{b, missing})
+	}
 }
 
 // tick advances the time by one step.
--- a/core/member/quorum.go
+++ b/core/member/quorum.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"time"
 )
 
@@ -18,45 +19,81 @@
 func (t *Table) QuorumUntil() time.Time { return t.quorumUntil }
 
 func (t *Table) updateQuorum(now time.Time) {
-	size, up := t.countQuorum()
+	size, up := t.tally.size, t.tally.up
 	if 2*up <= size {
 		t.quorumUntil = time.Time{}
 		return
 	}
-	if size == 1 {
+	if size == 1 || t.answeredLately(now) {
 		t.quorumUntil = now.Add(t.cfg.QuorumTTL)
-		return
 	}
-	for _, e := range t.members {
-		if e.rec.IsUp() && now.Sub(e.lastAnswer) < t.cfg.QuorumTTL && !e.lastAnswer.IsZero() {
-			t.quorumUntil = now.Add(t.cfg.QuorumTTL)
-			return
+}
+
+// answeredLately reports whether a member that is up has answered a probe within
+// QuorumTTL.
+func (t *Table) answeredLately(now time.Time) bool {
+	found := false
+	for id, at := range t.answers {
+		e, known := t.members[id]
+		if !known || now.Sub(at) >= t.cfg.QuorumTTL {
+			delete(t.answers, id)
+			continue
 		}
+		found = found || e.rec.IsUp()
 	}
+	return found
 }
 
-// countQuorum returns the number of members that count toward the quorum, and
-// how many of them are up. Members are counted by address, so that a failed
-// process and its replacement at the same address count once.
-func (t *Table) countQuorum() (size, up int) {
+// addrTally counts the members that count toward the quorum. They are counted by
+// address, so that a failed process and its replacement at the same address count
+// once.
+type addrTally struct{ size, up int }
+
+// initTally counts the address of this node and those in the configuration.
+func (t *Table) initTally() {
+	t.tally = addrTally{}
 	addrs := map[string]bool{t.self.Addr: true}
-	left := map[string]bool{}
-	for _, e := range t.members {
+	for _, a := range t.cfg.QuorumAddrs {
+		addrs[a] = true
+	}
+	for a := range addrs {
+		t.tally.add(t.countAddr(a), 1)
+	}
+}
+
+// add adds c, or subtracts it if sign is -1.
+func (a *addrTally) add(c addrTally, sign int) {
+	a.size += sign * c.size
+	a.up += sign * c.up
+}
+
+// updateAddr makes a change of the members at an address and updates the tally.
+func (t *Table) updateAddr(addr string, change func()) {
+	t.tally.add(t.countAddr(addr), -1)
+	change()
+	t.tally.add(t.countAddr(addr), 1)
+}
+
+// countAddr returns what an address adds to the tally.
+func (t *Table) countAddr(addr string) addrTally {
+	counts, up, left := addr == t.self.Addr, addr == t.self.Addr, false
+	for _, e := range t.byAddr[addr] {
 		if e.rec.Left {
-			left[e.rec.Addr] = true
+			left = true
 			continue
 		}
-		addrs[e.rec.Addr] = addrs[e.rec.Addr] || e.rec.IsUp()
+		counts = true
+		up = up || e.rec.IsUp()
 	}
-	for _, a := range t.cfg.QuorumAddrs {
-		if _, known := addrs[a]; !known && !left[a] {
-			addrs[a] = false
-		}
+	if !counts && !left {
+		counts = slices.Contains(t.cfg.QuorumAddrs, addr)
 	}
-	for _, isUp := range addrs {
-		if isUp {
-			up++
-		}
+	var out addrTally
+	if counts {
+		out.size = 1
+	}
+	if counts && up {
+		out.up = 1
 	}
-	return len(addrs), up
+	return out
 }
--- a/core/member/suspect.go
+++ b/core/member/suspect.go
@@ -41,7 +41,7 @@
 // to SuspicionMin, or one if there is only one possible observer. A node of bad
 // local health waits longer.
 func (t *Table) computeSuspicionDeadline(now time.Time, e *memberState) time.Time {
-	observers := min(t.cfg.Observers, max(len(t.UpIDs())-2, 1))
+	observers := min(t.cfg.Observers, max(t.layout.Len()-2, 1))
 	d := t.cfg.SuspicionMax
 	if len(e.confirmers) >= min(observers, 2) {
 		d = t.cfg.SuspicionMin
@@ -66,20 +66,21 @@
 	t.expire(now)
 	t.updateQuorum(now)
 	acts = append(acts, t.reconnectDead(now)...)
-	return append(acts, t.flushOutbox()...)
+	return append(acts, t.flushOutbox(now)...)
 }
 
 // reconnectDead exchanges tables with some of the members recorded as dead, in
 // rotation. A member that is running after all refutes its death. If a new
-// process has started at the address of a stopped one, it is discovered.
+// process has started at the address of a stopped one, it is discovered. A dead
+// member is contacted only by those that would observe it.
 func (t *Table) reconnectDead(now time.Time) []Action {
 	if now.Before(t.nextReconnect) {
 		return nil
 	}
 	t.nextReconnect = now.Add(reconnectInterval)
 	var dead []Record
-	for _, e := range t.members {
-		if e.rec.State == Dead && (!e.rec.Left || now.Sub(e.changed) < reconnectLeftFor) {
+	for _, e := range t.dead {
+		if t.shouldReconnect(now, e) {
 			dead = append(dead, e.rec)
 		}
 	}
@@ -95,6 +96,18 @@
 	return acts
 }
 
+// shouldReconnect reports whether this node contacts the address of a dead member.
+func (t *Table) shouldReconnect(now time.Time, e *memberState) bool {
+	if e.rec.Left && now.Sub(e.changed) >= reconnectLeftFor {
+		return false
+	}
+	if !slices.Contains(t.layout.Observers(e.rec.ID), t.self.ID) {
+		return false
+	}
+	replaced := slices.ContainsFunc(t.byAddr[e.rec.Addr], func(x *memberState) bool { return x.rec.IsUp() })
+	return !replaced
+}
+
 // resumeAfterPause extends all suspicions by the length of a pause of this
 // process, gives up the quorum and makes all probes due. The missing answers
 // during the pause say nothing about the other members. The pause also worsens
@@ -124,33 +137,47 @@
 // pickRelays chooses random alive members that probe target for this node.
 func (t *Table) pickRelays(target string) []Record {
 	var out []Record
-	for id, e := range t.members {
-		if id != target && e.rec.State == Alive {
-			out = append(out, e.rec)
+	for range min(t.cfg.Relays, len(t.order)) {
+		start := 0
+		if t.cfg.Rand != nil {
+			start = t.cfg.Rand.IntN(len(t.order))
+		}
+		for i := range t.order {
+			r := t.order[(start+i)%len(t.order)].rec
+			chosen := slices.ContainsFunc(out, func(o Record) bool { return o.ID == r.ID })
+			if r.ID != target && r.State == Alive && !chosen {
+				out = append(out, r)
+				break
+			}
 		}
 	}
-	slices.SortFunc(out, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
-	if t.cfg.Rand != nil {
-		t.cfg.Rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	}
-	return out[:min(t.cfg.Relays, len(out))]
+	return out
 }
 
 // expire declares members dead whose suspicion timed out, and removes old
 // records of dead members.
 func (t *Table) expire(now time.Time) {
-	for id, e := range t.members {
-		switch {
-		case e.rec.State == Suspect && !e.suspicionDeadline.IsZero() && !now.Before(e.suspicionDeadline):
+	for _, e := range t.suspects {
+		if !e.suspicionDeadline.IsZero() && !now.Before(e.suspicionDeadline) {
 			cause := fmt.Sprintf("suspicion was not refuted, %d members confirmed it", len(e.confirmers))
 			t.setRecord(now, e, e.rec.WithState(Dead, t.self.ID), cause)
-		case e.rec.State == Dead && e.rec.Left && now.Sub(e.changed) > t.cfg.ForgetLeft,
-			e.rec.State == Dead && now.Sub(e.changed) > t.cfg.ForgetDead:
-			t.digest ^= e.rec.hash()
-			delete(t.members, id)
-			t.layoutStale = true
 		}
 	}
+	for _, e := range t.dead {
+		age := now.Sub(e.changed)
+		if e.rec.Left && age > t.cfg.ForgetLeft || age > t.cfg.ForgetDead {
+			t.forget(e)
+		}
+	}
+}
+
+// forget removes the record of a dead member.
+func (t *Table) forget(e *memberState) {
+	t.removeFromIndexes(e)
+	delete(t.members, e.rec.ID)
+	if at, ok := t.find(e.rec.ID); ok {
+		t.order = slices.Delete(t.order, at, at+1)
+	}
 }
 
 // ProbeAnswered handles the answer to a probe of member id. It carries records
@@ -161,7 +188,7 @@
 		return t.Merge(now, records)
 	}
 	e.probing = false
-	e.lastAnswer = now
+	t.answers[id] = now
 	t.localHealth = max(t.localHealth-1, 0)
 	acts := t.Merge(now, records)
 	if digest == t.Digest() {
@@ -198,12 +225,12 @@
 	case Alive, Leaving:
 		if e.rec.State == Leaving {
 			t.setRecord(now, e, e.rec.WithState(Dead, t.self.ID), "no answer to a probe after it announced its stop")
-			return t.flushOutbox()
+			return t.flushOutbox(now)
 		}
 		t.setRecord(now, e, e.rec.WithState(Suspect, t.self.ID), "no answer to a probe, neither directly nor through relays")
 		t.startSuspicion(now, e, t.self.ID)
 	case Suspect:
-		return append(t.confirmSuspicion(now, e, e.rec.WithState(Suspect, t.self.ID)), t.flushOutbox()...)
+		return append(t.confirmSuspicion(now, e, e.rec.WithState(Suspect, t.self.ID)), t.flushOutbox(now)...)
 	}
-	return t.flushOutbox()
+	return t.flushOutbox(now)
 }
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -29,25 +28,29 @@
 	SuspicionMax time.Duration // time to refute a suspicion of a single member
 	ForgetLeft   time.Duration // how long the record of a member that left is kept
 	ForgetDead   time.Duration // how long a failed member counts toward the quorum
-	PauseGap     time.Duration // gap between ticks that indicates a pause of this process
-	QuorumTTL    time.Duration // how long an answer to a probe upholds the quorum
-	QuorumAddrs  []string      // addresses that count toward the quorum even if unknown
-	Rand         *rand.Rand    // source for the choice of relays, unshuffled if nil
-	NotifyChange func(Change)  // called for each change, must not block
+	// GossipInterval is the shortest time between two broadcasts of changed
+	// records. Changes that follow each other more closely share a message.
+	GossipInterval time.Duration
+	PauseGap       time.Duration // gap between ticks that indicates a pause of this process
+	QuorumTTL      time.Duration // how long an answer to a probe upholds the quorum
+	QuorumAddrs    []string      // addresses that count toward the quorum even if unknown
+	Rand           *rand.Rand    // source for the choice of relays, unshuffled if nil
+	NotifyChange   func(Change)  // called for each change, must not block
 }
 
 // DefaultConfig returns the settings that nodes use, without Self and Rand.
 func DefaultConfig() Config {
 	return Config{
-		Observers:    3,
-		Relays:       2,
-		ProbeEvery:   400 * time.Millisecond,
-		SuspicionMin: 600 * time.Millisecond,
-		SuspicionMax: 1200 * time.Millisecond,
-		ForgetLeft:   time.Minute,
-		ForgetDead:   24 * time.Hour,
-		PauseGap:     1500 * time.Millisecond,
-		QuorumTTL:    1500 * time.Millisecond,
+		Observers:      3,
+		Relays:         2,
+		GossipInterval: 50 * time.Millisecond,
+		ProbeEvery:     400 * time.Millisecond,
+		SuspicionMin:   600 * time.Millisecond,
+		SuspicionMax:   1200 * time.Millisecond,
+		ForgetLeft:     time.Minute,
+		ForgetDead:     24 * time.Hour,
+		PauseGap:       1500 * time.Millisecond,
+		QuorumTTL:      1500 * time.Millisecond,
 	}
 }
 
@@ -81,7 +84,6 @@
 type memberState struct {
 	rec               Record
 	changed           time.Time
-	lastAnswer        time.Time // time of the last answer to a probe
 	nextProbe         time.Time
 	probing           bool
 	suspicionDeadline time.Time // when the member is declared dead
@@ -89,18 +91,27 @@
 	digestMismatches  int // consecutive answers with a differing table digest
 }
 
-// Table is the membership state machine.
+// Table is the membership state machine. What it does at a tick or for a message
+// depends on the changes and on the number of observers, not on the number of
+// members.
 type Table struct {
 	cfg            Config
 	self           Record
 	members        map[string]*memberState // by id, without this node
-	layout         *rank.Ring
-	layoutStale    bool // layout has to be recomputed
+	order          []*memberState          // sorted by id
+	byAddr         map[string][]*memberState
+	suspects       map[string]*memberState
+	dead           map[string]*memberState
+	layout         *rank.Ring    // of the members that are up
+	overlay        *rank.Overlay // of the members that are up
 	outbox         map[string]Record
+	nextBroadcast  time.Time // when the outbox may be sent
 	lastTick       time.Time
-	localHealth    int // local health score of Lifeguard: 0 is healthy
+	localHealth    int                  // local health score of Lifeguard: 0 is healthy
+	answers        map[string]time.Time // members that answered a probe within QuorumTTL
+	tally          addrTally
 	quorumUntil    time.Time
-	digest         uint64 // XOR of the hashes of all records
+	digests        [numBuckets]uint64 // XOR of the hashes of the records in each bucket
 	nextReconnect  time.Time
 	reconnectIndex int // position in the rotation through the dead members
 }
@@ -118,16 +129,28 @@
 	reconnectLeftFor  = 20 * time.Second // how long members that stopped as planned are included
 )
 
+// overlayRings is the number of rings of the gossip overlay. With three, a change
+// reaches 300 members over at most six edges.
+const overlayRings = 3
+
 // NewTable returns a table that holds only the record of its own node.
 func NewTable(cfg Config) *Table {
-	return &Table{
-		cfg:         cfg,
-		self:        cfg.Self,
-		members:     map[string]*memberState{},
-		outbox:      map[string]Record{cfg.Self.ID: cfg.Self},
-		layoutStale: true,
-		digest:      cfg.Self.hash(),
+	ids := []string{cfg.Self.ID}
+	t := &Table{
+		cfg:      cfg,
+		self:     cfg.Self,
+		members:  map[string]*memberState{},
+		byAddr:   map[string][]*memberState{},
+		suspects: map[string]*memberState{},
+		dead:     map[string]*memberState{},
+		layout:   rank.NewRing(ids, cfg.Observers),
+		overlay:  rank.NewOverlay(ids, overlayRings),
+		outbox:   map[string]Record{cfg.Self.ID: cfg.Self},
+		answers:  map[string]time.Time{},
 	}
+	t.toggleDigest(cfg.Self)
+	t.initTally()
+	return t
 }
 
 // Self returns the record of this node.
@@ -135,42 +158,31 @@
 
 // Records returns all records, including that of this node, sorted by id.
 func (t *Table) Records() []Record {
-	out := []Record{t.self}
-	for _, e := range t.members {
+	out := make([]Record, 0, len(t.order)+1)
+	selfAt, _ := t.find(t.self.ID)
+	for _, e := range t.order[:selfAt] {
 		out = append(out, e.rec)
 	}
-	slices.SortFunc(out, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
-	return out
-}
-
-// UpIDs returns the sorted ids of the members believed to be running, including
-// this node.
-func (t *Table) UpIDs() []string {
-	out := []string{t.self.ID}
-	for id, e := range t.members {
-		if e.rec.IsUp() {
-			out = append(out, id)
-		}
+	out = append(out, t.self)
+	for _, e := range t.order[selfAt:] {
+		out = append(out, e.rec)
 	}
-	slices.Sort(out)
 	return out
 }
 
-// Layout returns the observer layout of the members that are up.
-func (t *Table) Layout() *rank.Ring {
-	if t.layoutStale {
-		t.layout = rank.NewRing(t.UpIDs(), t.cfg.Observers)
-		t.layoutStale = false
-	}
-	return t.layout
+// find returns the index of a member in order, or the one at which it would be
+// inserted.
+func (t *Table) find(id string) (int, bool) {
+	return slices.BinarySearchFunc(t.order, id, func(e *memberState, id string) int { return strings.Compare(e.rec.ID, id) })
 }
 
-// Digest returns a hash of the table. Equal tables have equal digests.
-func (t *Table) Digest() uint64 { return t.digest }
+// Layout returns the observer layout of the members that are up.
+func (t *Table) Layout() *rank.Ring { return t.layout }
 
 // setSelf replaces this node's own record and queues it for the neighbours.
 func (t *Table) setSelf(r Record) {
-	t.digest ^= t.self.hash() ^ r.hash()
+	t.toggleDigest(t.self)
+	t.toggleDigest(r)
 	t.self = r
 	t.outbox[r.ID] = r
 }
@@ -208,17 +220,18 @@
 	return t.updateSelf(now, t.self.WithCanBeHome(can), cause)
 }
 
-// Leave announces to every member that this node accepts no new calls.
+// Leave announces that this node accepts no new calls.
 func (t *Table) Leave(now time.Time) []Action {
-	acts := t.updateSelf(now, t.self.WithState(Leaving, ""), "planned stop")
-	return t.broadcastSelf(acts)
+	t.nextBroadcast = now // a planned stop has to be known everywhere within a second
+	return t.updateSelf(now, t.self.WithState(Leaving, ""), "planned stop")
 }
 
-// Stop announces to every member that this node has stopped.
+// Stop announces that this node has stopped.
 func (t *Table) Stop(now time.Time) []Action {
+	t.nextBroadcast = now
 	r := t.self.WithState(Dead, "")
 	r.Left = true
-	return t.broadcastSelf(t.updateSelf(now, r, "stopped"))
+	return t.updateSelf(now, r, "stopped")
 }
 
 // updateSelf replaces this node's own record, with the next incarnation.
@@ -226,50 +239,5 @@
 	old := t.self
 	t.setSelf(r.WithIncarnation(old.Incarnation + 1))
 	t.notify(Change{At: now, Old: old, New: t.self, Cause: cause})
-	return t.flushOutbox()
-}
-
-// broadcastSelf sends this node's record to every member that is up, not only to
-// its neighbours, since a planned stop has to be known everywhere within a
-// second. It returns acts if no member is up.
-func (t *Table) broadcastSelf(acts []Action) []Action {
-	var targets []Record
-	for _, e := range t.members {
-		if e.rec.IsUp() {
-			targets = append(targets, e.rec)
-		}
-	}
-	if len(targets) == 0 {
-		return acts
-	}
-	return []Action{{Kind: Broadcast, Targets: targets, Records: []Record{t.self}}}
-}
-
-// Neighbours returns the members that observe this node and those that it
-// observes, each once. Gossip floods the group along these edges.
-func (t *Table) Neighbours() []Record {
-	var out []Record
-	l := t.Layout()
-	for _, id := range slices.Concat(l.Observers(t.self.ID), l.Subjects(t.self.ID)) {
-		if e, ok := t.members[id]; ok && !slices.ContainsFunc(out, func(r Record) bool { return r.ID == id }) {
-			out = append(out, e.rec)
-		}
-	}
-	return out
-}
-
-// flushOutbox sends the queued records to the neighbours in the layout. Each
-// neighbour forwards the records that are new to it, so that a change floods
-// the group.
-func (t *Table) flushOutbox() []Action {
-	if len(t.outbox) == 0 {
-		return nil
-	}
-	targets := t.Neighbours()
-	if len(targets) == 0 {
-		return nil
-	}
-	records := slices.SortedFunc(maps.Values(t.outbox), func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
-	clear(t.outbox)
-	return []Action{{Kind: Broadcast, Targets: targets, Records: records}}
+	return t.flushOutbox(now)
 }
--- a/core/rank/layout.go
+++ b/core/rank/layout.go
@@ -5,67 +5,122 @@
 	"slices"
 )
 
-// ring is a hash ring: a list of ids sorted by hash.
+// ring is an immutable hash ring.
 type ring struct {
-	ids   []string
-	index map[string]int // position in ids
+	salt    string // different salts give rings of independent order
+	members []hashedID
 }
 
-func newRing(ids []string) ring {
-	type hashed struct {
-		id   string
-		hash uint64
-	}
-	all := make([]hashed, len(ids))
+// hashedID is a member with its position on a ring.
+type hashedID struct {
+	hash uint64
+	id   string
+}
+
+func compareHashed(a, b hashedID) int {
+	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id))
+}
+
+func newRing(salt string, ids []string) ring {
+	r := ring{salt: salt, members: make([]hashedID, len(ids))}
 	for i, id := range ids {
-		all[i] = hashed{id, Score("ring", id)}
-	}
-	slices.SortFunc(all, func(a, b hashed) int {
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id))
-	})
-	r := ring{ids: make([]string, len(all)), index: make(map[string]int, len(all))}
-	for i, h := range all {
-		r.ids[i] = h.id
-		r.index[h.id] = i
+		r.members[i] = r.hashed(id)
 	}
+	slices.SortFunc(r.members, compareHashed)
 	return r
 }
 
+func (r ring) hashed(id string) hashedID { return hashedID{Score(r.salt, id), id} }
+
+// find returns the index of a member, or the one at which it would be inserted.
+func (r ring) find(id string) (int, bool) {
+	return slices.BinarySearchFunc(r.members, r.hashed(id), compareHashed)
+}
+
+// at returns the id at index i, counted around the ring.
+func (r ring) at(i int) string {
+	n := len(r.members)
+	return r.members[(i%n+n)%n].id
+}
+
+// with returns the ring with id added.
+func (r ring) with(id string) ring {
+	at, ok := r.find(id)
+	if ok {
+		return r
+	}
+	return ring{r.salt, slices.Insert(slices.Clone(r.members), at, r.hashed(id))}
+}
+
+// without returns the ring with id removed.
+func (r ring) without(id string) ring {
+	at, ok := r.find(id)
+	if !ok {
+		return r
+	}
+	return ring{r.salt, slices.Delete(slices.Clone(r.members), at, at+1)}
+}
+
 // Ring is a layout in which the k successors of a member on the hash ring
-// observe it. Every member also has k subjects, the members that it observes.
+// observe it. Every member also has k subjects, the members that it observes. A
+// Ring is immutable.
 type Ring struct {
 	ring
 	k int
 }
 
 // NewRing returns the ring layout of ids with k observers per member.
-func NewRing(ids []string, k int) *Ring {
-	return &Ring{ring: newRing(ids), k: min(k, max(len(ids)-1, 0))}
-}
+func NewRing(ids []string, k int) *Ring { return &Ring{newRing("ring", ids), k} }
 
-// Observers returns the members that observe subject.
-func (r *Ring) Observers(subject string) []string { return r.atOffsets(subject, 1) }
+// With returns the layout with id added.
+func (r *Ring) With(id string) *Ring { return &Ring{r.with(id), r.k} }
+
+// Without returns the layout with id removed.
+func (r *Ring) Without(id string) *Ring { return &Ring{r.without(id), r.k} }
+
+// Len returns the number of members.
+func (r *Ring) Len() int { return len(r.members) }
+
+// Observers returns the members that observe subject. For an id that is not a
+// member, these are the ones that would observe it.
+func (r *Ring) Observers(subject string) []string {
+	at, ok := r.find(subject)
+	if !ok {
+		at-- // the member at the index of insertion is the first successor
+	}
+	return r.atOffsets(at, 1, ok)
+}
 
 // Subjects returns the members that observer observes.
-func (r *Ring) Subjects(observer string) []string { return r.atOffsets(observer, -1) }
+func (r *Ring) Subjects(observer string) []string {
+	at, ok := r.find(observer)
+	if !ok {
+		return nil
+	}
+	return r.atOffsets(at, -1, true)
+}
 
 // OrderFrom returns all members in ring order, starting with first.
 func (r *Ring) OrderFrom(first string) []string {
-	i := r.index[first]
-	return slices.Concat(r.ids[i:], r.ids[:i])
+	start, _ := r.find(first)
+	out := make([]string, len(r.members))
+	for i := range r.members {
+		out[i] = r.at(start + i)
+	}
+	return out
 }
 
 // atOffsets returns the members at the offsets step, 2*step, ..., k*step from
-// the member from.
-func (r *Ring) atOffsets(from string, step int) []string {
-	at, ok := r.index[from]
-	if !ok {
-		return nil
+// index at. If isMember is set, there is a member at that index, which is left
+// out.
+func (r *Ring) atOffsets(at, step int, isMember bool) []string {
+	others := len(r.members)
+	if isMember {
+		others--
 	}
-	out := make([]string, 0, r.k)
-	n := len(r.ids)
-	for i := 1; i <= r.k; i++ {
-		out = append(out, r.ids[((at+step*i)%n+n)%n])
+	out := make([]string, 0, min(r.k, others))
+	for i := 1; i <= min(r.k, others); i++ {
+		out = append(out, r.at(at+step*i))
 	}
 	return out
 }
--- a/io/bench/fleet.go
+++ b/io/bench/fleet.go
@@ -226,7 +226,7 @@
 // restartFirstReader kills the first reader of a data centre and starts it again.
 func restartFirstReader(m *mesh.Mesh) error {
 	for i, in := range m.Instances {
-		if in.Node.View().Rank("reader", 1) == 0 {
+		if in.Node.View().GroupReaderRank(1) == 0 {
 			m.Kill(i)
 			return m.StartInstance(i)
 		}
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -22,10 +22,13 @@
 
 // Intervals and timeouts.
 const (
-	fetchTimeout  = time.Second
-	pollInterval  = 3 * time.Second // mean time between polls of the store
-	minRetryDelay = 200 * time.Millisecond
-	maxRetryDelay = 3 * time.Second
+	fetchTimeout = time.Second
+	pollInterval = 3 * time.Second // mean time between polls of the store
+	// standbyPollInterval replaces pollInterval while a reader of another data
+	// centre of the region polls.
+	standbyPollInterval = 15 * time.Second
+	minRetryDelay       = 200 * time.Millisecond
+	maxRetryDelay       = 3 * time.Second
 )
 
 const (
--- a/io/feed/push.go
+++ b/io/feed/push.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"tanagerchute/core/fanout"
-	"tanagerchute/core/rank"
 	"tanagerchute/core/vers"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/wire"
@@ -35,7 +34,7 @@
 // Distribute pushes a version that this node got from another data centre, or from
 // another region if there are regions, to the members of its own.
 func (f *Feed) Distribute(ctx context.Context, v vers.Version) {
-	f.distribute(ctx, v, f.cfg.Fleet.View().RankInDataCentre("reader", ReadersPerDataCentre))
+	f.distribute(ctx, v, f.cfg.Fleet.View().ReaderRank(ReadersPerDataCentre))
 }
 
 // distribute pushes a version along the tree whose root is this node. The reader of
@@ -185,7 +184,7 @@
 func (f *Feed) readerAddrs() []string {
 	view := f.cfg.Fleet.View()
 	var out []string
-	for _, id := range rank.Top("reader", view.ActiveIDs(), ReadersPerDataCentre) {
+	for _, id := range view.GroupReaders(ReadersPerDataCentre) {
 		if m, ok := view.Get(id); ok && id != f.cfg.Self {
 			out = append(out, m.Addr)
 		}
--- a/io/feed/reader.go
+++ b/io/feed/reader.go
@@ -62,13 +62,15 @@
 	if !f.joined.Load() {
 		return -1
 	}
-	if f.cfg.Fleet.SinceContact(time.Now()) > isolationTimeout {
-		// No other node can deliver new versions to this one.
+	if f.isIsolated() {
 		return 0
 	}
-	return f.cfg.Fleet.View().RankInDataCentre("reader", ReadersPerDataCentre)
+	return f.cfg.Fleet.View().ReaderRank(ReadersPerDataCentre)
 }
 
+// isIsolated reports whether no other node can deliver new versions to this one.
+func (f *Feed) isIsolated() bool { return f.cfg.Fleet.SinceContact(time.Now()) > isolationTimeout }
+
 // startReading starts watching the store. The function it returns stops the watch,
 // and the channel is closed when it has ended.
 func (f *Feed) startReading(ctx context.Context, rank int) (context.CancelFunc, chan struct{}) {
@@ -165,11 +167,11 @@
 	}
 }
 
-// poll reads the store every pollInterval while this node is the reader of rank 0.
-// It returns when ctx ends or a read fails.
+// poll reads the store at intervals while this node is the reader of rank 0 of its
+// data centre. It returns when ctx ends or a read fails.
 func (f *Feed) poll(ctx context.Context) error {
 	for {
-		if !timer.Sleep(ctx, f.jitter(pollInterval)) {
+		if !timer.Sleep(ctx, f.jitter(f.pollInterval())) {
 			return ctx.Err()
 		}
 		if f.rank.Load() != 0 {
@@ -181,6 +183,16 @@
 	}
 }
 
+// pollInterval returns the mean time between two polls. In a region one reader
+// polls often, and distributes what it reads to all data centres. The others poll
+// in case that one can't read the store.
+func (f *Feed) pollInterval() time.Duration {
+	if f.cfg.Fleet.View().GroupReaderRank(1) == 0 || f.isIsolated() {
+		return pollInterval
+	}
+	return standbyPollInterval
+}
+
 // syncWithStore reads the newest version of the store and applies it if it is later
 // than the one in force. If it is earlier, the store has lost the version in force,
 // which it had accepted. syncWithStore then writes that version back.
--- a/io/fleet/actions.go
+++ b/io/fleet/actions.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"tanagerchute/core/member"
@@ -115,17 +117,18 @@
 	return answered, reached
 }
 
-// syncWith exchanges all records with the node at addr.
+// syncWith exchanges tables with the node at addr.
 func (f *Fleet) syncWith(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	var records []member.Record
-	if !f.do(ctx, func(time.Time) { records = f.table.Records() }) {
+	var req member.SyncMessage
+	if !f.do(ctx, func(time.Time) { req = f.table.SyncRequest() }) {
 		return ctx.Err()
 	}
 	reply, err := f.cfg.Client.To(addr).Sync(ctx, &wire.SyncRequest{
 		From:    f.cfg.Self.ID,
-		Members: peer.ToMembers(records),
+		Members: peer.ToMembers(req.Records),
+		Digests: req.Digests,
 		Version: peer.ToStamp(f.cfg.Stamp()),
 	})
 	if err != nil {
@@ -133,26 +136,40 @@
 	}
 	f.recordContact()
 	f.cfg.OnPeerStamp(addr, peer.FromStamp(reply.GetVersion()))
+	var missing []member.Record
 	f.do(ctx, func(now time.Time) {
-		f.perform(ctx, f.table.Merge(now, peer.FromMembers(reply.GetMembers())))
+		var acts []member.Action
+		missing, acts = f.table.CompleteSync(now, member.SyncMessage{
+			Records: peer.FromMembers(reply.GetMembers()),
+			Digests: reply.GetDigests(),
+		})
+		f.perform(ctx, acts)
 		f.mergeUpdates(ctx, now, peer.FromUpdates(reply.GetRemotes()))
 	})
-	return nil
+	if len(missing) == 0 {
+		return nil
+	}
+	_, err = f.cfg.Client.To(addr).Gossip(ctx, &wire.GossipRequest{From: f.cfg.Self.ID, Members: peer.ToMembers(missing)})
+	return err
 }
 
-// Join exchanges all records with the nodes at addrs. It returns true as soon as
-// one of them has answered, and false if all exchanges failed.
+// maxJoins is the number of nodes that Join contacts. With three, the nodes of a
+// group that start together find each other, and no seed has to send its table to
+// all of them.
+const maxJoins = 3
+
+// Join exchanges tables with up to maxJoins of the nodes at addrs, chosen at
+// random. It returns true as soon as one of them has answered, and false if all
+// exchanges failed.
 func (f *Fleet) Join(ctx context.Context, addrs []string) bool {
-	errs := make(chan error, len(addrs))
-	pending := 0
-	for _, a := range addrs {
-		if a == f.cfg.Self.Addr {
-			continue
-		}
-		pending++
+	others := slices.DeleteFunc(slices.Clone(addrs), func(a string) bool { return a == f.cfg.Self.Addr })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), maxJoins)]
+	errs := make(chan error, len(others))
+	for _, a := range others {
 		f.spawn(func() { errs <- f.syncWith(ctx, a) })
 	}
-	for range pending {
+	for range others {
 		if <-errs == nil {
 			return true
 		}
--- a/io/fleet/doc.go
+++ b/io/fleet/doc.go
@@ -4,7 +4,7 @@
 // drives their timers and executes their actions over the peer protocol.
 //
 // In a deployment with regions, the members of all data centres of a region share
-// one table. Except for RankInDataCentre, "data centre" then stands for "region"
+// one table. Except for ReaderRank, "data centre" then stands for "region"
 // in this package.
 //
 // The package also tracks what a node needs to be the home of idempotency keys,
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -63,6 +63,7 @@
 	table        *member.Table
 	remotes      *remote.Table
 	viewOutdated bool
+	viewAt       time.Time // when view was last replaced
 
 	homesMu sync.Mutex // guards homes
 	homes   *homes.Tracker
@@ -139,7 +140,7 @@
 		case now := <-t.C:
 			f.tick(ctx, now)
 		}
-		f.publishView()
+		f.publishView(time.Now())
 	}
 }
 
@@ -172,12 +173,17 @@
 	f.quorumUntil.Store(until.UnixNano())
 }
 
-// publishView replaces the view if a table has changed, and notifies Changed.
-func (f *Fleet) publishView() {
-	if !f.viewOutdated {
-		return
+// minViewAge is the shortest time between two views. When many members change,
+// the changes within it share a view.
+const minViewAge = 50 * time.Millisecond
+
+// publishView replaces the view if a table has changed and the view is at least
+// minViewAge old, and notifies Changed.
+func (f *Fleet) publishView(now time.Time) {
+	if !f.viewOutdated || now.Sub(f.viewAt) < minViewAge {
+		return // the next tick publishes it
 	}
-	f.viewOutdated = false
+	f.viewOutdated, f.viewAt = false, now
 	f.view.Store(newView(f.table, f.remotes))
 	select {
 	case f.changed <- struct{}{}:
--- a/io/fleet/serve.go
+++ b/io/fleet/serve.go
@@ -64,14 +64,16 @@
 	return &wire.GossipReply{}, nil
 }
 
-// Sync merges all records of another node and returns all records of this one.
+// Sync merges the records of a request and returns those that may differ between
+// the tables.
 func (f *Fleet) Sync(ctx context.Context, req *wire.SyncRequest) (*wire.SyncReply, error) {
-	records := f.dropInvalid(req.GetFrom(), req.GetMembers())
+	request := member.SyncMessage{Records: f.dropInvalid(req.GetFrom(), req.GetMembers()), Digests: req.GetDigests()}
 	detached := context.WithoutCancel(ctx)
 	reply := &wire.SyncReply{Version: peer.ToStamp(f.cfg.Stamp())}
 	ok := f.do(ctx, func(now time.Time) {
-		f.perform(detached, f.table.Merge(now, records))
-		reply.Members = peer.ToMembers(f.table.Records())
+		answer, acts := f.table.AnswerSync(now, request)
+		f.perform(detached, acts)
+		reply.Members, reply.Digests = peer.ToMembers(answer.Records), answer.Digests
 		reply.Remotes = peer.ToUpdates(f.remotes.Updates())
 	})
 	if !ok {
--- a/io/mesh/failure_test.go
+++ b/io/mesh/failure_test.go
@@ -123,7 +123,7 @@
 	m, ctx := start(t, smallConfig())
 	victim := -1
 	for i, in := range m.Instances {
-		if in.Node.View().Rank("reader", 1) == 0 {
+		if in.Node.View().GroupReaderRank(1) == 0 {
 			victim = i
 		}
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -106,7 +106,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
-			isRelay := r.cfg.Fleet.View().Rank("reader", 1) == 0
+			isRelay := r.cfg.Fleet.View().GroupReaderRank(1) == 0
 			if isRelay {
 				r.startDueExchanges(ctx, now, &wg)
 			}
--- a/io/seeds/seeds.go
+++ b/io/seeds/seeds.go
@@ -37,6 +37,9 @@
 	recordTTL  = 15 * time.Second
 	renewEvery = 5 * time.Second
 	listEvery  = 3 * time.Second
+	// standbyListEvery replaces listEvery while a seed of another data centre of
+	// the region reads the seeds.
+	standbyListEvery = 15 * time.Second
 	// isolatedListEvery replaces listEvery while the node knows no other active
 	// node. It is also the tick of Run.
 	isolatedListEvery = 500 * time.Millisecond
@@ -123,7 +126,7 @@
 func (r *Registry) runDue(ctx context.Context, now time.Time) {
 	ctx, unlock := r.lock(ctx)
 	defer unlock()
-	rank := r.cfg.Fleet.View().RankInDataCentre("reader", seedsPerDataCentre)
+	rank := r.cfg.Fleet.View().ReaderRank(seedsPerDataCentre)
 	if rank < 0 {
 		r.unregister(ctx)
 		return
@@ -160,8 +163,12 @@
 
 // listInterval returns the time between two reads of all seeds.
 func (r *Registry) listInterval() time.Duration {
-	if len(r.cfg.Fleet.View().ActiveIDs()) <= 1 {
+	view := r.cfg.Fleet.View()
+	switch {
+	case len(view.ActiveIDs()) <= 1:
 		return isolatedListEvery
+	case view.GroupReaderRank(1) != 0:
+		return standbyListEvery
 	}
 	return listEvery
 }
