seeds, feed, node: a start together makes few calls to the store

Cause: 295 nodes that start together made 1772 priced calls in 12 s: each found no seeds and wrote its own record (grant, commit, later a revoke), each ranked as a reader for a moment, read the store and began to watch it, and each asked all seeds for the version in each round.

Change: a node registers itself only if it still finds no seed after a random delay of up to 0.3 s; a record is written after 2 s in the rank, and expires with its lease; a node reads the store after 0.3 s in the rank, at once if it is isolated; a boot round asks the readers and four others.

--- a/io/feed/boot.go
+++ b/io/feed/boot.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,9 +23,10 @@
 	// bootStoreTimeout limits the wait for the store after a peer has supplied a
 	// version.
 	bootStoreTimeout = 400 * time.Millisecond
+	maxBootAddrs     = 4 // peers asked in one round, besides the readers
 )
 
-// Boot asks the peers at addrs, the members that rank first as readers, and the
+// Boot asks some of the peers at addrs, the members that rank first as readers, and the
 // store for a version, and puts the latest one in force. It asks in rounds. It
 // returns after the first round in which a version is in force, when every source
 // that was asked has answered or timed out.
@@ -36,7 +39,7 @@
 	storeAt := time.Now().Add(storeDelay)
 	for {
 		storeRead := make(chan struct{})
-		if f.cfg.Source != nil && (f.readerRank() >= 0 || time.Now().After(storeAt)) {
+		if f.cfg.Source != nil && (f.rank.Load() != noRank || time.Now().After(storeAt)) {
 			storeAt = time.Now().Add(storeDelay)
 			go func() {
 				defer close(storeRead)
@@ -45,7 +48,7 @@
 		} else {
 			close(storeRead)
 		}
-		f.fetchAll(ctx, append(f.readerAddrs(), addrs...), bootFetchTimeout)
+		f.fetchAll(ctx, append(f.readerAddrs(), randomAddrs(addrs)...), bootFetchTimeout)
 		f.awaitStore(ctx, storeRead)
 		if f.Snapshot() != nil {
 			f.ready.Store(true)
@@ -57,6 +60,14 @@
 	}
 }
 
+// randomAddrs returns up to maxBootAddrs of addrs at random. Nodes that start
+// together then do not all ask the same seeds.
+func randomAddrs(addrs []string) []string {
+	out := slices.Clone(addrs)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(len(out), maxBootAddrs)]
+}
+
 // awaitStore waits until storeRead is closed, that is, until the store has been
 // read. If a version is in force already, it waits for bootStoreTimeout at most.
 func (f *Feed) awaitStore(ctx context.Context, storeRead <-chan struct{}) {
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -81,7 +81,7 @@
 	storeLost atomic.Bool  // the store can't be read
 	ready     atomic.Bool  // Boot has asked its sources and put a version in force
 	joined    atomic.Bool  // set by SetJoined
-	rank      atomic.Int64 // last result of readerRank
+	rank      atomic.Int64 // rank that runReader acts on
 	appliedAt atomic.Int64 // when the version in force was applied, Unix nanoseconds
 }
 
@@ -104,7 +104,7 @@
 
 // New returns a feed without a version.
 func New(cfg Config) *Feed {
-	return &Feed{
+	f := &Feed{
 		cfg:       cfg,
 		tracker:   vers.NewTracker(cfg.TrackerConfig),
 		reported:  map[vers.Stamp]bool{},
@@ -113,6 +113,8 @@
 		fetches:   make(chan string, fetchQueueSize),
 		pushes:    make(chan push, pushQueueSize),
 	}
+	f.rank.Store(noRank)
+	return f
 }
 
 // Snapshot returns the version in force, or nil if there is none.
--- a/io/feed/reader.go
+++ b/io/feed/reader.go
@@ -14,7 +14,10 @@
 )
 
 // rankCheckInterval is how often a node checks whether it is a reader.
-const rankCheckInterval = 200 * time.Millisecond
+const rankCheckInterval = 100 * time.Millisecond
+
+// noRank is the rank of a node that is not a reader.
+const noRank = -1
 
 // isolationTimeout is the time without contact to any other node after which a node
 // watches the store itself. Nodes exchange probes several times a second.
@@ -29,8 +32,9 @@
 	defer t.Stop()
 	var stop context.CancelFunc
 	var ended chan struct{}
+	var settled rankFilter
 	for {
-		rank := f.readerRank()
+		rank := settled.update(time.Now(), f.readerRank(), f.isIsolated())
 		f.rank.Store(int64(rank))
 		switch {
 		case rank >= 0 && stop == nil:
@@ -53,14 +57,38 @@
 	}
 }
 
+// readerSettleTime is how long a node must have ranked as a reader before it reads
+// the store. While the nodes of a group start together, each knows only a few of
+// the others at first, and many rank as readers for a moment.
+const readerSettleTime = 300 * time.Millisecond
+
+// rankFilter delays the change from a node that is not a reader to a reader.
+type rankFilter struct{ rankedSince time.Time } // zero if the node does not rank
+
+// update returns the rank to act on, given the present one. An isolated node acts
+// on its rank at once.
+func (r *rankFilter) update(now time.Time, rank int, isolated bool) int {
+	if rank < 0 {
+		r.rankedSince = time.Time{}
+		return rank
+	}
+	if r.rankedSince.IsZero() {
+		r.rankedSince = now
+	}
+	if !isolated && now.Sub(r.rankedSince) < readerSettleTime {
+		return noRank
+	}
+	return rank
+}
+
 // readerRank returns the rank of this node among the readers of its data centre,
-// counted from 0, or -1 if it is not a reader.
+// counted from 0, or noRank if it is not a reader.
 func (f *Feed) readerRank() int {
 	if f.cfg.Mode == WatchAll {
 		return 0
 	}
 	if !f.joined.Load() {
-		return -1
+		return noRank
 	}
 	if f.isIsolated() {
 		return 0
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -203,41 +205,67 @@
 
 // join exchanges member tables with the seeds from the settings, and with those
 // from the store if none of them answers. If the store has none either, it
-// registers this node there. It ends early when another node has joined this one.
-// It returns the addresses of the seeds of all data centres.
+// registers this node there. It stops searching when another node is known, which
+// may be because that node has found this one, and exchanges tables with it. It
+// returns the addresses of the seeds of all data centres.
 func (n *Node) join(ctx context.Context) []string {
-	ctx, cancel := context.WithCancel(ctx)
+	searchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go n.cancelWhenPeerKnown(ctx, cancel)
+	go n.cancelWhenPeerKnown(searchCtx, cancel)
+	seeds, joined := n.joinSeeds(searchCtx)
+	if !joined {
+		n.fleet.Join(ctx, slices.Collect(maps.Values(n.peerAddrs())))
+	}
+	return slices.DeleteFunc(seeds, func(a string) bool { return a == n.cfg.Settings.Listen.PeerAddr() })
+}
+
+// joinSeeds searches for seeds and exchanges tables with them, until that has
+// succeeded, ctx has ended, or maxJoinRounds have failed. It returns the addresses
+// of all seeds that it has found, and whether it has succeeded.
+func (n *Node) joinSeeds(ctx context.Context) (all []string, joined bool) {
 	s := n.cfg.Settings
 	own := slices.Clone(s.Seeds[s.Group()])
-	var all []string
 	for _, addrs := range s.Seeds {
 		all = append(all, addrs...)
 	}
 	for range maxJoinRounds {
 		if n.fleet.Join(ctx, own) {
-			break
+			return all, true
 		}
 		found := n.seedsFromStore(ctx)
 		known := len(own)
 		for centre, addrs := range found {
-			all = append(all, addrs...)
+			all = appendMissing(all, addrs)
 			if centre == s.Group() {
 				own = appendMissing(own, addrs)
 			}
 		}
 		if len(own) > known && n.fleet.Join(ctx, own) {
-			break
+			return all, true
 		}
 		if n.seeds != nil && len(found[s.Group()]) == 0 && ctx.Err() == nil {
-			n.seeds.Register(ctx)
+			n.registerIfFirst(ctx)
 		}
 		if !timer.Sleep(ctx, joinInterval) {
 			break
 		}
 	}
-	return slices.DeleteFunc(all, func(a string) bool { return a == s.Listen.PeerAddr() })
+	return all, false
+}
+
+// maxRegisterDelay bounds the random delay before a node that has found no seeds
+// registers itself. Of many nodes that start together, only a few then do.
+const maxRegisterDelay = 300 * time.Millisecond
+
+// registerIfFirst registers this node as a seed after a random delay, unless
+// another node has registered by then.
+func (n *Node) registerIfFirst(ctx context.Context) {
+	if !timer.Sleep(ctx, rand.N(maxRegisterDelay)) {
+		return
+	}
+	if found := n.seedsFromStore(ctx); len(found[n.cfg.Settings.Group()]) == 0 && ctx.Err() == nil {
+		n.seeds.Register(ctx)
+	}
 }
 
 // appendMissing appends those of addrs to list that it does not contain.
--- a/io/seeds/seeds.go
+++ b/io/seeds/seeds.go
@@ -5,7 +5,7 @@
 // The seeds of a data centre are the nodes that rank first there, see package
 // rank. Each of them writes one record, attached to a lease. The number of writes
 // therefore grows with the number of data centres and not with the number of
-// nodes. The first of them also reads all records, joins the nodes of its
+// nodes. A node that no longer ranks lets its lease expire. The first of them also reads all records, joins the nodes of its
 // membership group that it does not know, and removes old claims of idempotency
 // keys, see ledger.Claims. A membership group is a region, or a data centre if the
 // deployment has no regions.
@@ -44,6 +44,9 @@
 	// node. It is also the tick of Run.
 	isolatedListEvery = 500 * time.Millisecond
 	sweepEvery        = 6 * time.Hour
+	// settleTime is how long a node must have ranked as a seed before it writes its
+	// record. Ranks change quickly while the nodes of a group start together.
+	settleTime = 2 * time.Second
 )
 
 // seedsPerDataCentre is the number of seeds of a data centre. In a deployment
@@ -71,6 +74,8 @@
 	lastRenew time.Time
 	lastList  time.Time
 	lastSweep time.Time
+	// rankedSince is when this node began to rank as a seed, zero if it does not.
+	rankedSince time.Time
 }
 
 // record is the stored value of a seed.
@@ -128,7 +133,13 @@
 	defer unlock()
 	rank := r.cfg.Fleet.View().ReaderRank(seedsPerDataCentre)
 	if rank < 0 {
-		r.unregister(ctx)
+		r.rankedSince = time.Time{}
+		return // the record expires with its lease; until then it names a node that is up
+	}
+	if r.rankedSince.IsZero() {
+		r.rankedSince = now
+	}
+	if now.Sub(r.rankedSince) < settleTime {
 		return
 	}
 	if now.Sub(r.lastRenew) >= renewEvery && r.renew(ctx) == nil {
