Settings drift: digest, groups and diff of what nodes run; a reload lands whole

Asked for: nobody could say which settings each data centre was running.

New: core/drift (digest of the settings that should be the same everywhere, groups by version, settings and build, diff by key); reported by each node with the time of loading and the reason why its file is not in force; metrics settings_info, settings_loaded, settings_pending; status groups the nodes, status -check for scripts, diff -settings NODE1 NODE2. A reload applies the whole file or nothing: if a change needs a restart, the others wait for it too. Settings of the platform that are NaN, infinite, negative or over a million are findings. Help: 'operators'.

Tests: core/drift, TestValues, script drift, TestReloadSettings with a mixed change, TestSettingsFindings with NaN and -1 (accepted before).

--- a/cmd/tanagerchute/main.go
+++ b/cmd/tanagerchute/main.go
@@ -25,9 +25,9 @@
 
 // Groups of commands in the help text.
 const (
-	groupOperators = "for operators"
+	groupOperators = "operators"
 	groupProcesses = "processes"
-	groupTrials    = "for trials"
+	groupTrials    = "trials"
 )
 
 // groupOf maps the name of each command to its group in the help text.
--- a/cmd/tanagerchute/reload_test.go
+++ b/cmd/tanagerchute/reload_test.go
@@ -52,6 +52,7 @@
 		{"signal without a change", reloadSettings, true, event.NodeReloaded, "in force"},
 		{"changed linger of the planned stop", strings.Replace(reloadSettings, `"1s"`, `"2s"`, 1), true, event.NodeReloaded, "in force"},
 		{"changed address", strings.Replace(reloadSettings, "127.0.0.1:3", "127.0.0.1:5", 1), true, event.NodeReloaded, "at the next start: listen"},
+		{"changed address and linger", strings.NewReplacer("127.0.0.1:3", "127.0.0.1:5", `"1s"`, `"3s"`).Replace(reloadSettings), true, event.NodeReloaded, "all changes take effect at the next start: listen"},
 		{"not valid", `{"name": "X"}`, true, event.ReloadRefused, "is not a name"},
 		{"changed without a signal", reloadSettings, false, event.NodeReloaded, "in force"},
 	} {
--- a/cmd/tanagerchute/script_test.go
+++ b/cmd/tanagerchute/script_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -78,23 +79,36 @@
 // awaitTimeout bounds the wait until a process that a script started answers.
 const awaitTimeout = 20 * time.Second
 
-// await waits until a GET of a URL is answered with a status below 500.
+// await waits until a GET of a URL is answered with a status below 500 and, if a
+// pattern is given, with a body that matches it.
 func await(ts *testscript.TestScript, _ bool, args []string) {
-	if len(args) != 1 {
-		ts.Fatalf("usage: await URL")
+	if len(args) != 1 && len(args) != 2 {
+		ts.Fatalf("usage: await URL [PATTERN]")
+	}
+	pattern := regexp.MustCompile("")
+	if len(args) == 2 {
+		pattern = regexp.MustCompile(args[1])
 	}
 	deadline := time.Now().Add(awaitTimeout)
 	for time.Now().Before(deadline) {
-		res, err := http.Get(args[0])
-		if err == nil {
-			res.Body.Close()
-			if res.StatusCode < http.StatusInternalServerError {
-				return
-			}
+		if answers(args[0], pattern) {
+			return
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	ts.Fatalf("%s does not answer", args[0])
+	ts.Fatalf("%s does not answer as awaited", args[0])
+}
+
+// answers reports whether a GET of a URL is answered with a status below 500 and a
+// body that matches pattern.
+func answers(url string, pattern *regexp.Regexp) bool {
+	res, err := http.Get(url)
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return err == nil && res.StatusCode < http.StatusInternalServerError && pattern.Match(body)
 }
 
 // put sends a PUT request with a body to a URL. The status must be 200.
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -2,7 +2,7 @@
 // backend server: JSON over HTTP, and expvar variables. It is for loopback
 // addresses only.
 //
-//	GET  /v1/status?scope=node|centre|fleet
+//	GET  /v1/status?scope=node|centre|fleet[&settings=true]
 //	GET  /v1/explain?subject=S&scope=node|centre|fleet
 //	POST /v1/drain[?node=NAME]
 //	POST /v1/announce  {"address": "127.0.0.1:9001", "slots": 12}
@@ -55,6 +55,24 @@
 	InFlight   int    `json:"in_flight"`            // calls at its backend server
 	Queued     int    `json:"queued"`               // calls that wait for it
 	Limit      int    `json:"limit"`                // maximum of InFlight
+
+	Settings SettingsStatus `json:"settings"`
+}
+
+// SettingsStatus describes the settings of one node.
+type SettingsStatus struct {
+	Digest   string    `json:"digest"` // see package drift
+	LoadedAt time.Time `json:"loaded_at"`
+	Pending  string    `json:"pending,omitempty"` // why the settings file differs from what is in force
+	Build    string    `json:"build"`             // version of the program
+	// Values holds the settings by key, if the query asks for them.
+	Values map[string]string `json:"values,omitempty"`
+}
+
+// StatusQuery determines what a status contains.
+type StatusQuery struct {
+	Scope        Scope
+	WithSettings bool // include the values of the settings
 }
 
 // Status is the status of the nodes that answered.
@@ -73,7 +91,7 @@
 
 // Node is the node that the interface controls.
 type Node interface {
-	Status(ctx context.Context, scope Scope) Status
+	Status(ctx context.Context, q StatusQuery) Status
 	Explain(ctx context.Context, subject string, scope Scope) Explanation
 	// Drain starts a planned stop of the node with the given name or id, or of
 	// this one if name is empty.
@@ -132,7 +150,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), fleetQueryTimeout)
 	defer cancel()
-	writeJSON(w, h.cfg.Node.Status(ctx, scope))
+	writeJSON(w, h.cfg.Node.Status(ctx, StatusQuery{Scope: scope, WithSettings: r.FormValue("settings") == "true"}))
 }
 
 func (h *handler) explain(w http.ResponseWriter, r *http.Request) {
--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -25,8 +25,16 @@
 
 // Status returns the status of the nodes in scope.
 func (c Client) Status(ctx context.Context, scope Scope) (Status, error) {
+	return c.status(ctx, url.Values{"scope": {string(scope)}})
+}
+
+// StatusWithSettings is like Status, and includes the values of all settings.
+func (c Client) StatusWithSettings(ctx context.Context, scope Scope) (Status, error) {
+	return c.status(ctx, url.Values{"scope": {string(scope)}, "settings": {"true"}})
+}
+
+func (c Client) status(ctx context.Context, q url.Values) (Status, error) {
 	var s Status
-	q := url.Values{"scope": {string(scope)}}
 	return s, c.do(ctx, http.MethodGet, "/v1/status?"+q.Encode(), nil, &s)
 }
 
--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -64,6 +64,32 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
 }
 
+// Info holds the labels of a metric that carries text. Its value is always 1.
+type Info map[string]string
+
+// AddInfo adds a metric that carries text. Only the present labels are exported, so
+// that the number of series stays bounded when they change.
+func (m *Set) AddInfo(name, help string, labels func() Info) {
+	m.registry.MustRegister(&infoCollector{name: prometheus.BuildFQName(namespace, "", name), help: help, labels: labels})
+}
+
+// infoCollector exports one metric with labels that are read at each collection.
+type infoCollector struct {
+	name   string
+	help   string
+	labels func() Info
+}
+
+// Describe implements prometheus.Collector. It describes nothing, since the values
+// of the labels are not known in advance.
+func (c *infoCollector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect implements prometheus.Collector.
+func (c *infoCollector) Collect(ch chan<- prometheus.Metric) {
+	desc := prometheus.NewDesc(c.name, c.help, nil, prometheus.Labels(c.labels()))
+	ch <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, 1)
+}
+
 // Handler returns a handler that serves the metrics as text.
 func (m *Set) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -80,7 +80,8 @@
 	byteMeters       byteMeters
 	vars             *expvar.Map
 	attached         []attachedHandler
-	settings         atomic.Pointer[setup.Node] // as of the last reload
+	settings         atomic.Pointer[settingsState]
+	reloadMu         sync.Mutex // serializes changes of settings
 	requests         *logs.RequestLogger
 	metrics          *metric.Set
 	drainRequested   chan struct{} // closed when a planned stop is requested
@@ -125,7 +126,7 @@
 	if cfg.LogSink == nil {
 		n.cfg.LogSink = uncongestedSink{}
 	}
-	n.settings.Store(&s)
+	n.settings.Store(newSettingsState(s, now))
 	n.requests = logs.NewRequestLogger(n.cfg.Log, n.cfg.LogSink.Congested)
 	n.journal = event.NewJournal(event.Config{Node: n.id, Capacity: s.Limits.Events, Observe: n.eventObserver()})
 	tp, err := trace.New(context.Background(), trace.Config{
--- a/io/node/report.go
+++ b/io/node/report.go
@@ -22,8 +22,9 @@
 	dataCentreQueryTimeout = 2 * time.Second
 )
 
-// report returns the status of this node.
-func (n *Node) report() *wire.NodeReport {
+// report returns the status of this node, with the values of its settings if
+// withSettings is set.
+func (n *Node) report(withSettings bool) *wire.NodeReport {
 	load := n.gate.Load()
 	self := n.fleet.View().Self
 	return &wire.NodeReport{
@@ -31,6 +32,7 @@
 		Version: peer.ToStamp(n.feed.Stamp()), Refused: n.feed.RefusalReason(), Ready: n.Serving() && self.Ready,
 		Draining: n.stopping.Load(), InFlight: int32(load.InFlight), Queued: int32(load.Queued), Limit: int32(load.Limit),
 		Reader: n.feed.IsReader(), StoreLost: n.feed.StoreLost(), Admin: n.cfg.Settings.Listen.Admin,
+		Settings: n.reportSettings(withSettings),
 	}
 }
 
@@ -93,10 +95,10 @@
 }
 
 // reportDataCentre returns the status of all nodes of this data centre.
-func (n *Node) reportDataCentre(ctx context.Context) *wire.ReportReply {
-	out := &wire.ReportReply{Nodes: []*wire.NodeReport{n.report()}}
+func (n *Node) reportDataCentre(ctx context.Context, withSettings bool) *wire.ReportReply {
+	out := &wire.ReportReply{Nodes: []*wire.NodeReport{n.report(withSettings)}}
 	answers := queryAll(ctx, nodeQueryTimeout, n.peerAddrs(), func(ctx context.Context, addr string) (*wire.ReportReply, error) {
-		return n.client.To(addr).Report(ctx, &wire.ReportRequest{})
+		return n.client.To(addr).Report(ctx, &wire.ReportRequest{WithSettings: withSettings})
 	})
 	for _, a := range answers {
 		if a.err != nil {
@@ -109,10 +111,10 @@
 }
 
 // reportFleet returns the status of all nodes of all data centres.
-func (n *Node) reportFleet(ctx context.Context) *wire.ReportReply {
-	out := n.reportDataCentre(ctx)
+func (n *Node) reportFleet(ctx context.Context, withSettings bool) *wire.ReportReply {
+	out := n.reportDataCentre(ctx, withSettings)
 	answers := queryAll(ctx, dataCentreQueryTimeout, n.dataCentreAddrs(), func(ctx context.Context, addr string) (*wire.ReportReply, error) {
-		return n.client.To(addr).Report(ctx, &wire.ReportRequest{WholeCentre: true})
+		return n.client.To(addr).Report(ctx, &wire.ReportRequest{WholeCentre: true, WithSettings: withSettings})
 	})
 	for _, a := range answers {
 		if a.err != nil {
@@ -162,15 +164,15 @@
 type adminNode struct{ n *Node }
 
 // Status implements admin.Node.
-func (a adminNode) Status(ctx context.Context, scope admin.Scope) admin.Status {
+func (a adminNode) Status(ctx context.Context, q admin.StatusQuery) admin.Status {
 	var r *wire.ReportReply
-	switch scope {
+	switch q.Scope {
 	case admin.ScopeFleet:
-		r = a.n.reportFleet(ctx)
+		r = a.n.reportFleet(ctx, q.WithSettings)
 	case admin.ScopeDataCentre:
-		r = a.n.reportDataCentre(ctx)
+		r = a.n.reportDataCentre(ctx, q.WithSettings)
 	default:
-		r = &wire.ReportReply{Nodes: []*wire.NodeReport{a.n.report()}}
+		r = &wire.ReportReply{Nodes: []*wire.NodeReport{a.n.report(q.WithSettings)}}
 	}
 	s := admin.Status{Silent: r.GetSilent()}
 	for _, x := range r.GetNodes() {
@@ -189,6 +191,18 @@
 		Version: report.GetVersion().GetNumber(), Digest: report.GetVersion().GetDigest(), Refused: report.GetRefused(),
 		Ready: report.GetReady(), Draining: report.GetDraining(), Reader: report.GetReader(), StoreLost: report.GetStoreLost(),
 		InFlight: int(report.GetInFlight()), Queued: int(report.GetQueued()), Limit: int(report.GetLimit()),
+		Settings: settingsStatus(report.GetSettings()),
+	}
+}
+
+// settingsStatus converts a report on settings to the form of the admin interface.
+// It is empty for a node whose build does not report its settings.
+func settingsStatus(r *wire.SettingsReport) admin.SettingsStatus {
+	if r == nil {
+		return admin.SettingsStatus{}
+	}
+	return admin.SettingsStatus{
+		Digest: r.GetDigest(), LoadedAt: time.Unix(0, r.GetLoadedAt()), Pending: r.GetPending(), Build: r.GetBuild(), Values: r.GetValues(),
 	}
 }
 
@@ -221,7 +235,7 @@
 		a.n.StartDrain()
 		return nil
 	}
-	for _, x := range a.n.reportFleet(ctx).GetNodes() {
+	for _, x := range a.n.reportFleet(ctx, false).GetNodes() {
 		if x.GetId() != name && instanceName(x.GetId()) != name {
 			continue
 		}
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -60,7 +60,8 @@
 	defer cancelBg()
 	var wg sync.WaitGroup
 	startedAt := time.Now()
-	n.recordEvent(event.NodeStarted, "service "+n.cfg.Settings.Service+" in "+n.cfg.Settings.DataCentre)
+	n.recordEvent(event.NodeStarted, "service "+n.cfg.Settings.Service+" in "+n.cfg.Settings.DataCentre+
+		", settings "+n.settings.Load().compared.Digest()+", build "+buildVersion())
 	for _, v := range s.bound {
 		s.serve(v.listener, v.server, make(chan struct{}))
 	}
--- a/io/node/serve.go
+++ b/io/node/serve.go
@@ -53,9 +53,9 @@
 // Report implements wire.Peer.
 func (s peerServer) Report(ctx context.Context, r *wire.ReportRequest) (*wire.ReportReply, error) {
 	if r.GetWholeCentre() {
-		return s.n.reportDataCentre(ctx), nil
+		return s.n.reportDataCentre(ctx, r.GetWithSettings()), nil
 	}
-	return &wire.ReportReply{Nodes: []*wire.NodeReport{s.n.report()}}, nil
+	return &wire.ReportReply{Nodes: []*wire.NodeReport{s.n.report(r.GetWithSettings())}}, nil
 }
 
 // Explain implements wire.Peer.
--- a/io/node/vars.go
+++ b/io/node/vars.go
@@ -4,6 +4,8 @@
 	"expvar"
 	"runtime"
 	"syscall"
+
+	"tanagerchute/io/metric"
 )
 
 // nodeMetric is a metric whose value is computed when it is read.
@@ -25,6 +27,8 @@
 		{"in_flight", "Calls at the own backend server.", func() int64 { return int64(n.gate.Load().InFlight) }},
 		{"queued", "Calls that wait for the own backend server.", func() int64 { return int64(n.gate.Load().Queued) }},
 		{"limit", "Calls that may be at the own backend server.", func() int64 { return int64(n.gate.Load().Limit) }},
+		{"settings_loaded", "When the settings came into force, Unix seconds.", func() int64 { return n.settings.Load().loadedAt.Unix() }},
+		{"settings_pending", "1 if the settings file differs from the settings in force.", n.settingsPending},
 		{"journal_dropped", "Events that fell out of the journal.", func() int64 { return int64(n.journal.Dropped()) }},
 		{"goroutines", "Goroutines.", func() int64 { return int64(runtime.NumGoroutine()) }},
 		{"log_lines_skipped", "Lines of requests that were left out.", func() int64 { return int64(n.requests.Skipped()) }},
@@ -37,6 +41,18 @@
 	for _, v := range n.nodeMetrics() {
 		n.metrics.AddGauge(v.name, v.help, func() float64 { return float64(v.read()) })
 	}
+	n.metrics.AddInfo("settings_info", "Digest of the settings in force, and the version of the program.", func() metric.Info {
+		return metric.Info{"digest": n.settings.Load().compared.Digest(), "build": buildVersion()}
+	})
+}
+
+// settingsPending returns 1 if the settings file differs from the settings in
+// force, otherwise 0.
+func (n *Node) settingsPending() int64 {
+	if n.settings.Load().pending != "" {
+		return 1
+	}
+	return 0
 }
 
 // newVars returns the expvar variables of the admin interface.
