--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -146,7 +146,9 @@
 	g.announcedAt = time.Now()
 	b.Slots = min(b.Slots, g.client.maxConns()) // each call needs a connection
 	if b.Address != g.backend.Address || b.ID != g.backend.ID || g.backendLeaving {
-		// A new server starts without the state of the previous one.
+		// A new server starts without the state of the previous one. The calls that
+		// are queued for that one have not started, so other upstreams can run them.
+		g.notifyWaiters(g.admission.Drain())
 		g.admission = g.newAdmission(b)
 		g.health = newHealthMonitor(g.cfg)
 		g.refusedDials = 0
@@ -161,8 +163,7 @@
 	g.requestTick()
 }
 
-// newAdmission returns the admission controller for a new backend server. Calls
-// that are queued for the previous server stay with its controller.
+// newAdmission returns the admission controller for a new backend server.
 func (g *Gate) newAdmission(b Backend) *admit.Controller {
 	admission := admit.New(admit.Config{Slots: b.Slots})
 	if g.draining {
@@ -399,7 +400,7 @@
 func (g *Gate) recordRefusedDial(now time.Time, err error) {
 	g.refusedDials++
 	if g.refusedDials >= failAfterRefusedDials && g.health.MarkFailing(now) {
-		g.recordEvent(event.UpstreamFailing, g.backend.Address, "connection refused: "+err.Error())
+		g.recordEvent(event.UpstreamFailing, g.backend.Address, "can't connect: "+err.Error())
 		g.requestTick()
 	}
 }
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -142,7 +142,7 @@
 	select {
 	case a = <-ch:
 	case <-ctx.Done():
-		if r, done := g.cancelWait(admission, id, ch); done {
+		if r, done := g.cancelWait(ctx, admission, id); done {
 			return r
 		}
 		a = <-ch
@@ -157,16 +157,16 @@
 	return &r
 }
 
-// cancelWait removes a call from the queue. It returns false if an admission result
+// cancelWait removes a call from the queue after ctx has ended. It returns false if an admission result
 // has already been sent.
-func (g *Gate) cancelWait(admission *admit.Controller, id string, ch chan admissionResult) (*call.Reply, bool) {
+func (g *Gate) cancelWait(ctx context.Context, admission *admit.Controller, id string) (*call.Reply, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !admission.Cancel(id) {
 		return nil, false
 	}
 	delete(g.waiters, id)
-	r := call.Refuse(call.NotRun, call.CauseCanceled, 0)
+	r := call.Refuse(call.NotRun, contextCause(ctx), 0)
 	return &r, true
 }
 
