--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -22,10 +22,10 @@
 
 // Intervals and timeouts.
 const (
-	fetchTimeout = time.Second
-	pollInterval = 3 * time.Second // mean time between polls of the store
-	minRetryDelay       = 200 * time.Millisecond
-	maxRetryDelay       = 3 * time.Second
+	fetchTimeout  = time.Second
+	pollInterval  = 3 * time.Second // mean time between polls of the store
+	minRetryDelay = 200 * time.Millisecond
+	maxRetryDelay = 3 * time.Second
 )
 
 const (
