waits: the target of a request counts from the first request of its caller

Load pattern: lasting overload. Callers that are refused return, up to two times, and were admitted like new ones, although their target had passed; new ones then became late in turn.

Change: core/waits infers from the time that a caller is still willing to wait how long it has waited, and ingress counts the target from there. Admission then prefers those that can still be answered in time, as it always did by target. No estimate for the highest priority (nested calls).

TestLoadScenarios has the pattern as well.

--- a/core/load_test.go
+++ b/core/load_test.go
@@ -174,6 +174,11 @@
 			s.after(14*sec, func() { s.isolatedZone = "" })
 		},
 	},
+	{
+		// The load needs 1.7 times the slots for a long time, so that many callers
+		// are refused, return, and are past their target then.
+		name: "lasting overload", rate: loadDuring(6*sec, 20*sec, 3.2), from: 8 * sec, to: 18 * sec, feasibleShare: 0.6,
+	},
 	{
 		// One of three upstreams of vault remains. Each lookup makes two nested
 		// calls to it. It can serve 87 of 120 lookups a second, and then no
@@ -248,6 +253,25 @@
 	}
 }
 
+// TestReturningCallersYield checks that, while many callers are refused and return,
+// more requests are answered in time if the targets count from the first request of
+// a caller.
+func TestReturningCallersYield(t *testing.T) {
+	i := slices.IndexFunc(scenarios, func(sc scenario) bool { return sc.name == "lasting overload" })
+	sc := scenarios[i]
+	var with, without tally
+	for seed := range uint64(2) {
+		a, b := sc.simulate(policy{}, seed+1), sc.simulate(policy{noWaits: true}, seed+1)
+		with.inTime += a.tally("lookup", sc.from, sc.to).inTime
+		without.inTime += b.tally("lookup", sc.from, sc.to).inTime
+		t.Logf("with the estimate: %v", a.tally("lookup", sc.from, sc.to))
+		t.Logf("without:           %v", b.tally("lookup", sc.from, sc.to))
+	}
+	if with.inTime < without.inTime*11/10 {
+		t.Errorf("%d lookups answered in time, %d without the estimate", with.inTime, without.inTime)
+	}
+}
+
 // TestPrefersOwnZone checks that under normal load hardly any call goes to
 // another zone, and almost none with a large answer.
 func TestPrefersOwnZone(t *testing.T) {
--- a/core/sim_test.go
+++ b/core/sim_test.go
@@ -14,6 +14,7 @@
 	"tanagerchute/core/pick"
 	"tanagerchute/core/resend"
 	"tanagerchute/core/routes"
+	"tanagerchute/core/waits"
 )
 
 // simulation runs the decisions on calls in virtual time: the choice of an
@@ -42,6 +43,7 @@
 	roundRobin  bool // upstreams in turn, in any zone, without resends
 	noAdmission bool // first come, first served, without refusals
 	noLocality  bool // no cost for another zone
+	noWaits     bool // the target counts from each arrival, also that of a caller that returns
 }
 
 // Latencies and delays of the simulated network.
@@ -117,6 +119,7 @@
 	zone            string
 	picker          *pick.Picker
 	budgets         map[string]*budget.Budget // by service
+	waits           *waits.Estimator
 	roundRobinIndex int
 }
 
@@ -148,7 +151,7 @@
 		if s.policy.noLocality {
 			pickerConfig.RemotePenalty, pickerConfig.RemoteLargePenalty, pickerConfig.LocalTargetFraction = 0, 0, 0
 		}
-		node := &simNode{zone: zone, picker: pick.New(pickerConfig), budgets: map[string]*budget.Budget{}}
+		node := &simNode{zone: zone, picker: pick.New(pickerConfig), budgets: map[string]*budget.Budget{}, waits: waits.New()}
 		s.nodes = append(s.nodes, node)
 		s.startUpstream(service, node, speeds[len(s.upstreams)%len(speeds)], time.Time{})
 	}
@@ -271,6 +274,9 @@
 	}
 	retryBudget.Earn()
 	target := s.now.Add(c.target)
+	if c.priority > 0 && !s.policy.noWaits {
+		target = target.Add(-from.waits.Observe(s.now, className, left))
+	}
 	var tried []string
 	var grantedUpstream *simUpstream // chosen for a resend that the budget has granted
 	tracker := resend.New(resend.Config{Idempotent: c.safe, MaxUpstreams: 2, Deadline: deadline, Spend: func() bool {
--- /dev/null
+++ b/core/waits/waits.go
@@ -0,0 +1,108 @@
+// Package waits estimates how long a caller has been waiting when one of its
+// requests arrives.
+//
+// The target of a request counts from the moment at which its caller first asked.
+// A request that was refused and is sent again looks like a new one, but for the
+// time for which the caller is still willing to wait: that is shorter. Most callers
+// of a route are willing to wait equally long, so a request with less time left
+// than the longest has probably been sent before.
+//
+// With the estimate, an overloaded upstream spends its slots on the answers that
+// can still meet their targets, and not on callers that return too late for it
+// while new ones become late in turn.
+//
+// # Usage
+//
+//	e := waits.New()
+//	waited := e.Observe(now, route, timeLeft)
+package waits
+
+import "time"
+
+const (
+	// windowLength is how long the longest time left is remembered at least, and
+	// half of the time for which it is remembered at most.
+	windowLength = 30 * time.Second
+	// tolerance is the difference between two times left that counts as none.
+	tolerance = 10 * time.Millisecond
+	// minShareOfLongest is the share of the requests of a route that must have the
+	// longest time left. If fewer do, callers differ in how long they wait, and no
+	// estimate is made.
+	minShareOfLongest = 0.05
+	minRequests       = 20   // of a route, for an estimate
+	maxRoutes         = 4096 // routes that are tracked at most
+)
+
+// Estimator keeps the longest times left by route. It is not safe for concurrent
+// use.
+type Estimator struct{ routes map[string]*route }
+
+// route holds the windows of one route.
+type route struct {
+	current, previous window
+	started           time.Time // start of the current window
+}
+
+// window counts the requests of a period.
+type window struct {
+	longest   time.Duration // longest time left
+	atLongest int           // requests with that time left
+	requests  int
+}
+
+// New returns an estimator that has seen no request.
+func New() *Estimator { return &Estimator{routes: map[string]*route{}} }
+
+// Observe records a request of a route whose caller waits for timeLeft more. It
+// returns how long the caller has waited already, 0 if that is not known.
+func (e *Estimator) Observe(now time.Time, name string, timeLeft time.Duration) time.Duration {
+	r, ok := e.routes[name]
+	if !ok {
+		if len(e.routes) >= maxRoutes {
+			clear(e.routes)
+		}
+		r = &route{started: now}
+		e.routes[name] = r
+	}
+	r.rotate(now)
+	r.current.add(timeLeft)
+	return r.waited(timeLeft)
+}
+
+// rotate starts a new window when the current one has ended.
+func (r *route) rotate(now time.Time) {
+	age := now.Sub(r.started)
+	if age < windowLength {
+		return
+	}
+	r.previous = r.current
+	if age >= 2*windowLength {
+		r.previous = window{}
+	}
+	r.current, r.started = window{}, now
+}
+
+func (w *window) add(timeLeft time.Duration) {
+	w.requests++
+	switch {
+	case timeLeft > w.longest+tolerance:
+		w.longest, w.atLongest = timeLeft, 1
+	case timeLeft >= w.longest-tolerance:
+		w.atLongest++
+	}
+}
+
+// waited returns how long a caller has waited that has timeLeft left.
+func (r *route) waited(timeLeft time.Duration) time.Duration {
+	w := r.current
+	if r.previous.longest > w.longest+tolerance {
+		w = r.previous
+	}
+	if w.requests < minRequests || float64(w.atLongest) < minShareOfLongest*float64(w.requests) {
+		return 0
+	}
+	if waited := w.longest - timeLeft; waited > tolerance {
+		return waited
+	}
+	return 0
+}
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -318,11 +318,24 @@
 	}
 	c.WaitUntil = earlier(c.WaitUntil, c.Deadline)
 	if !c.Target.IsZero() {
-		c.Target = earlier(c.Target, c.Deadline)
+		c.Target = earlier(c.Target, c.Deadline).Add(-p.waitedBefore(c, info, in.arrivedAt))
 	}
 	return nil
 }
 
+// waitedBefore returns how long the caller had been waiting when its request
+// arrived, because an earlier request of it was refused. No estimate is made for the
+// highest priority, that of nested calls: the time left of a nested call depends on
+// that of the call that made it.
+func (p *Proxy) waitedBefore(c *call.Call, info tanagerchute.RequestInfo, arrivedAt time.Time) time.Duration {
+	if c.Priority == 0 || info.TimeLeft <= 0 {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.waits.Observe(arrivedAt, c.Class, info.TimeLeft)
+}
+
 // earlier returns the earlier of two times, ignoring a zero time.
 func earlier(a, b time.Time) time.Time {
 	if a.IsZero() || !b.IsZero() && b.Before(a) {
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -12,6 +12,7 @@
 	"tanagerchute/core/dedup"
 	"tanagerchute/core/event"
 	"tanagerchute/core/pick"
+	"tanagerchute/core/waits"
 	"tanagerchute/io/feed"
 	"tanagerchute/io/fleet"
 	"tanagerchute/io/gate"
@@ -93,6 +94,7 @@
 
 	mu              sync.Mutex // protects the fields below and Config.Rand
 	picker          *pick.Picker
+	waits           *waits.Estimator
 	roundRobinCount uint64 // picks made under the RoundRobin policy
 }
 
@@ -110,6 +112,7 @@
 		candidates: newCandidateCache(cfg.Node),
 		budgets:    newRetryBudgets(cfg.Retry, func() int { return len(cfg.Fleet.View().ActiveIDs()) }),
 		picker:     pick.New(pick.DefaultConfig(cfg.Rand)),
+		waits:      waits.New(),
 		homeTable:  &homeTable{SyncTable: runner.NewSyncTable()},
 	}
 	return p
