--- a/core/sim_test.go
+++ b/core/sim_test.go
@@ -70,11 +70,16 @@
 	nestedCalls int    // number of concurrent nested calls of each execution
 }
 
+// minorDifference is the largest difference between the times for which clients
+// wait, relative to the deadline of the class.
+const minorDifference = 0.15
+
 // request is one request of a client and its outcome.
 type request struct {
 	class         string
 	zone          string
 	at            time.Time
+	patience      float64 // share of the deadline of the class for which its client waits
 	attempts      int
 	retriesAtOnce bool // ignores RetryAfter and makes up to four times as many attempts
 	abandonsAt    time.Time
@@ -208,7 +213,7 @@
 			return
 		}
 		if r := rate(at); r > 0 {
-			req := &request{class: className, zone: zone, at: s.now}
+			req := &request{class: className, zone: zone, at: s.now, patience: 1 - minorDifference*s.arrivals.Float64()}
 			if customize != nil {
 				customize(req)
 			}
@@ -233,7 +238,7 @@
 		}
 	}
 	node := sameZone[s.rng.IntN(len(sameZone))]
-	left := req.at.Add(c.deadline).Sub(s.now)
+	left := req.at.Add(time.Duration(req.patience * float64(c.deadline))).Sub(s.now)
 	s.sendCall(node, req.class, left, func(r call.Reply) { s.handleReply(req, c, r) })
 }
 
@@ -274,7 +279,7 @@
 	}
 	retryBudget.Earn()
 	target := s.now.Add(c.target)
-	if c.priority > 0 && !s.policy.noWaits {
+	if !s.policy.noWaits {
 		target = target.Add(-from.waits.Observe(s.now, className, left))
 	}
 	var tried []string
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -323,12 +323,11 @@
 	return nil
 }
 
-// waitedBefore returns how long the caller had been waiting when its request
-// arrived, because an earlier request of it was refused. No estimate is made for the
-// highest priority, that of nested calls: the time left of a nested call depends on
-// that of the call that made it.
+// waitedBefore returns how long the caller had been waiting at least when its request
+// arrived, because an earlier request of it was refused. A nested call with little
+// time left counts as well: the call that made it is late.
 func (p *Proxy) waitedBefore(c *call.Call, info tanagerchute.RequestInfo, arrivedAt time.Time) time.Duration {
-	if c.Priority == 0 || info.TimeLeft <= 0 {
+	if info.TimeLeft <= 0 {
 		return 0
 	}
 	p.mu.Lock()
