--- /dev/null
+++ b/core/admit/estimate.go
@@ -0,0 +1,92 @@
+package admit
+
+import (
+	"time"
+
+	"tanagerchute/core/routes"
+)
+
+// ServiceTime returns the average time that the server works on a call, or 0 if
+// no call has ended yet. It leaves out the time in which the server waits for
+// its own nested calls. That time depends on the call and not on the server: if
+// it counted, a server full of waiting calls would seem as fast as its last
+// call that did not wait.
+func (c *Controller) ServiceTime() time.Duration {
+	if c.noSamples {
+		return 0
+	}
+	return c.serviceTime
+}
+
+// holdTimeOf returns the average time for which a call of priority p holds its
+// slot.
+func (c *Controller) holdTimeOf(p routes.Priority) time.Duration {
+	if c.holdTimes[p] > 0 {
+		return c.holdTimes[p]
+	}
+	return c.holdTime
+}
+
+// minTimeLeft returns the time before its deadline that a call needs to start.
+func minTimeLeft(holdTime time.Duration) time.Duration {
+	return time.Duration(minTimeLeftShare * float64(holdTime))
+}
+
+// estimateWait estimates how long a call of priority p waits behind the given
+// numbers of queued calls. It assumes that new calls of higher priorities keep
+// using as many slots as they have lately.
+func (c *Controller) estimateWait(now time.Time, p routes.Priority, ahead countByPriority) time.Duration {
+	work := c.holdTime // the first slot becomes free after about holdTime / Limit
+	for p, n := range ahead {
+		work += time.Duration(n) * c.holdTimeOf(routes.Priority(p))
+	}
+	slots := float64(c.Limit())
+	available := max(slots-c.used.slotsAbove(now, p), minSlotShare*slots)
+	return time.Duration(float64(work) / available)
+}
+
+// RetryAfter returns how long a refused caller should wait before a retry:
+// twice the estimated wait at the end of the present queue.
+func (c *Controller) RetryAfter(now time.Time) time.Duration {
+	return max(2*c.estimateWait(now, routes.NumPriorities-1, c.queue.counts()), minRetryAfter)
+}
+
+// record updates the time estimates and the limit by a call that has ended.
+func (c *Controller) record(now time.Time, d Completion) {
+	switch d.Result {
+	case OK, TimedOut:
+		c.addSample(now, d, d.Duration)
+		c.limit = min(c.limit+1/c.limit, float64(c.cfg.Slots))
+	case Failed:
+		// The duration of a failed or abandoned call is only a lower bound on
+		// what the full call would have taken. It counts if it is above average.
+		if d.Duration > c.holdTimeOf(d.Priority) {
+			c.addSample(now, d, max(d.Duration, c.holdTime))
+		}
+	case Shed:
+		causedByLoad := float64(c.inFlight) >= minBackoffShare*c.limit
+		if !causedByLoad || now.Sub(c.lastBackoff) < backoffInterval {
+			return
+		}
+		c.lastBackoff = now
+		c.limit = max(1, minLimitShare*float64(c.cfg.Slots), c.limit*backoffFactor)
+	}
+}
+
+// addSample adds a call to the averages. holdTime is its sample for the
+// averages over all priorities.
+func (c *Controller) addSample(now time.Time, d Completion, holdTime time.Duration) {
+	c.used.add(now, d.Priority, d.Duration)
+	c.holdTime = ewma(c.holdTime, holdTime, c.noSamples)
+	c.serviceTime = ewma(c.serviceTime, max(holdTime-d.NestedWait, 0), c.noSamples)
+	c.noSamples = false
+	c.holdTimes[d.Priority] = ewma(c.holdTimes[d.Priority], d.Duration, c.holdTimes[d.Priority] == 0)
+}
+
+// ewma adds a sample to an exponentially weighted moving average.
+func ewma(average, sample time.Duration, first bool) time.Duration {
+	if first {
+		return sample
+	}
+	return average + time.Duration(ewmaWeight*float64(sample-average))
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -5,7 +5,6 @@
 	"expvar"
 	"hash/fnv"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -23,7 +22,6 @@
 	"tanagerchute/core/event"
 	"tanagerchute/core/member"
 	"tanagerchute/core/vers"
-	"tanagerchute/io/admin"
 	"tanagerchute/io/feed"
 	"tanagerchute/io/fleet"
 	"tanagerchute/io/gate"
@@ -342,143 +340,6 @@
 // StartDrain requests a planned stop. It does not wait for it.
 func (n *Node) StartDrain() { n.drainOnce.Do(func() { close(n.drainRequested) }) }
 
-// servers are the HTTP servers of a node and their listeners.
-type servers struct {
-	callers, egress, peers, admin *http.Server
-	bound                         []boundServer // all except the one for callers
-	serveErrs                     chan error    // of servers that stopped unexpectedly
-	callerConns                   *connTracker
-	cancelCalls                   context.CancelFunc             // cancels the calls from callers
-	callersListener               atomic.Pointer[activeListener] // nil until it is opened
-}
-
-// boundServer is a server with its address and its listener.
-type boundServer struct {
-	addr     string
-	server   *http.Server
-	listener net.Listener
-}
-
-// activeListener is a listener that is being served.
-type activeListener struct {
-	listener net.Listener
-	done     chan struct{} // closed when it returns no more connections
-}
-
-// listen opens all listeners except the one for callers, which is opened by
-// serveCallers. If one of them fails, it closes the others.
-func (n *Node) listen() (*servers, error) {
-	control := peer.Handler(peerServer{n}, n.deploymentID(), n.recordDroppedFrame)
-	s := &servers{
-		callers:     peer.NewServer(n.closeConnsWhenStopping(n.proxy.Ingress(n.callerOrigin()))),
-		egress:      peer.NewServer(n.proxy.Ingress(proxy.Origin{Service: n.cfg.Settings.Service, Backend: true})),
-		peers:       peer.NewServer(n.proxy.Peer(control)),
-		admin:       peer.NewServer(admin.Handler(admin.Config{Node: adminNode{n}, Vars: n.vars})),
-		callerConns: newConnTracker(),
-	}
-	s.callers.ConnState = s.callerConns.track
-	// HTTP/1 connections have the timeouts of callerTimeouts instead.
-	s.callers.ReadHeaderTimeout, s.callers.IdleTimeout = 0, http2IdleTimeout
-	baseCtx, cancelCalls := context.WithCancel(context.Background())
-	s.callers.BaseContext = func(net.Listener) context.Context { return baseCtx }
-	s.cancelCalls = cancelCalls
-	l := n.cfg.Settings.Listen
-	s.add(l.Egress, s.egress)
-	s.add(l.Peers, s.peers)
-	s.add(l.Admin, s.admin)
-	for _, e := range n.attached {
-		s.add(e.addr, peer.NewServer(e.handler))
-	}
-	s.serveErrs = make(chan error, len(s.bound)+1)
-	for i := range s.bound {
-		ln, err := net.Listen("tcp", s.bound[i].addr)
-		if err != nil {
-			s.closeListeners()
-			return nil, errors.Wrap(err, "listen")
-		}
-		s.bound[i].listener = ln
-	}
-	return s, nil
-}
-
-// add adds a server that will listen at addr. It is ignored if addr is empty.
-func (s *servers) add(addr string, srv *http.Server) {
-	if addr != "" {
-		s.bound = append(s.bound, boundServer{addr: addr, server: srv})
-	}
-}
-
-func (s *servers) closeListeners() {
-	for _, v := range s.bound {
-		if v.listener != nil {
-			_ = v.listener.Close() // it is not served yet
-		}
-	}
-}
-
-// callerOrigin returns the origin of requests that arrive at the listener for
-// callers.
-func (n *Node) callerOrigin() proxy.Origin {
-	if n.cfg.Settings.LocalCallers {
-		return proxy.Origin{Service: n.cfg.Settings.Service}
-	}
-	return proxy.Origin{}
-}
-
-// attachedHandler is a handler that is served in addition to the node's own.
-type attachedHandler struct {
-	addr    string
-	handler http.Handler
-}
-
-// Attach makes Run serve h at addr until it returns. It must be called before
-// Run.
-func (n *Node) Attach(addr string, h http.Handler) {
-	n.attached = append(n.attached, attachedHandler{addr, h})
-}
-
-// closeConnsWhenStopping wraps next. While the node is stopping, its responses
-// ask callers to close their connection.
-func (n *Node) closeConnsWhenStopping(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-// callerTimeouts returns the timeouts for connections of callers that the
-// version in force sets.
-func (n *Node) callerTimeouts() link.ReadTimeouts {
-	l := n.proxy.Limits()
-	return link.ReadTimeouts{Idle: l.IdleTimeout, Header: l.HeaderTimeout}
-}
-
-// serveCallers listens at addr and serves callers in the background.
-func (s *servers) serveCallers(addr string, timeouts func() link.ReadTimeouts) error {
-	ln, err := link.Listen(addr)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	active := &activeListener{listener: ln, done: make(chan struct{})}
-	s.callersListener.Store(active)
-	s.serve(link.WithReadTimeouts(ln, timeouts), s.callers, active.done)
-	return nil
-}
-
-// serve serves ln in the background and closes done when it accepts no more
-// connections.
-func (s *servers) serve(ln net.Listener, srv *http.Server, done chan struct{}) {
-	go func() {
-		defer close(done)
-		err := srv.Serve(ln)
-		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			s.serveErrs <- err
-		}
-	}()
-}
-
 // recordDroppedFrame adds an event about a refused control request to the journal.
 func (n *Node) recordDroppedFrame(from, cause string) {
 	n.journal.Add(event.Event{At: time.Now(), Kind: event.FrameDropped, Subject: from, Cause: cause})
