member, fleet: less work while many members change; keys are unused on the platform

While 300 processes are replaced within 10 s each change copied four hash rings, a view was rebuilt 20 times a second, digests that always differ led to three exchanges of tables a second, and two of five changes of a record told who may be the home of keys, which nobody uses there.

Tests: TestIgnoresIdempotencyKeys; TestPauseExtendsSuspicion caught a first form that waited for four digests in a row.

--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -131,9 +131,11 @@
 	wasUp := old.ID != "" && old.IsUp()
 	switch {
 	case r.IsUp() && !wasUp:
-		t.layout, t.overlay = t.layout.With(r.ID), t.overlay.With(r.ID)
+		t.layout = t.layout.With(r.ID)
+		t.overlay.Add(r.ID)
 	case wasUp && !r.IsUp():
-		t.layout, t.overlay = t.layout.Without(r.ID), t.overlay.Without(r.ID)
+		t.layout = t.layout.Without(r.ID)
+		t.overlay.Remove(r.ID)
 	}
 	t.outbox[r.ID] = r
 	t.notify(Change{At: now, Old: old, New: r, Cause: cause})
--- a/core/member/suspect.go
+++ b/core/member/suspect.go
@@ -180,6 +180,10 @@
 	}
 }
 
+// minSyncInterval is the shortest time between two exchanges of tables because of
+// digests that differ.
+const minSyncInterval = time.Second
+
 // ProbeAnswered handles the answer to a probe of member id. It carries records
 // and the digest of that member's table.
 func (t *Table) ProbeAnswered(now time.Time, id string, records []Record, digest uint64) []Action {
@@ -195,11 +199,12 @@
 		e.digestMismatches = 0
 		return acts
 	}
-	// Tables differ briefly while gossip is in flight. Whole tables are
-	// exchanged only if two consecutive digests differ.
+	// Tables differ briefly while gossip is in flight. They are compared only if
+	// two consecutive digests differ, and not often while many members change.
 	e.digestMismatches++
-	if e.digestMismatches >= 2 {
+	if e.digestMismatches >= 2 && !now.Before(t.nextSync) {
 		e.digestMismatches = 0
+		t.nextSync = now.Add(minSyncInterval)
 		acts = append(acts, Action{Kind: Sync, Targets: []Record{e.rec}})
 	}
 	return acts
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -43,7 +43,7 @@
 	return Config{
 		Observers:      3,
 		Relays:         2,
-		GossipInterval: 50 * time.Millisecond,
+		GossipInterval: 100 * time.Millisecond,
 		ProbeEvery:     400 * time.Millisecond,
 		SuspicionMin:   600 * time.Millisecond,
 		SuspicionMax:   1200 * time.Millisecond,
@@ -112,6 +112,7 @@
 	tally          addrTally
 	quorumUntil    time.Time
 	digests        [numBuckets]uint64 // XOR of the hashes of the records in each bucket
+	nextSync       time.Time          // when tables may be compared again
 	nextReconnect  time.Time
 	reconnectIndex int // position in the rotation through the dead members
 }
--- a/core/rank/layout.go
+++ b/core/rank/layout.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// ring is an immutable hash ring.
+// ring is a hash ring.
 type ring struct {
 	salt    string // different salts give rings of independent order
 	members []hashedID
@@ -43,24 +43,23 @@
 	return r.members[(i%n+n)%n].id
 }
 
-// with returns the ring with id added.
-func (r ring) with(id string) ring {
-	at, ok := r.find(id)
-	if ok {
-		return r
+// insert adds a member.
+func (r *ring) insert(id string) {
+	if at, ok := r.find(id); !ok {
+		r.members = slices.Insert(r.members, at, r.hashed(id))
 	}
-	return ring{r.salt, slices.Insert(slices.Clone(r.members), at, r.hashed(id))}
 }
 
-// without returns the ring with id removed.
-func (r ring) without(id string) ring {
-	at, ok := r.find(id)
-	if !ok {
-		return r
+// remove removes a member.
+func (r *ring) remove(id string) {
+	if at, ok := r.find(id); ok {
+		r.members = slices.Delete(r.members, at, at+1)
 	}
-	return ring{r.salt, slices.Delete(slices.Clone(r.members), at, at+1)}
 }
 
+// clone returns a copy.
+func (r ring) clone() ring { return ring{r.salt, slices.Clone(r.members)} }
+
 // Ring is a layout in which the k successors of a member on the hash ring
 // observe it. Every member also has k subjects, the members that it observes. A
 // Ring is immutable.
@@ -73,10 +72,18 @@
 func NewRing(ids []string, k int) *Ring { return &Ring{newRing("ring", ids), k} }
 
 // With returns the layout with id added.
-func (r *Ring) With(id string) *Ring { return &Ring{r.with(id), r.k} }
+func (r *Ring) With(id string) *Ring {
+	out := &Ring{r.clone(), r.k}
+	out.insert(id)
+	return out
+}
 
 // Without returns the layout with id removed.
-func (r *Ring) Without(id string) *Ring { return &Ring{r.without(id), r.k} }
+func (r *Ring) Without(id string) *Ring {
+	out := &Ring{r.clone(), r.k}
+	out.remove(id)
+	return out
+}
 
 // Len returns the number of members.
 func (r *Ring) Len() int { return len(r.members) }
--- a/core/rank/overlay.go
+++ b/core/rank/overlay.go
@@ -9,7 +9,7 @@
 // member has a few neighbours, whatever the number of members, and any two
 // members are a few edges apart: it is the union of hash rings of independent
 // order, on each of which a member is connected to its successor and its
-// predecessor. An Overlay is immutable.
+// predecessor.
 type Overlay struct{ rings []ring }
 
 // NewOverlay returns the overlay of ids that consists of n rings. A member has up
@@ -22,22 +22,18 @@
 	return o
 }
 
-// With returns the overlay with id added.
-func (o *Overlay) With(id string) *Overlay {
-	return o.mapRings(func(r ring) ring { return r.with(id) })
-}
-
-// Without returns the overlay with id removed.
-func (o *Overlay) Without(id string) *Overlay {
-	return o.mapRings(func(r ring) ring { return r.without(id) })
+// Add adds a member.
+func (o *Overlay) Add(id string) {
+	for i := range o.rings {
+		o.rings[i].insert(id)
+	}
 }
 
-func (o *Overlay) mapRings(f func(ring) ring) *Overlay {
-	out := &Overlay{rings: make([]ring, 0, len(o.rings))}
-	for _, r := range o.rings {
-		out.rings = append(out.rings, f(r))
+// Remove removes a member.
+func (o *Overlay) Remove(id string) {
+	for i := range o.rings {
+		o.rings[i].remove(id)
 	}
-	return out
 }
 
 // Neighbours returns the neighbours of a member, each once. They are nil for an id
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -175,7 +175,7 @@
 
 // minViewAge is the shortest time between two views. When many members change,
 // the changes within it share a view.
-const minViewAge = 50 * time.Millisecond
+const minViewAge = 100 * time.Millisecond
 
 // publishView replaces the view if a table has changed and the view is at least
 // minViewAge old, and notifies Changed.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -219,7 +219,7 @@
 		Dial:   n.byteMeters.calls.Dial(n.cfg.Dial, n.isRemoteAddr),
 		Tracer: n.tracer.Tracer(), Claims: n.newClaims(), Rand: n.newRand("proxy"),
 		MaxBodyBytes: s.Limits.RequestBytes, MaxAnswerBytes: s.Limits.AnswerBytes,
-		NestedCallsUntraced: s.LocalCallers, Retry: retryLimits(s),
+		NestedCallsUntraced: s.LocalCallers, KeysUnused: s.KeysUnused, Retry: retryLimits(s),
 		Hedge: s.Hedge != nil && *s.Hedge, Policy: n.cfg.Policy, OnCall: n.recordCall, OnAttempt: n.recordAttempt,
 	})
 }
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -68,7 +68,9 @@
 	n.startComponents(bgCtx, &wg)
 	wg.Go(func() { n.boot(bgCtx) })
 	wg.Go(func() { n.serveCallersWhenReady(bgCtx, s) })
-	wg.Go(func() { n.updateHomeEligibility(bgCtx) })
+	if !n.cfg.Settings.KeysUnused {
+		wg.Go(func() { n.updateHomeEligibility(bgCtx) })
+	}
 	wg.Go(func() { n.rejoin(bgCtx) })
 
 	select {
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -151,7 +151,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	header := c.Header.Get(HeaderIdempotencyKey)
-	if !c.AtMostOnce || header == "" {
+	if !c.AtMostOnce || header == "" || p.cfg.KeysUnused {
 		r, summary := p.dispatch(ctx, c, false)
 		return r, summary, nil
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -36,6 +36,7 @@
 	Tracer              trace.Tracer
 	Dialect             tanagerchute.Dialect
 	Claims              Claims // for opaque idempotency keys, nil if there is no store
+	KeysUnused          bool   // ignore idempotency keys
 	Rand                *rand.Rand
 	MaxBodyBytes        int64 // of a request
 	MaxAnswerBytes      int64 // of an answer
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -53,6 +53,9 @@
 	// LocalCallers means that all callers are on the node's own instance, so that
 	// their requests originate from its service.
 	LocalCallers bool `json:"local_callers,omitempty"`
+	// KeysUnused means that no caller sends idempotency keys. The header is then
+	// ignored, and no node is the home of keys.
+	KeysUnused bool `json:"keys_unused,omitempty"`
 	// TrustHeartbeats means that the heartbeats of an idle backend server are
 	// sufficient, so that the node does not probe it.
 	TrustHeartbeats bool `json:"trust_heartbeats,omitempty"`
