--- a/io/feed/boot.go
+++ b/io/feed/boot.go
@@ -26,8 +26,8 @@
 	maxBootAddrs     = 4 // peers asked in one round, besides the readers
 )
 
-// Boot asks some of the peers at addrs, the members that rank first as readers, and the
-// store for a version, and puts the latest one in force. It asks in rounds. It
+// Boot asks some of the peers at addrs, the members that rank first as readers, and
+// the store for a version, and puts the latest one in force. It asks in rounds. It
 // returns after the first round in which a version is in force, when every source
 // that was asked has answered or timed out.
 //
--- a/io/fleet/doc.go
+++ b/io/fleet/doc.go
@@ -4,8 +4,8 @@
 // drives their timers and executes their actions over the peer protocol.
 //
 // In a deployment with regions, the members of all data centres of a region share
-// one table. Except for ReaderRank, "data centre" then stands for "region"
-// in this package.
+// one table. Except for ReaderRank, "data centre" then stands for "region" in this
+// package.
 //
 // The package also tracks what a node needs to be the home of idempotency keys,
 // that is, to record a key so that its work runs at most once. The node needs a
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -157,8 +157,8 @@
 	return &r
 }
 
-// cancelWait removes a call from the queue after ctx has ended. It returns false if an admission result
-// has already been sent.
+// cancelWait removes a call from the queue after ctx has ended. It returns false if
+// an admission result has already been sent.
 func (g *Gate) cancelWait(ctx context.Context, admission *admit.Controller, id string) (*call.Reply, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/io/seeds/seeds.go
+++ b/io/seeds/seeds.go
@@ -5,10 +5,12 @@
 // The seeds of a data centre are the nodes that rank first there, see package
 // rank. Each of them writes one record, attached to a lease. The number of writes
 // therefore grows with the number of data centres and not with the number of
-// nodes. A node that no longer ranks lets its lease expire. The first of them also reads all records, joins the nodes of its
-// membership group that it does not know, and removes old claims of idempotency
-// keys, see ledger.Claims. A membership group is a region, or a data centre if the
-// deployment has no regions.
+// nodes. A node that no longer ranks lets its lease expire.
+//
+// The first of the seeds also reads all records, joins the nodes of its membership
+// group that it does not know, and removes old claims of idempotency keys, see
+// ledger.Claims. A membership group is a region, or a data centre if the deployment
+// has no regions.
 //
 // # Usage
 //
@@ -134,7 +136,7 @@
 	rank := r.cfg.Fleet.View().ReaderRank(seedsPerDataCentre)
 	if rank < 0 {
 		r.rankedSince = time.Time{}
-		return // the record expires with its lease; until then it names a node that is up
+		return // until its lease expires, the record names a node that is up
 	}
 	if r.rankedSince.IsZero() {
 		r.rankedSince = now
