gate, platform: what a backend server says of itself in an answer is logged and counted

Neither log nor metric said whether a node had heard of a server's rate limit, so 'nobody reads it' and 'each node keeps it for itself' could not be told apart. Now: events upstream_limited, upstream_unlimited and upstream_statement_malformed with the request whose answer said so, and the gauge tanagerchute_rate_limit. Nothing acts on it yet.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -50,6 +50,9 @@
 	DataCentreChanged  Kind = "data_centre_changed" // its summary has changed
 	UpstreamReady      Kind = "upstream_ready"
 	UpstreamLeaving    Kind = "upstream_leaving"
+	UpstreamLimited    Kind = "upstream_limited"   // it named a rate limit, or another one than before
+	UpstreamUnlimited  Kind = "upstream_unlimited" // it names no rate limit any more
+	StatementMalformed Kind = "upstream_statement_malformed"
 	HeartbeatStale     Kind = "heartbeat_stale" // it is older than the last one and ignored
 	HeartbeatMalformed Kind = "heartbeat_malformed"
 	UpstreamFailing    Kind = "upstream_failing"
--- a/dialect.go
+++ b/dialect.go
@@ -32,6 +32,20 @@
 	// ForwardInfo.Instance, which has not run the request.
 	Misdirected bool
 	RetryAfter  time.Duration // 0 if absent
+	Server      ServerStatement
+}
+
+// ServerStatement is what a backend server says about itself in an answer.
+type ServerStatement struct {
+	// RateLimit is the number of requests a second that the server takes from all
+	// nodes together. It is set if Limited is. An answer without a limit says that
+	// there is none any more.
+	RateLimit float64
+	Limited   bool
+	Leaving   bool // it is about to stop and takes no new requests
+	// Malformed says what could not be read, nil if everything could. The limit of
+	// earlier answers then still applies.
+	Malformed error
 }
 
 // Dialect reads and writes the headers and the error responses that a node
--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -92,25 +92,26 @@
 }
 
 // do sends a call to the server and reads the whole answer. allowResend is called
-// before the call is sent a second time, see upconn.Request.
-func (cl *client) do(ctx context.Context, server Backend, c call.Call, allowResend func() bool) call.Reply {
+// before the call is sent a second time, see upconn.Request. The statement is what the
+// answer says about the server, nil if there is no answer of that server.
+func (cl *client) do(ctx context.Context, server Backend, c call.Call, allowResend func() bool) (call.Reply, *tanagerchute.ServerStatement) {
 	r := cl.newRequest(server, c)
 	r.AllowResend = allowResend
 	a, err := cl.pool.Do(ctx, server.Address, r)
 	if err != nil {
-		return replyForError(ctx, err)
+		return replyForError(ctx, err), nil
 	}
 	info := cl.dialect.ParseResponse(a.Response)
 	switch {
 	case info.Misdirected:
-		return call.Refuse(call.NotRun, call.CauseMoved, 0)
+		return call.Refuse(call.NotRun, call.CauseMoved, 0), nil
 	case info.NotRun:
 		r := call.Refuse(call.NotRun, call.CauseUpstreamShed, info.RetryAfter)
 		r.Shed = true
-		return r
+		return r, &info.Server
 	}
 	cl.dialect.PrepareResponse(a.Header)
-	return call.Reply{Fate: call.Answered, Status: a.StatusCode, Header: a.Header, Body: a.BodyBytes}
+	return call.Reply{Fate: call.Answered, Status: a.StatusCode, Header: a.Header, Body: a.BodyBytes}, &info.Server
 }
 
 // newRequest returns the request that sends c to the server.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -83,6 +83,7 @@
 	lastSuccess    time.Time // time of the last successful call
 	refusedDials   int       // in a row
 	backendLeaving bool      // the server accepts no new calls
+	rateLimit      float64   // requests a second that the server named last, 0 for none
 	draining       bool      // the gate accepts no new calls
 	inFlight       int       // calls in flight, including those at a previous backend server
 	admission      *admit.Controller
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"tanagerchute"
 	"tanagerchute/core/admit"
 	"tanagerchute/core/call"
 	"tanagerchute/core/event"
@@ -182,7 +183,11 @@
 	if ctx.Err() != nil {
 		r = call.Refuse(call.NotRun, call.CauseDeadline, 0)
 	} else {
-		r = g.client.do(ctx, server, c, func() bool { return g.allowResend(c) })
+		var s *tanagerchute.ServerStatement
+		r, s = g.client.do(ctx, server, c, func() bool { return g.allowResend(c) })
+		if s != nil {
+			g.observeStatement(server, c, *s)
+		}
 	}
 	if r.Shed && r.RetryAfter == 0 {
 		r.RetryAfter = g.shedRetryAfter()
--- a/io/node/vars.go
+++ b/io/node/vars.go
@@ -41,6 +41,7 @@
 	for _, v := range n.nodeMetrics() {
 		n.metrics.AddGauge(v.name, v.help, func() float64 { return float64(v.read()) })
 	}
+	n.metrics.AddGauge("rate_limit", "Requests a second that the own backend server takes by its last answer, 0 for no limit.", n.gate.RateLimit)
 	n.metrics.AddInfo("settings_info", "Digest of the settings in force, and the version of the program.", func() metric.Info {
 		return metric.Info{"digest": n.settings.Load().compared.Digest(), "build": buildVersion()}
 	})
@@ -61,6 +62,7 @@
 	for _, v := range n.nodeMetrics() {
 		m.Set(v.name, expvar.Func(func() any { return v.read() }))
 	}
+	m.Set("rate_limit", expvar.Func(func() any { return n.gate.RateLimit() }))
 	m.Set("memory", expvar.Func(memoryStats))
 	m.Set("cpu_seconds", expvar.Func(cpuSeconds))
 	return m
