gate, admit, pick: a backend server's named rate limit is kept, over all nodes together

What callers saw: nothing.

Cause: nothing read the limit. A gatekeeper took only slots into account, which a server announces once; what it says of itself while it answers was passed through. The class of fault: a statement of a peer that is forwarded and not heeded.

Change: core/quota holds the limit that the answers name, as a token bucket at the gatekeeper, the only way to the server, so the sum over all nodes is bounded in one place. Admission counts the wait for a turn into its estimates, refuses with cause rate_limit and a Retry-After from the rate, and a repeat on a new connection takes a turn as well. Nodes learn limit and wait from each reply and place calls by it. They also remember the limit and attach it to their calls, so that a gatekeeper that restarts knows it before the server has answered again; those that have not heard it are not bound by it either.

--- a/core/admit/controller.go
+++ b/core/admit/controller.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"tanagerchute/core/quota"
 	"tanagerchute/core/routes"
 )
 
@@ -27,6 +28,7 @@
 	CauseQueueFull Cause = "queue_full" // the queue has reached Config.MaxQueue
 	CauseExpired   Cause = "expired"    // it waited until it was too late to start it
 	CauseDraining  Cause = "draining"   // the upstream is draining
+	CauseRateLimit Cause = "rate_limit" // as overload, because of the rate limit that the server names
 )
 
 // Refusal describes a call that was refused. The call has not started.
@@ -95,8 +97,9 @@
 // Controller is the state machine that controls admission to one backend
 // server. It is not safe for concurrent use.
 //
-// Invariants: no call starts while Limit calls or more are in flight; a call is
-// reported once, as started or as refused.
+// Invariants: no call starts while Limit calls or more are in flight, or earlier
+// than the rate limit of the server allows; a call is reported once, as started or
+// as refused.
 type Controller struct {
 	cfg             Config
 	limit           float64
@@ -109,6 +112,7 @@
 	used            usage                               // slots held by calls that have ended
 	offered         usage                               // slots that all offered calls would hold if they ran
 	overloadedUntil time.Time                           // calls that can't meet their target are not queued before then
+	quota           quota.Limiter                       // the rate limit that the server names
 	lastBackoff     time.Time
 	draining        bool
 }
@@ -163,7 +167,7 @@
 		return Refuse, Refusal{ID: it.ID, Cause: CauseDraining}, nil
 	}
 	c.offered.add(now, it.Priority, c.holdTimeOf(it.Priority))
-	if c.inFlight < c.Limit() && c.queue.len() == 0 {
+	if c.inFlight < c.Limit() && c.queue.len() == 0 && c.quota.Take(now) {
 		c.inFlight++
 		return Start, Refusal{}, nil
 	}
@@ -184,7 +188,7 @@
 // checkQueue decides whether a call may be queued. late reports whether it is
 // queued among the calls that can't meet their target.
 func (c *Controller) checkQueue(now time.Time, it *Item) (late bool, refusal Refusal, ok bool) {
-	refusal = Refusal{ID: it.ID, Cause: CauseOverload, RetryAfter: c.RetryAfter(now)}
+	refusal = Refusal{ID: it.ID, Cause: c.overloadCause(now), RetryAfter: c.RetryAfter(now)}
 	if c.queue.len() >= c.cfg.MaxQueue {
 		refusal.Cause = CauseQueueFull
 		return false, refusal, false
@@ -213,7 +217,7 @@
 // than the server can do. A longer queue would not raise the throughput, only
 // delay each call. The bound is large enough to keep the slots in use.
 func (c *Controller) maxOverloadWait(now time.Time, it *Item) time.Duration {
-	minWait := 2 * c.holdTimeOf(it.Priority) / time.Duration(c.Limit())
+	minWait := time.Duration(2 * float64(c.holdTimeOf(it.Priority)) / c.capacity())
 	return max(minWait, time.Duration(overloadWaitShare*float64(it.target().Sub(now))))
 }
 
@@ -236,7 +240,7 @@
 // without ever starting: more work is offered than the server can do, or a
 // queued call had to be refused within the last overloadPeriod.
 func (c *Controller) overloaded(now time.Time) bool {
-	return now.Before(c.overloadedUntil) || c.offered.slotsAbove(now, routes.NumPriorities) > float64(c.Limit())
+	return now.Before(c.overloadedUntil) || c.offered.slotsAbove(now, routes.NumPriorities) > c.capacity()
 }
 
 // refuseLate refuses all queued calls that can no longer meet their target if
@@ -248,7 +252,7 @@
 	var out []Refusal
 	for _, id := range c.queue.lateIDs() {
 		c.queue.remove(id)
-		out = append(out, Refusal{ID: id, Cause: CauseOverload, RetryAfter: c.RetryAfter(now)})
+		out = append(out, Refusal{ID: id, Cause: c.overloadCause(now), RetryAfter: c.RetryAfter(now)})
 	}
 	return out
 }
@@ -270,7 +274,7 @@
 		}
 		c.queue.remove(it.ID)
 		c.overloadedUntil = now.Add(overloadPeriod)
-		out = append(out, Refusal{ID: it.ID, Cause: CauseOverload, RetryAfter: c.RetryAfter(now)})
+		out = append(out, Refusal{ID: it.ID, Cause: c.overloadCause(now), RetryAfter: c.RetryAfter(now)})
 	}
 }
 
@@ -312,11 +316,8 @@
 	}
 	c.demote(now)
 	timelyFirst := c.overloaded(now)
-	for c.inFlight < c.Limit() {
+	for c.inFlight < c.Limit() && c.queue.len() > 0 && c.quota.Take(now) {
 		it := c.queue.pop(timelyFirst)
-		if it == nil {
-			break
-		}
 		c.inFlight++
 		out.Started = append(out.Started, *it)
 	}
--- a/core/admit/estimate.go
+++ b/core/admit/estimate.go
@@ -33,9 +33,15 @@
 }
 
 // estimateWait estimates how long a call of priority p waits behind the given
-// numbers of queued calls. It assumes that new calls of higher priorities keep
-// using as many slots as they have lately.
+// numbers of queued calls, for a slot and for its turn under the rate limit.
 func (c *Controller) estimateWait(now time.Time, p routes.Priority, ahead countByPriority) time.Duration {
+	return max(c.estimateSlotWait(now, p, ahead), c.quota.Wait(now, ahead.sum()))
+}
+
+// estimateSlotWait estimates how long a call of priority p waits for a slot behind
+// the given numbers of queued calls. It assumes that new calls of higher priorities
+// keep using as many slots as they have lately.
+func (c *Controller) estimateSlotWait(now time.Time, p routes.Priority, ahead countByPriority) time.Duration {
 	work := c.holdTime // the first slot becomes free after about holdTime / Limit
 	for p, n := range ahead {
 		work += time.Duration(n) * c.holdTimeOf(routes.Priority(p))
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -186,6 +186,15 @@
 // countByPriority is the number of items of each priority.
 type countByPriority [routes.NumPriorities]int
 
+// sum returns the number of items of all priorities.
+func (n countByPriority) sum() int {
+	sum := 0
+	for _, k := range n {
+		sum += k
+	}
+	return sum
+}
+
 // countAhead counts the queued items that would start before it, if it were
 // queued among the late or the timely items of its priority.
 func (q *queue) countAhead(it *Item, late bool) countByPriority {
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -56,9 +56,10 @@
 	Body             []byte
 	Depth            int // number of calls above it in its call chain
 	Mode             Mode
-	From             string // id of the node that sent it
-	Version          uint64 // configuration version by which it was routed
-	Trace            string // W3C trace id
+	From             string       // id of the node that sent it
+	Version          uint64       // configuration version by which it was routed
+	Trace            string       // W3C trace id
+	Notice           ServerNotice // what the sender has heard from the backend server of the node it is sent to
 }
 
 // WithAttempt returns c as another attempt in the given mode.
@@ -152,6 +153,9 @@
 	// Otherwise the sender created the reply, since it got none or a corrupt one.
 	Replied bool
 	Shed    bool // the backend server refused the call for load
+	// Notice is what the node that replied has heard from its backend server. It is
+	// zero if that is of no concern to the sender.
+	Notice ServerNotice
 	// NestedFailure is set if the call failed because a nested call of the backend
 	// server failed. Such a failure says nothing about the server, and a resend of
 	// the call would only multiply the resends of the nested calls.
--- a/core/load_test.go
+++ b/core/load_test.go
@@ -284,3 +284,58 @@
 		t.Errorf("%d large answers came from another zone, %d without locality", local.crossZoneLarge, anywhere.crossZoneLarge)
 	}
 }
+
+// mostIn returns the largest number of times in a window that begins at from or later.
+func mostIn(times []time.Time, from time.Time, window time.Duration) int {
+	most, first := 0, 0
+	for i, at := range times {
+		if at.Before(from) {
+			first = i + 1
+			continue
+		}
+		for at.Sub(times[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// TestLimitedUpstreams checks, while the fastest servers of two zones name a rate limit
+// below their share of the load, that they get no more than it allows, and that the
+// callers are served by the others.
+func TestLimitedUpstreams(t *testing.T) {
+	limits := []float64{9.7, 1}
+	fastest := func(s *simulation) []*simUpstream {
+		return slices.DeleteFunc(slices.Clone(s.upstreams), func(u *simUpstream) bool { return u.service != "front" || u.speed < 1 })[:len(limits)]
+	}
+	sc := scenario{rate: normalLoad, from: 8 * sec, to: 20 * sec, faults: func(s *simulation) {
+		s.after(5*sec, func() {
+			for i, u := range fastest(s) {
+				u.namedRate = limits[i]
+			}
+		})
+	}}
+	const window = 4 * sec
+	allowed := func(rate float64) int { return int(1.5*rate*window.Seconds()) + 5 }
+	for seed := range uint64(3) {
+		s, blind, ignored := sc.simulate(policy{}, seed+1), sc.simulate(policy{hiddenQuota: true}, seed+1), sc.simulate(policy{noQuota: true}, seed+1)
+		for i, rate := range limits {
+			got := mostIn(fastest(s)[i].starts, epoch.Add(6*sec), window)
+			before := mostIn(fastest(ignored)[i].starts, epoch.Add(6*sec), window)
+			t.Logf("limit %v: %d calls in %v, allowed %d; %d if it is ignored", rate, got, window, allowed(rate), before)
+			if got > allowed(rate) {
+				t.Errorf("a server with a limit of %v a second got %d calls in %v, allowed %d", rate, got, window, allowed(rate))
+			}
+			if got < int(rate*window.Seconds()/2) {
+				t.Errorf("a server with a limit of %v a second got only %d calls in %v", rate, got, window)
+			}
+		}
+		served, unaware := s.tally("", sc.from, sc.to), blind.tally("", sc.from, sc.to)
+		t.Logf("served: %v", served)
+		t.Logf("callers' nodes not told: %v", unaware)
+		if served.value < minShareUnderCapacity || served.refused+served.failed > served.requests/500 {
+			t.Errorf("served: %v", served)
+		}
+	}
+}
--- a/core/pick/cost.go
+++ b/core/pick/cost.go
@@ -62,14 +62,25 @@
 	utilization := utilizationWeight * min(load/limit, 1)
 	cost := (float64(service)*(1+queueing+utilization) + float64(max(service, meanService))*refusals) / (1 - failureRate)
 	cost *= 1 + costJitter*(2*p.cfg.Rand.Float64()-1)
-	return time.Duration(cost) + p.localityPenalty(c, criteria)
+	return time.Duration(cost) + p.quotaWait(now, c) + p.localityPenalty(c, criteria)
+}
+
+// quotaWait estimates how long a call waits until the rate limit of c lets it start.
+func (p *Picker) quotaWait(now time.Time, c Candidate) time.Duration {
+	s := p.stats[c.ID]
+	if s == nil || s.load.RateLimit <= 0 {
+		return 0
+	}
+	sentSince := max(s.inFlight-s.inFlightAtReport, 0)
+	wait := s.load.QuotaWait + time.Duration(float64(sentSince)/s.load.RateLimit*float64(time.Second))
+	return max(wait-now.Sub(s.loadAt), 0)
 }
 
 // untried reports whether this node has no call in flight at c and has sent none
-// for StaleAfter.
+// for StaleAfter. A server that limits its rate is not tried again for that reason.
 func (p *Picker) untried(now time.Time, c Candidate) bool {
 	s := p.stats[c.ID]
-	return s == nil || s.inFlight == 0 && now.Sub(s.lastUsed) > p.cfg.StaleAfter
+	return s == nil || s.inFlight == 0 && s.load.RateLimit == 0 && now.Sub(s.lastUsed) > p.cfg.StaleAfter
 }
 
 // localityPenalty returns the cost of sending the call to the data centre of c.
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -54,6 +54,10 @@
 	Queued      int
 	Limit       int           // concurrency limit
 	ServiceTime time.Duration // smoothed time of a call at the backend server, 0 if not known
+	// RateLimit is the number of requests a second that the backend server takes
+	// from all nodes together, 0 for no limit.
+	RateLimit float64
+	QuotaWait time.Duration // time until another call could start under RateLimit
 }
 
 // Result classifies the end of an attempt at a candidate.
--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -79,16 +79,18 @@
 	return c.Close()
 }
 
-// healthCheck sends a health check to the server at addr and returns the server's
-// id. ok is false if the check fails or the server accepts no requests.
-func (cl *client) healthCheck(ctx context.Context, addr, path string) (id string, ok bool) {
+// healthCheck sends a health check to the server at addr and returns the server's id
+// and what it says about itself. ok is false if the check fails or the server accepts
+// no requests.
+func (cl *client) healthCheck(ctx context.Context, addr, path string) (id string, s tanagerchute.ServerStatement, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	a, err := cl.pool.Do(ctx, addr, upconn.Request{Method: http.MethodGet, Path: path, Host: addr, Header: http.Header{}})
 	if err != nil {
-		return "", false // the next heartbeat will name the server
+		return "", s, false // the next heartbeat will name the server
 	}
-	return cl.dialect.ParseHealthCheck(a.Response)
+	id, ok = cl.dialect.ParseHealthCheck(a.Response)
+	return id, cl.dialect.ParseResponse(a.Response).Server, ok
 }
 
 // do sends a call to the server and reads the whole answer. allowResend is called
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -40,6 +40,9 @@
 	// supports it, each call names the id, so that another server at the same
 	// address does not run the call.
 	ID string `json:"id,omitempty"`
+	// StartMs is the start of the server, Unix milliseconds, 0 if it is unknown. A
+	// server may start again under its id.
+	StartMs int64 `json:"-"`
 	// WarmupEnd is the end of the server's warm-up, zero if there is none.
 	WarmupEnd time.Time `json:"-"`
 }
@@ -79,13 +82,14 @@
 	mu             sync.Mutex
 	backend        Backend
 	heartbeats     beat.Tracker
-	announcedAt    time.Time // time of the last announcement
-	lastSuccess    time.Time // time of the last successful call
-	refusedDials   int       // in a row
-	backendLeaving bool      // the server accepts no new calls
-	rateLimit      float64   // requests a second that the server named last, 0 for none
-	draining       bool      // the gate accepts no new calls
-	inFlight       int       // calls in flight, including those at a previous backend server
+	announcedAt    time.Time                // time of the last announcement
+	lastSuccess    time.Time                // time of the last successful call
+	refusedDials   int                      // in a row
+	backendLeaving bool                     // the server accepts no new calls
+	statementsAt   map[event.Kind]time.Time // last events of recordStatement
+	leavingHeardAt time.Time                // when the server said in an answer that it leaves, zero if it did not
+	draining       bool                     // the gate accepts no new calls
+	inFlight       int                      // calls in flight, including those at a previous backend server
 	admission      *admit.Controller
 	health         *health.Monitor
 	waiters        map[string]chan admissionResult // by attempt id
@@ -110,6 +114,7 @@
 		health:        newHealthMonitor(cfg),
 		records:       runner.NewSyncTable(),
 		waiters:       map[string]chan admissionResult{},
+		statementsAt:  map[event.Kind]time.Time{},
 		callTracker:   nested.New(),
 		drained:       make(chan struct{}),
 		tickRequested: make(chan struct{}, 1),
@@ -146,13 +151,14 @@
 func (g *Gate) setBackend(b Backend) {
 	g.announcedAt = time.Now()
 	b.Slots = min(b.Slots, g.client.maxConns()) // each call needs a connection
-	if b.Address != g.backend.Address || b.ID != g.backend.ID || g.backendLeaving {
+	if b.isOther(g.backend) || g.backendLeaving {
 		// A new server starts without the state of the previous one. The calls that
 		// are queued for that one have not started, so other upstreams can run them.
 		g.notifyWaiters(g.admission.Drain())
 		g.admission = g.newAdmission(b)
 		g.health = newHealthMonitor(g.cfg)
 		g.refusedDials = 0
+		g.leavingHeardAt = time.Time{}
 		g.client.closeIdle()
 		g.recordEvent(event.UpstreamReady, b.logName(), "announced")
 	}
@@ -164,6 +170,12 @@
 	g.requestTick()
 }
 
+// isOther reports whether b is known to be another backend server than o.
+func (b Backend) isOther(o Backend) bool {
+	restarted := b.StartMs != 0 && o.StartMs != 0 && b.StartMs != o.StartMs
+	return b.Address != o.Address || b.ID != o.ID || restarted
+}
+
 // newAdmission returns the admission controller for a new backend server.
 func (g *Gate) newAdmission(b Backend) *admit.Controller {
 	admission := admit.New(admit.Config{Slots: b.Slots})
@@ -195,7 +207,7 @@
 	case h.State != beat.Ready:
 		g.markLeaving(h.ID, h.State.String())
 	default:
-		g.setBackend(Backend{Address: h.Address, Slots: h.Slots, ID: h.ID, WarmupEnd: h.WarmupEnd})
+		g.setBackend(Backend{Address: h.Address, Slots: h.Slots, ID: h.ID, StartMs: h.StartMs, WarmupEnd: h.WarmupEnd})
 	}
 	return v
 }
@@ -204,13 +216,15 @@
 // the backend server until its first heartbeat. A node that restarts while its
 // backend server keeps running would otherwise have to wait for that heartbeat.
 func (g *Gate) DiscoverBackend(ctx context.Context, addr, healthPath string, slots int) {
-	id, ok := g.client.healthCheck(ctx, addr, healthPath)
+	began := time.Now()
+	id, statement, ok := g.client.healthCheck(ctx, addr, healthPath)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if _, known := g.heartbeats.Last(); !ok || known || g.backendLeaving || g.backend.Address != "" {
 		return
 	}
 	g.setBackend(Backend{Address: addr, Slots: slots, ID: id})
+	g.observeLimit(began, "a health check", statement)
 }
 
 // ObserveLeave handles a leave request, by which a backend server announces that
@@ -251,7 +265,11 @@
 
 // load returns the load of the backend server. The caller holds mu.
 func (g *Gate) load() pick.Load {
-	return pick.Load{InFlight: g.admission.InFlight(), Queued: g.admission.Queued(), Limit: g.admission.Limit(), ServiceTime: g.admission.ServiceTime()}
+	l := pick.Load{InFlight: g.admission.InFlight(), Queued: g.admission.Queued(), Limit: g.admission.Limit(), ServiceTime: g.admission.ServiceTime()}
+	if rate, limited := g.admission.Quota().Rate(); limited {
+		l.RateLimit, l.QuotaWait = rate, g.admission.QuotaWait(time.Now())
+	}
+	return l
 }
 
 // Deadline returns the latest deadline of the calls in flight with the given trace
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -35,7 +35,7 @@
 	} else {
 		r = g.admitAndRun(ctx, ctx, c)
 	}
-	r.Load = g.Load()
+	r.Load, r.Notice = g.state(c)
 	r.Node = g.cfg.Node
 	r.Replied = true
 	return r
@@ -66,8 +66,11 @@
 // recordRefusal records a refusal in the journal with the load that led to it.
 func (g *Gate) recordRefusal(c call.Call, r call.Reply) {
 	l := g.Load()
-	g.recordCallEvent(event.RequestRefused, c, fmt.Sprintf("%s: %d of %d slots in use, %d wait, %v each",
-		r.Cause, l.InFlight, l.Limit, l.Queued, l.ServiceTime.Round(time.Millisecond)))
+	cause := fmt.Sprintf("%s: %d of %d slots in use, %d wait, %v each", r.Cause, l.InFlight, l.Limit, l.Queued, l.ServiceTime.Round(time.Millisecond))
+	if l.RateLimit > 0 {
+		cause += fmt.Sprintf(", limit of %.3g a second, next in %v", l.RateLimit, l.QuotaWait.Round(time.Millisecond))
+	}
+	g.recordCallEvent(event.RequestRefused, c, cause)
 }
 
 // requestAdmission offers a call to the admission controller and returns the
@@ -86,6 +89,7 @@
 		r := call.Refuse(call.NotRun, call.CauseUpstreamFailing, time.Second)
 		return admission, nil, &r
 	}
+	g.adoptNotice(now, c)
 	if g.backendLeaving {
 		r := call.Refuse(call.NotRun, call.CauseDraining, 0)
 		return admission, nil, &r
@@ -184,9 +188,9 @@
 		r = call.Refuse(call.NotRun, call.CauseDeadline, 0)
 	} else {
 		var s *tanagerchute.ServerStatement
-		r, s = g.client.do(ctx, server, c, func() bool { return g.allowResend(c) })
+		r, s = g.client.do(ctx, server, c, func() bool { return g.allowResend(admission, c) })
 		if s != nil {
-			g.observeStatement(server, c, *s)
+			g.observeStatement(admission, began, c, *s)
 		}
 	}
 	if r.Shed && r.RetryAfter == 0 {
@@ -197,9 +201,10 @@
 
 // allowResend reports whether a call may be sent again over a new connection,
 // because the server had dropped the idle connection that it was sent over. As for
-// any resend, the call has to be idempotent and the retry budget has to allow it.
-func (g *Gate) allowResend(c call.Call) bool {
-	if !c.Idempotent() || g.cfg.SpendRetry == nil || !g.cfg.SpendRetry() {
+// any resend, the call has to be idempotent and the retry budget has to allow it. As
+// for any request, the server must not be leaving and its rate limit has to allow it.
+func (g *Gate) allowResend(admission *admit.Controller, c call.Call) bool {
+	if !c.Idempotent() || g.cfg.SpendRetry == nil || !g.takeQuota(admission) || !g.cfg.SpendRetry() {
 		return false
 	}
 	g.recordCallEvent(event.RequestMoved, c, "sent again: the backend server had dropped the idle connection")
--- a/io/gate/statement.go
+++ b/io/gate/statement.go
@@ -2,33 +2,121 @@
 
 import (
 	"fmt"
+	"time"
 
 	"tanagerchute"
+	"tanagerchute/core/admit"
 	"tanagerchute/core/call"
 	"tanagerchute/core/event"
+	"tanagerchute/core/pick"
+	"tanagerchute/core/quota"
 )
 
-// observeStatement records what server said about itself in the answer to c.
-func (g *Gate) observeStatement(server Backend, c call.Call, s tanagerchute.ServerStatement) {
+// observeStatement acts on what the backend server said about itself in the answer to
+// c, which was sent at sentAt. admission is the controller that admitted c. If another
+// server has replaced the one that answered, its statement says nothing any more.
+func (g *Gate) observeStatement(admission *admit.Controller, sentAt time.Time, c call.Call, s tanagerchute.ServerStatement) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if admission != g.admission {
+		return
+	}
+	source := "the answer to " + c.ID
+	g.observeLimit(sentAt, source, s)
+}
+
+// observeLimit acts on what the backend server said about its rate limit in an answer
+// to a request sent at sentAt. source names the answer. The caller holds mu.
+func (g *Gate) observeLimit(sentAt time.Time, source string, s tanagerchute.ServerStatement) {
 	if s.Malformed != nil {
-		g.recordEvent(event.StatementMalformed, server.logName(), fmt.Sprintf("%v, in the answer to %s", s.Malformed, c.ID))
+		g.recordStatement(event.StatementMalformed, fmt.Sprintf("%v, in %s", s.Malformed, source))
+		if !s.Limited {
+			return // it may have named a limit that could not be read
+		}
+	}
+	a := quota.Answer{SentAt: sentAt, ReceivedAt: time.Now(), Limited: s.Limited, Rate: s.RateLimit}
+	changed, out := g.admission.ObserveLimit(a)
+	if !changed {
+		return
+	}
+	g.notifyWaiters(out)
+	g.recordLimit("named in " + source)
+}
+
+// recordLimit records the present rate limit of the backend server. The caller holds
+// mu.
+func (g *Gate) recordLimit(cause string) {
+	rate, limited := g.admission.Quota().Rate()
+	if !limited {
+		g.recordStatement(event.UpstreamUnlimited, "no limit is "+cause)
+		return
+	}
+	g.recordStatement(event.UpstreamLimited, fmt.Sprintf("%.3g requests a second, %s", rate, cause))
+}
+
+// statementInterval is the shortest time between two events of one kind about what
+// the backend server says. It may say something else in each answer.
+const statementInterval = time.Second
+
+// recordStatement records an event about what the backend server says of itself, at
+// most one of a kind each statementInterval. The caller holds mu.
+func (g *Gate) recordStatement(k event.Kind, cause string) {
+	now := time.Now()
+	if now.Sub(g.statementsAt[k]) < statementInterval {
 		return
 	}
+	g.statementsAt[k] = now
+	g.recordEvent(k, g.backend.logName(), cause)
+}
+
+// adoptNotice takes over what the sender of c has heard from the backend server
+// before this process started. The caller holds mu.
+func (g *Gate) adoptNotice(now time.Time, c call.Call) {
+	n := c.Notice
+	if !n.Restricts() || !n.IsAbout(g.backend.logName(), g.backend.StartMs) {
+		return
+	}
+	cause := fmt.Sprintf("heard by %s %v ago", c.From, now.Sub(n.HeardAt).Round(time.Millisecond))
+	if n.RateLimit > 0 && g.admission.AdoptLimit(now, n.RateLimit, n.HeardAt) {
+		g.recordLimit(cause)
+	}
+}
+
+// state returns the load of the backend server and, if the sender of c has heard from
+// the server or it restricts what it gets, what it last said about itself.
+func (g *Gate) state(c call.Call) (pick.Load, call.ServerNotice) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.load()
+	q := g.admission.Quota()
+	n := call.ServerNotice{
+		Server: g.backend.logName(), StartMs: g.backend.StartMs, RateLimit: l.RateLimit,
+		Leaving: !g.leavingHeardAt.IsZero(), HeardAt: q.HeardAt(),
+	}
 	switch {
-	case s.Limited && s.RateLimit != g.rateLimit:
-		g.recordEvent(event.UpstreamLimited, server.logName(), fmt.Sprintf("%.3g requests a second, named in the answer to %s", s.RateLimit, c.ID))
-	case !s.Limited && g.rateLimit > 0:
-		g.recordEvent(event.UpstreamUnlimited, server.logName(), fmt.Sprintf("no limit in the answer to %s", c.ID))
+	case n.Leaving:
+		n.HeardAt = g.leavingHeardAt
+	case n.RateLimit > 0:
+		n.HeardAt = q.NamedAt()
+	case !c.Notice.Restricts():
+		return l, call.ServerNotice{}
 	}
-	g.rateLimit = s.RateLimit
+	return l, n
+}
+
+// takeQuota reports whether another request may be sent to the server of admission,
+// and counts it under the rate limit.
+func (g *Gate) takeQuota(admission *admit.Controller) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.backendLeaving && admission.Quota().Take(time.Now())
 }
 
-// RateLimit returns the number of requests a second that the backend server named in
-// its last answer, or 0 if it named none.
+// RateLimit returns the number of requests a second that the backend server takes, or
+// 0 if it named no limit.
 func (g *Gate) RateLimit() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.rateLimit
+	rate, _ := g.admission.Quota().Rate()
+	return rate
 }
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -157,7 +157,7 @@
 	if target.Entry {
 		mode = call.Entry
 	}
-	c = c.WithAttempt(id, mode)
+	c = c.WithAttempt(id, mode).WithNotice(p.notices.get(target.Addr))
 	c.From = p.cfg.Node
 	c.Version = p.configVersion()
 	p.recordSent(target.ID)
@@ -167,6 +167,9 @@
 		onSilent()
 	})
 	p.recordOutcome(c, target, r, time.Since(start))
+	if r.Replied && !target.Entry {
+		p.notices.record(time.Now(), target.Addr, r.Notice)
+	}
 	if p.cfg.OnAttempt != nil {
 		p.cfg.OnAttempt(c.Service, r)
 	}
--- a/io/proxy/meta.go
+++ b/io/proxy/meta.go
@@ -51,7 +51,26 @@
 		Service: c.Service, Class: c.Class, Priority: int32(c.Priority), AtMostOnce: c.AtMostOnce,
 		TimeLeft: int64(c.Deadline.Sub(now)), WaitLeft: int64(c.WaitUntil.Sub(now)),
 		Version: c.Version, From: c.From, Depth: int32(c.Depth), Mode: wire.Mode(c.Mode),
-		Path: c.Path, Host: c.Host, TargetLeft: nanosUntil(c.Target, now),
+		Path: c.Path, Host: c.Host, TargetLeft: nanosUntil(c.Target, now), Notice: encodeNotice(c.Notice, now),
+	}
+}
+
+// encodeNotice returns the message for n, nil if nothing was heard.
+func encodeNotice(n call.ServerNotice, now time.Time) *wire.ServerNotice {
+	if n.Server == "" || n.HeardAt.IsZero() {
+		return nil
+	}
+	return &wire.ServerNotice{Server: n.Server, Start: n.StartMs, RateLimit: n.RateLimit, Leaving: n.Leaving, Age: int64(now.Sub(n.HeardAt))}
+}
+
+// decodeNotice is the inverse of encodeNotice.
+func decodeNotice(m *wire.ServerNotice, now time.Time) call.ServerNotice {
+	if m.GetServer() == "" {
+		return call.ServerNotice{}
+	}
+	return call.ServerNotice{
+		Server: m.GetServer(), StartMs: m.GetStart(), RateLimit: m.GetRateLimit(), Leaving: m.GetLeaving(),
+		HeardAt: now.Add(-time.Duration(max(m.GetAge(), 0))),
 	}
 }
 
@@ -84,6 +103,7 @@
 		Deadline: now.Add(time.Duration(m.GetTimeLeft())), WaitUntil: now.Add(time.Duration(m.GetWaitLeft())),
 		Version: m.GetVersion(), From: m.GetFrom(), Depth: int(m.GetDepth()), Mode: call.Mode(m.GetMode()),
 		Path: m.GetPath(), Host: m.GetHost(), Target: timeAfterNanos(m.GetTargetLeft(), now),
+		Notice: decodeNotice(m.GetNotice(), now),
 	}, nil
 }
 
@@ -93,7 +113,8 @@
 		Id: c.ID, Attempt: c.Attempt, Fate: int32(r.Fate), Cause: r.Cause, Version: r.Version,
 		InFlight: int32(r.Load.InFlight), Queued: int32(r.Load.Queued), Limit: int32(r.Load.Limit),
 		Length: int64(len(r.Body)), Digest: xxhash.Sum64(r.Body), RetryAfter: int64(r.RetryAfter), Node: r.Node, Below: r.NestedFailure,
-		Service: int64(r.Load.ServiceTime), Shed: r.Shed,
+		Service: int64(r.Load.ServiceTime), Shed: r.Shed, Notice: encodeNotice(r.Notice, time.Now()),
+		RateLimit: r.Load.RateLimit, QuotaWait: int64(r.Load.QuotaWait),
 	}
 }
 
@@ -119,9 +140,9 @@
 		RetryAfter: time.Duration(m.GetRetryAfter()), Node: m.GetNode(), Version: m.GetVersion(), Replied: true, NestedFailure: m.GetBelow(),
 		Load: pick.Load{
 			InFlight: int(m.GetInFlight()), Queued: int(m.GetQueued()), Limit: int(m.GetLimit()),
-			ServiceTime: time.Duration(m.GetService()),
+			ServiceTime: time.Duration(m.GetService()), RateLimit: m.GetRateLimit(), QuotaWait: time.Duration(m.GetQuotaWait()),
 		},
-		Shed: m.GetShed(),
+		Shed: m.GetShed(), Notice: decodeNotice(m.GetNotice(), time.Now()),
 	}, nil
 }
 
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -92,6 +92,7 @@
 	candidates *candidateCache
 	budgets    *retryBudgets
 	homeTable  *homeTable
+	notices    *notices
 
 	mu              sync.Mutex // protects the fields below and Config.Rand
 	picker          *pick.Picker
@@ -115,6 +116,7 @@
 		picker:     pick.New(pick.DefaultConfig(cfg.Rand)),
 		waits:      waits.New(),
 		homeTable:  &homeTable{SyncTable: runner.NewSyncTable()},
+		notices:    newNotices(),
 	}
 	return p
 }
