gate, beat: a backend server that says in its answers that it leaves gets no new work

Cause: only heartbeats were heeded; the header of an answer was passed on and not read.

Change: the gatekeeper refuses from that answer on, as at a draining heartbeat, and heartbeats of the same incarnation that say ready are stale. Other nodes remember it like a limit, so that it holds after a restart of the gatekeeper, also if a late heartbeat or the health check says ready. A server that started after the notice was heard is another one.

--- a/core/beat/tracker.go
+++ b/core/beat/tracker.go
@@ -106,6 +106,19 @@
 	return Fresh
 }
 
+// ObserveDraining records that the server with the given id said at a time, other
+// than by a heartbeat, that it is draining. Its heartbeats that say that it is ready
+// are then stale.
+func (t *Tracker) ObserveDraining(at time.Time, id string) {
+	switch {
+	case !t.hasLast:
+		t.last, t.hasLast = Heartbeat{ID: id, State: Draining}, true
+		t.unidentifiedLeaveAt = at
+	case t.last.ID == id && t.last.State < Draining:
+		t.last.State = Draining
+	}
+}
+
 // ObserveLeave classifies a leave request that arrives at now, by which a server
 // announces that it has stopped, and records the stop if Fresh. startMs is 0 if
 // the request does not state the incarnation.
--- a/core/beat/tracker_test.go
+++ b/core/beat/tracker_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"tanagerchute/core/beat"
@@ -109,3 +110,33 @@
 		}
 	})
 }
+
+// TestDrainingSaidInAnswer checks that a server that said in an answer that it leaves is
+// not ready again by a heartbeat, unless that is of a later incarnation.
+func TestDrainingSaidInAnswer(t *testing.T) {
+	now := time.UnixMilli(10_000)
+	ready := func(startMs int64, sequence uint64) beat.Heartbeat {
+		return beat.Heartbeat{ID: "i", StartMs: startMs, Sequence: sequence}
+	}
+	for _, c := range []struct {
+		name   string
+		before []beat.Heartbeat
+		after  beat.Heartbeat
+		want   beat.Verdict
+	}{
+		{"same incarnation", []beat.Heartbeat{ready(5_000, 3)}, ready(5_000, 4), beat.Stale},
+		{"later incarnation", []beat.Heartbeat{ready(5_000, 3)}, ready(9_000, 1), beat.Fresh},
+		{"no heartbeat before", nil, ready(5_000, 4), beat.Stale},
+		{"no heartbeat before, later incarnation", nil, ready(10_500, 1), beat.Fresh},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var tr beat.Tracker
+			for _, h := range c.before {
+				is.Equal(tr.Observe(now, h), beat.Fresh)
+			}
+			tr.ObserveDraining(now, "i")
+			is.Equal(tr.Observe(now.Add(time.Second), c.after), c.want)
+		})
+	}
+}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -218,6 +218,7 @@
 func (g *Gate) DiscoverBackend(ctx context.Context, addr, healthPath string, slots int) {
 	began := time.Now()
 	id, statement, ok := g.client.healthCheck(ctx, addr, healthPath)
+	ok = ok && !statement.Leaving
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if _, known := g.heartbeats.Last(); !ok || known || g.backendLeaving || g.backend.Address != "" {
--- a/io/gate/statement.go
+++ b/io/gate/statement.go
@@ -23,6 +23,9 @@
 	}
 	source := "the answer to " + c.ID
 	g.observeLimit(sentAt, source, s)
+	if s.Leaving && g.leavingHeardAt.IsZero() {
+		g.heedLeaving(time.Now(), "named in "+source)
+	}
 }
 
 // observeLimit acts on what the backend server said about its rate limit in an answer
@@ -69,6 +72,14 @@
 	g.recordEvent(k, g.backend.logName(), cause)
 }
 
+// heedLeaving ends new calls to the backend server, which said at heardAt that it
+// leaves. The caller holds mu.
+func (g *Gate) heedLeaving(heardAt time.Time, cause string) {
+	g.leavingHeardAt = heardAt
+	g.heartbeats.ObserveDraining(heardAt, g.backend.ID)
+	g.markLeaving(g.backend.logName(), cause)
+}
+
 // adoptNotice takes over what the sender of c has heard from the backend server
 // before this process started. The caller holds mu.
 func (g *Gate) adoptNotice(now time.Time, c call.Call) {
@@ -77,6 +88,9 @@
 		return
 	}
 	cause := fmt.Sprintf("heard by %s %v ago", c.From, now.Sub(n.HeardAt).Round(time.Millisecond))
+	if n.Leaving && !g.backendLeaving {
+		g.heedLeaving(n.HeardAt, cause)
+	}
 	if n.RateLimit > 0 && g.admission.AdoptLimit(now, n.RateLimit, n.HeardAt) {
 		g.recordLimit(cause)
 	}
