resend: a refused caller is told the soonest Retry-After of the upstreams that refused

Cause: the time of the last refusal was passed on. With rate limits it can be seconds, although another upstream that refused expects room much sooner. TestFinalRetryAfter fails without (10 s instead of 0.3 s).

--- a/core/resend/tracker.go
+++ b/core/resend/tracker.go
@@ -35,7 +35,8 @@
 	freeResends     int
 	overloadResends int
 	last            call.Reply
-	mayHaveRun      *call.Reply // best reply of an attempt that may have run the call
+	soonestRetry    time.Duration // lowest RetryAfter of the refusals, 0 if none had one
+	mayHaveRun      *call.Reply   // best reply of an attempt that may have run the call
 }
 
 // New returns the tracker of a call that has not been sent.
@@ -89,6 +90,9 @@
 		t.arrived++
 	}
 	if r.Fate == call.NotRun {
+		if r.RetryAfter > 0 && (t.soonestRetry == 0 || r.RetryAfter < t.soonestRetry) {
+			t.soonestRetry = r.RetryAfter
+		}
 		return
 	}
 	// An answer of a backend server takes precedence over an unknown outcome.
@@ -98,10 +102,15 @@
 }
 
 // Final returns the reply for the caller: that of an attempt that may have run
-// the call if there is one, else the last one.
+// the call if there is one, else the last one. The caller of a refused call may come
+// back as soon as one of the upstreams that refused it expects to have room.
 func (t *Tracker) Final() call.Reply {
 	if t.mayHaveRun != nil {
 		return *t.mayHaveRun
 	}
-	return t.last
+	r := t.last
+	if r.RetryAfter > 0 {
+		r.RetryAfter = t.soonestRetry
+	}
+	return r
 }
--- a/core/resend/tracker_test.go
+++ b/core/resend/tracker_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"tanagerchute/core/call"
@@ -113,3 +114,14 @@
 		}
 	})
 }
+
+// TestFinalRetryAfter checks that the caller of a refused call is told the time of the
+// upstream that expects to have room first, whichever refused last.
+func TestFinalRetryAfter(t *testing.T) {
+	is := is.New(t)
+	c := resend.New(resend.Config{MaxUpstreams: 2, Deadline: epoch.Add(time.Second)})
+	for _, retryAfter := range []time.Duration{700 * time.Millisecond, 300 * time.Millisecond, 10 * time.Second} {
+		c.Next(epoch, call.Refuse(call.NotRun, "overload", retryAfter))
+	}
+	is.Equal(c.Final().RetryAfter, 300*time.Millisecond)
+}
