--- a/io/mesh/failure_test.go
+++ b/io/mesh/failure_test.go
@@ -16,6 +16,7 @@
 
 	sample "tanagerchute/examples"
 	"tanagerchute/io/fakekv"
+	"tanagerchute/io/load"
 	"tanagerchute/io/mesh"
 	"tanagerchute/io/proxy"
 	"tanagerchute/io/server"
@@ -496,3 +497,53 @@
 	is.True(len(arrivals) >= calls*9/10) // calls that were rejected did not arrive
 	is.True(repeated <= 10+calls*5/100)  // the burst and the share of the retry budget
 }
+
+// TestNamedRateLimitHoldsAcrossDataCentres guards against a backend server that gets
+// more requests than it takes, with callers in all data centres, of which the remote
+// ones reach it through entry nodes.
+func TestNamedRateLimitHoldsAcrossDataCentres(t *testing.T) {
+	is := is.New(t)
+	m, ctx := start(t, mesh.Config{Document: sample.Nordurljos, Instances: nordurljosInstances(), OneWay: 3500 * time.Microsecond, Work: 10 * time.Millisecond, Linger: 500 * time.Millisecond})
+	const (
+		rate    = 2 // requests a second
+		window  = 4 * time.Second
+		allowed = 1.5*rate*4 + 5 // requests in window
+	)
+	var limited []*mesh.Instance // one skraning server of each data centre
+	seen := map[string]bool{}
+	for _, in := range m.Instances {
+		if in.Spec.Service == "skraning" && !seen[in.Spec.DataCentre] {
+			seen[in.Spec.DataCentre] = true
+			limited = append(limited, in)
+			in.Backend.SetFaults(server.Faults{RateLimit: "2"})
+		}
+	}
+	start := time.Now()
+	r := load.Run(ctx, load.Config{
+		Targets: m.CallerAddrs(), Rate: 300, Duration: 5 * time.Second, Seed: 1,
+		Kinds: []load.Kind{
+			{Name: "lookup", Service: "skraning", Method: "GET", Path: "/places", Weight: 1},
+			{Name: "booking", Service: "skraning", Method: "POST", Path: "/bookings", BodyBytes: 200, Weight: 1},
+		},
+	})
+	t.Logf("%+v", r.Total())
+	is.Equal(r.Total().Failed, 0)
+	for _, in := range limited {
+		var at []time.Time
+		for _, e := range in.Backend.Ledger() {
+			if e.At.Sub(start) > 500*time.Millisecond { // when the nodes have heard of it
+				at = append(at, e.At)
+			}
+		}
+		most := 0
+		for i := range at {
+			n := 0
+			for n = i; n < len(at) && at[n].Sub(at[i]) < window; n++ {
+			}
+			most = max(most, n-i)
+		}
+		t.Logf("%s: %d requests in %v", in.Spec.Name, most, window)
+		is.True(most > 0)
+		is.True(most <= allowed)
+	}
+}
--- a/io/native/native.go
+++ b/io/native/native.go
@@ -9,6 +9,7 @@
 
 	"tanagerchute"
 	"tanagerchute/core/call"
+	"tanagerchute/core/quota"
 )
 
 // Headers between a node and its callers, and between a node and its backend
@@ -19,6 +20,9 @@
 	HeaderDepth    = "Tanager-Depth"     // nesting depth, see RequestInfo and ForwardInfo
 	HeaderOutcome  = "Tanager-Outcome"   // fate of a refused call: not_run or unknown
 	HeaderCause    = "Tanager-Cause"     // cause of a refusal
+	// HeaderRateLimit is the number of requests a second that the backend server
+	// takes from all nodes together, in each answer for as long as it applies.
+	HeaderRateLimit = "Tanager-Rate-Limit"
 )
 
 // causeBadRequest is the cause of a request that is rejected before dispatch.
@@ -58,7 +62,10 @@
 }
 
 // PrepareResponse implements tanagerchute.Dialect.
-func (Dialect) PrepareResponse(h http.Header) { h.Del(HeaderRequest) }
+func (Dialect) PrepareResponse(h http.Header) {
+	h.Del(HeaderRequest)
+	h.Del(HeaderRateLimit)
+}
 
 // WriteRefusal implements tanagerchute.Dialect.
 func (Dialect) WriteRefusal(w http.ResponseWriter, r call.Reply) {
@@ -120,6 +127,8 @@
 // has not run a call with status 503 or 429 and the outcome not_run.
 func (Dialect) ParseResponse(res *http.Response) tanagerchute.ResponseInfo {
 	info := tanagerchute.ResponseInfo{ID: res.Header.Get(HeaderRequest)}
+	s := &info.Server
+	s.RateLimit, s.Limited, s.Malformed = quota.ParseRate(res.Header.Values(HeaderRateLimit))
 	refused := res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests
 	if !refused || res.Header.Get(HeaderOutcome) != call.NotRun.String() {
 		return info
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -42,6 +42,7 @@
 	ExtraAnswer   bool           `json:"extra_answer"` // run, then send two responses
 	HugeAnswer    bool           `json:"huge_answer"`  // run, then send a response that exceeds every size limit
 	InvertHealth  bool           `json:"health_lies"`  // report the opposite of the health
+	RateLimit     string         `json:"rate_limit"`   // name this limit in each answer, none if empty
 }
 
 // Entry records one execution of a call.
@@ -166,6 +167,9 @@
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	f := s.Faults()
+	if f.RateLimit != "" {
+		w.Header().Set(native.HeaderRateLimit, f.RateLimit)
+	}
 	if _, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes)); err != nil || f.DropBefore {
 		panic(http.ErrAbortHandler)
 	}
