--- a/io/server/server.go
+++ b/io/server/server.go
@@ -43,6 +43,13 @@
 	HugeAnswer    bool           `json:"huge_answer"`  // run, then send a response that exceeds every size limit
 	InvertHealth  bool           `json:"health_lies"`  // report the opposite of the health
 	RateLimit     string         `json:"rate_limit"`   // name this limit in each answer, none if empty
+	// Endless makes it run, and then send bytes until the connection is closed.
+	Endless Endless `json:"endless"`
+	// LateCopy makes it respond to each call after the first of a connection with a
+	// copy of the response before, followed by the response to the call.
+	LateCopy bool `json:"late_copy"`
+	// Cut makes it run, and then end the response at this place.
+	Cut Cut `json:"cut"`
 }
 
 // Entry records one execution of a call.
@@ -77,6 +84,7 @@
 	mu         sync.Mutex
 	faults     Faults
 	ledger     []Entry
+	endless    atomic.Int64 // bytes sent for Faults.Endless
 	running    atomic.Int64
 	maxRunning atomic.Int64
 }
@@ -274,6 +282,15 @@
 	id := s.cfg.Protocol.ReadRequest(r.Header).ID
 	s.cfg.Protocol.SetRequestID(w.Header(), id)
 	switch {
+	case f.Endless != "":
+		s.writeEndless(w, id, f.Endless)
+		return
+	case f.Cut != "":
+		s.writeCut(w, id, f.Cut)
+		return
+	case f.LateCopy:
+		s.writeLateCopies(w, id)
+		return
 	case f.Hang:
 		<-r.Context().Done()
 		return
