upconn: an answer without end is given up at a size, not at the deadline

What callers saw: 504 at the route's timeout, 1.5 s, while the node read on. The size of a body was bounded, but net/http sets no bound on the head of an answer, and interim answers and answers to other calls were skipped without end. Now all of that together is bounded.

--- a/io/upconn/pool.go
+++ b/io/upconn/pool.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -22,6 +23,9 @@
 	// read. It fits into the socket buffers, so the write does not block. Larger
 	// bodies are written while the answer is read.
 	maxInlineBodyBytes = 16 << 10
+	// maxHeadBytes bounds what is read of an answer before its body: its head, the
+	// interim answers before it, and the heads of answers to other requests.
+	maxHeadBytes = 1 << 20
 	// writeGrace bounds the wait for the rest of a request to be written after its
 	// answer has been read. The server may still be reading the request.
 	writeGrace = 50 * time.Millisecond
@@ -306,9 +310,11 @@
 }
 
 // readAnswer reads answers until one belongs to the request, and drops the others.
-// clean reports whether the connection can be reused.
+// The dropped ones must not exceed the size of one answer. clean reports whether the
+// connection can be reused.
 func (p *Pool) readAnswer(c *conn, r Request) (a Answer, clean bool, err error) {
 	clean = true
+	c.limit.left = maxHeadBytes
 	for {
 		res, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
 		if err != nil {
@@ -317,17 +323,24 @@
 		if res.StatusCode >= 100 && res.StatusCode < 200 {
 			continue
 		}
-		body, err := readBody(res, p.cfg.MaxAnswerBytes)
-		if err != nil {
-			return Answer{}, false, err
-		}
 		if p.cfg.IsAnswer != nil && !p.cfg.IsAnswer(res, r.ID) {
+			if clean {
+				c.limit.left += p.cfg.MaxAnswerBytes // one answer, which may be large
+			}
 			clean = false
 			if res.Close {
 				return Answer{}, false, errors.New("the answer is to another request")
 			}
+			if _, err := io.Copy(io.Discard, res.Body); err != nil {
+				return Answer{}, false, errors.Wrap(err, "read answer to another request")
+			}
 			continue
 		}
+		c.limit.left = math.MaxInt64 // readBody has its own limit
+		body, err := readBody(res, p.cfg.MaxAnswerBytes)
+		if err != nil {
+			return Answer{}, false, err
+		}
 		c.applyKeepAlive(res.Header.Get("Keep-Alive"))
 		return Answer{res, body}, clean && !res.Close && c.br.Buffered() == 0, nil
 	}
