integ: work at a node that is frozen for 1, 3 and 8 s, failing

With 24 calls in flight and a deadline of 14 s, 2 bookings of 3 s and 1 of 8 s end as unknown, although the node wakes up and their answers are there.

--- /dev/null
+++ b/internal/integ/freeze_test.go
@@ -0,0 +1,88 @@
+package integ
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	sample "tanagerchute/examples"
+)
+
+// patientDocument is the sample document with a deadline that is longer than each
+// freeze of TestFrozenNodeKeepsItsWork.
+func patientDocument() []byte {
+	doc := strings.ReplaceAll(string(sample.Nordurljos), `"answer_within": "2s"`, `"answer_within": "14s"`)
+	return []byte(strings.ReplaceAll(doc, `"answer_within": "800ms"`, `"answer_within": "14s"`))
+}
+
+// work sends a call that the backend servers know by the given name.
+func (f *fleet) work(in *instance, method, path, name string) answer {
+	req, err := http.NewRequest(method, "http://"+in.callerAddr+path, bytes.NewReader(nil))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.GetBody = nil
+	req.Host = "skraning"
+	req.Header.Set("X-Work", name)
+	return f.send(req)
+}
+
+// TestFrozenNodeKeepsItsWork guards against work that is given up, or started again
+// elsewhere, because the node that runs it is silent for a while. The backend servers
+// of the frozen node go on.
+func TestFrozenNodeKeepsItsWork(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, fleetOptions{})
+	// The sender has no upstream of the service beside it, so both local ones get work.
+	sender, frozen := f.instancesOf("hafnar", "budir")[0], f.instancesOf("hafnar", "skraning")[0].node
+	file := f.writeFile("patient.jsonc", patientDocument())
+	f.mustRun("apply", "-wait", "-node", sender.adminAddr, "-store", f.storeURL, "-parent", "1", file)
+	for _, freeze := range []time.Duration{time.Second, 3 * time.Second, 8 * time.Second} {
+		t.Run(freeze.String(), func(t *testing.T) {
+			var wg sync.WaitGroup
+			answers := map[string]answer{}
+			var mu sync.Mutex
+			for i := range 24 {
+				wg.Go(func() {
+					method, path := "POST", "/bookings?work=1500ms"
+					if i%3 == 0 {
+						method, path = "GET", "/places?work=1500ms"
+					}
+					name := fmt.Sprintf("%s-%v-%d", method, freeze, i)
+					a := f.work(sender, method, path, name)
+					mu.Lock()
+					defer mu.Unlock()
+					answers[name] = a
+				})
+			}
+			time.Sleep(700 * time.Millisecond)
+			frozen.signal(syscall.SIGSTOP)
+			time.Sleep(freeze)
+			frozen.signal(syscall.SIGCONT)
+			wg.Wait()
+			runs := f.runCounts()
+			again := 0
+			for name, a := range answers {
+				if a.err != nil || a.status != http.StatusOK {
+					t.Errorf("%s: %s", name, describe(a))
+				}
+				if runs[name] > 1 {
+					again++
+				}
+				if runs[name] > 1 && strings.HasPrefix(name, "POST") {
+					t.Errorf("%s ran %d times", name, runs[name])
+				}
+			}
+			t.Logf("%d of %d calls, all of them idempotent, ran again elsewhere", again, len(answers))
+			f.eventually(20*time.Second, "all nodes are ready again", func() bool { return f.allReady(2) })
+		})
+	}
+	is.True(frozen.cmd.ProcessState == nil) // it was never restarted
+}
