proxy: an attempt at a node that is believed dead is asked for until its deadline

What callers saw: a booking told as unknown about 3 s after the node that ran it froze, 10 s before its deadline; the node woke up and had the answer. Cause: the inquiry ended as soon as the members believed the process dead. Silence is no proof of an end. Now it ends at a planned stop, at a later process at the same address, or if the address also refuses connections. A process that was killed is still told at once; one that lost power is told at the deadline.

--- a/io/fleet/view.go
+++ b/io/fleet/view.go
@@ -80,6 +80,13 @@
 	return v.Members[at], true
 }
 
+// HasSuccessor reports whether a later process runs at the address of m.
+func (v *View) HasSuccessor(m member.Record) bool {
+	return slices.ContainsFunc(v.Members, func(o member.Record) bool {
+		return o.Addr == m.Addr && o.ID != m.ID && o.StartMs > m.StartMs
+	})
+}
+
 // Upstreams returns the members that accept calls for a service.
 func (v *View) Upstreams(service string) []member.Record { return v.upstreams[service] }
 
--- a/io/proxy/inquire.go
+++ b/io/proxy/inquire.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"tanagerchute/core/call"
 	"tanagerchute/core/dedup"
 	"tanagerchute/core/event"
@@ -76,7 +79,7 @@
 		default:
 			return runner.ReplyFor(res.verdict, res.answer)
 		}
-		if p.processEnded(target) || !pace.wait(ctx, err) {
+		if p.processEnded(target, err) || !pace.wait(ctx, err) {
 			p.recordEvent(event.RequestUnknown, c, "answer from "+target.Addr+" was lost ("+unresolved.Cause+") and it can't be asked in time")
 			return unresolved
 		}
@@ -104,11 +107,23 @@
 }
 
 // processEnded reports whether the process that an attempt was sent to is known to
-// have ended, so that it can no longer be asked. It is false for an entry node,
-// whose process is not known.
-func (p *Proxy) processEnded(target pick.Candidate) bool {
-	m, known := p.cfg.Fleet.View().Get(target.ID)
-	return !target.Entry && (!known || !m.IsUp())
+// have ended, so that it can no longer be asked. err is the error of the last inquiry,
+// nil if it was answered. That the members believe the process to be dead is not
+// enough: it may be frozen or cut off, and have the answer when it is back. It is
+// false for an entry node, whose process is not known.
+func (p *Proxy) processEnded(target pick.Candidate, err error) bool {
+	if target.Entry {
+		return false
+	}
+	view := p.cfg.Fleet.View()
+	m, known := view.Get(target.ID)
+	switch {
+	case !known || m.Left:
+		return true
+	case m.IsUp():
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED) || view.HasSuccessor(m)
 }
 
 // processID returns the id of the process that an attempt was sent to. It is empty
