node, proxy: a stopping node starts no call that it might have to give up

Cause: the stop bounds what is in flight, but not when a call may still start: one that waited in the queues of other nodes started right before the end. Now a call whose deadline lies after the end of the stop has to start 1.2 s before it, or is told not_run with a time to come back; others, such as nested calls, end by themselves.

--- a/io/node/run.go
+++ b/io/node/run.go
@@ -13,6 +13,7 @@
 
 	"tanagerchute/core/event"
 	"tanagerchute/core/member"
+	"tanagerchute/io/proxy"
 	"tanagerchute/io/timer"
 )
 
@@ -35,6 +36,9 @@
 	// backendDrainReserve is the part of the drain timeout that is reserved for
 	// the calls in flight at the node's backend server.
 	backendDrainReserve = 1500 * time.Millisecond
+	// startReserve is the last part of the drain timeout, in which no call that may
+	// last beyond it is started at a backend server.
+	startReserve = 1200 * time.Millisecond
 	// pendingAcceptTimeout bounds the wait at a stop until the listener for callers
 	// has returned the connections that were pending when it was closed.
 	pendingAcceptTimeout = 2 * time.Second
@@ -345,6 +349,7 @@
 	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(drain.Timeout.Std()+drain.Linger.Std()))
 	defer cancel()
 	lingerEnd := startedAt.Add(drain.Linger.Std())
+	n.proxy.PrepareStop(callsDuringStop(startedAt, drain.Timeout.Std()))
 	if drain.ServeOn {
 		timer.Sleep(ctx, time.Until(lingerEnd))
 		requestsCtx, cancel := context.WithDeadline(ctx, startedAt.Add(drain.Timeout.Std()-backendDrainReserve))
@@ -372,6 +377,14 @@
 	<-seedRemoved
 }
 
+// callsDuringStop returns the course of a planned stop that began at startedAt.
+func callsDuringStop(startedAt time.Time, drainTimeout time.Duration) proxy.Stop {
+	return proxy.Stop{
+		LastStart: startedAt.Add(max(drainTimeout-startReserve, drainTimeout/2)),
+		End:       startedAt.Add(drainTimeout),
+	}
+}
+
 // removeSeedRecord starts to remove the node's seed record from the store, so that
 // starting nodes do not try to join a node that is stopping. The returned channel
 // is closed when the record has been removed or closeTimeout has passed.
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -48,8 +48,12 @@
 func (d *dispatchState) run(ctx context.Context) call.Reply {
 	for sent := false; ; sent = true {
 		c, ok := d.pickUpstream()
+		latest := d.p.latestStart(d.call)
+		ended := !latest.IsZero() && time.Now().After(latest)
 		switch {
-		case ok:
+		case ok && !ended:
+		case ended && !sent:
+			return call.Refuse(call.NotRun, call.CauseDraining, stoppingRetryAfter)
 		case sent:
 			return d.tracker.Final()
 		default:
@@ -68,6 +72,10 @@
 	}
 }
 
+// stoppingRetryAfter is the Retry-After time of a call that arrives when the node is
+// about to stop. Its caller can go to another node at once.
+const stoppingRetryAfter = 100 * time.Millisecond
+
 // noUpstreamRetryAfter is the Retry-After time of a call for which no upstream is
 // available.
 const noUpstreamRetryAfter = time.Second
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -317,6 +317,9 @@
 		}
 	}
 	c.WaitUntil = earlier(c.WaitUntil, c.Deadline)
+	if by := p.latestStart(*c); !by.IsZero() {
+		c.WaitUntil = earlier(c.WaitUntil, by)
+	}
 	if !c.Target.IsZero() {
 		c.Target = earlier(c.Target, c.Deadline).Add(-p.waitedBefore(c, info, in.arrivedAt))
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -94,6 +95,8 @@
 	homeTable  *homeTable
 	notices    *notices
 
+	stop atomic.Pointer[Stop] // nil before a planned stop
+
 	mu              sync.Mutex // protects the fields below and Config.Rand
 	picker          *pick.Picker
 	waits           *waits.Estimator
@@ -128,6 +131,27 @@
 // record of. It is called when the node is about to stop.
 func (p *Proxy) RefuseNewKeys() { p.homeTable.refuseNewKeys() }
 
+// Stop is the course of a planned stop of the node.
+type Stop struct {
+	// LastStart is when the last call is started at a backend server. One that has
+	// not started by then ends as not run, so that none is given up while a backend
+	// server works on it. Calls whose deadline comes before End are not concerned.
+	LastStart time.Time
+	End       time.Time // calls that are still in progress are given up then
+}
+
+// PrepareStop announces a planned stop of the node.
+func (p *Proxy) PrepareStop(s Stop) { p.stop.Store(&s) }
+
+// latestStart returns when c may be started at the latest, zero if there is no bound.
+func (p *Proxy) latestStart(c call.Call) time.Time {
+	s := p.stop.Load()
+	if s == nil || !c.Deadline.After(s.End) {
+		return time.Time{}
+	}
+	return s.LastStart
+}
+
 // recordEvent adds an event about a call to the journal.
 func (p *Proxy) recordEvent(k event.Kind, c call.Call, cause string) {
 	p.cfg.Journal.Add(event.Event{At: time.Now(), Kind: k, Subject: c.ID, Trace: c.Trace, Cause: cause})
