proxy: a stopping node gives its final answer to at-most-once calls too

What callers saw: a connection that was closed without an answer when a planned stop ended before the work of a booking. Cause: the wait for the outcome of an at-most-once call does not end with its caller, so that a repeat can find it; a stop ended the caller's call, but not that wait, and the connection was closed 200 ms later.

--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -188,13 +188,29 @@
 func (p *Proxy) sendTo(ctx context.Context, target pick.Candidate, c call.Call, onSilent func()) call.Reply {
 	switch {
 	case target.ID == p.cfg.Node:
-		return p.cfg.Gate.Serve(ctx, c)
+		return p.serveOwn(ctx, c)
 	case c.AtMostOnce:
 		return p.sendAtMostOnce(ctx, target, c, onSilent)
 	}
 	return p.send(ctx, target.Addr, c, onSilent)
 }
 
+// serveOwn sends an attempt to the own backend server. An at-most-once call goes on
+// there when its caller has left, but not its caller when a planned stop ends.
+func (p *Proxy) serveOwn(ctx context.Context, c call.Call) call.Reply {
+	if !c.AtMostOnce {
+		return p.cfg.Gate.Serve(ctx, c)
+	}
+	reply := make(chan call.Reply, 1)
+	go func() { reply <- p.cfg.Gate.Serve(ctx, c) }()
+	select {
+	case r := <-reply:
+		return r
+	case <-p.ended.Done():
+		return call.Refuse(call.Unknown, call.CauseAnswerLost, 0)
+	}
+}
+
 // recordSent tells the picker that a call is sent to a candidate.
 func (p *Proxy) recordSent(id string) {
 	p.mu.Lock()
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -95,7 +96,9 @@
 	homeTable  *homeTable
 	notices    *notices
 
-	stop atomic.Pointer[Stop] // nil before a planned stop
+	stop   atomic.Pointer[Stop] // nil before a planned stop
+	ended  context.Context      // ends at Stop.End
+	endNow context.CancelFunc
 
 	mu              sync.Mutex // protects the fields below and Config.Rand
 	picker          *pick.Picker
@@ -121,6 +124,7 @@
 		homeTable:  &homeTable{SyncTable: runner.NewSyncTable()},
 		notices:    newNotices(),
 	}
+	p.ended, p.endNow = context.WithCancel(context.Background())
 	return p
 }
 
@@ -141,7 +145,10 @@
 }
 
 // PrepareStop announces a planned stop of the node.
-func (p *Proxy) PrepareStop(s Stop) { p.stop.Store(&s) }
+func (p *Proxy) PrepareStop(s Stop) {
+	p.stop.Store(&s)
+	time.AfterFunc(time.Until(s.End), p.endNow)
+}
 
 // latestStart returns when c may be started at the latest, zero if there is no bound.
 func (p *Proxy) latestStart(c call.Call) time.Time {
