member: the process before at a node's own address is not up

Cause: a node that hears of its own predecessor first, as alive, takes it for another running node, ends the search for seeds, and finds nobody else to join until others find it. Its address is this node's own, so it has ended.

--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -29,6 +29,10 @@
 		t.refute(now, r)
 		return nil
 	}
+	if r.Addr == t.self.Addr && r.Addr != "" && r.IsUp() {
+		// An earlier process: the address is this node's own now.
+		r = r.WithState(Dead, t.self.ID)
+	}
 	e, known := t.members[r.ID]
 	if !known {
 		return t.addMember(now, r)
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -213,3 +213,19 @@
 		is.True(!ok)
 	}
 }
+
+// TestPredecessorIsNotUp guards against a restarted node that takes the process before
+// it for another running node, because it hears of it first, and joins nobody.
+func TestPredecessorIsNotUp(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_800_000_000_000)
+	cfg := member.DefaultConfig()
+	cfg.Self = member.Record{ID: "a.2", Addr: "a:1", DataCentre: "dc", Incarnation: 1, StartMs: now.UnixMilli()}
+	table := member.NewTable(cfg)
+	before := member.Record{ID: "a.1", Addr: "a:1", DataCentre: "dc", Incarnation: 3, Ready: true, StartMs: now.UnixMilli() - 1000}
+	table.Merge(now, []member.Record{before})
+	table.Merge(now, []member.Record{before.WithIncarnation(4)})
+	for _, r := range table.Records() {
+		is.Equal(r.IsUp(), r.ID == "a.2")
+	}
+}
