member, gate: a restarted node knows that its backend server has left

What servers saw: new work after they had left, if their node restarted and heard a late heartbeat. Cause: the acknowledgement of the leaving was remembered by the process that gave it alone. Now the record of a member names the server that announced its stop, and the next process reads it from the others right after it has joined. The slots of the server before are read the same way: from the table and not from the view, which may be 100 ms older than the join.

--- a/core/member/record.go
+++ b/core/member/record.go
@@ -42,12 +42,21 @@
 	// WarmupEnd is when the warm-up period of its backend server ends. The
 	// server is slow until then. It is zero if there is no warm-up.
 	WarmupEnd time.Time `json:"warm_until,omitzero"`
-	Accuser   string    `json:"accuser,omitempty"` // id of the member that claimed State
+	// LeftServer is its backend server if that has announced its stop, else zero. A
+	// node that restarts learns it from the record of the process before.
+	LeftServer ServerID `json:"left_server,omitzero"`
+	Accuser    string   `json:"accuser,omitempty"` // id of the member that claimed State
 	// Left marks a dead member that stopped as planned. It does not count
 	// toward the quorum, see Table.QuorumUntil.
 	Left bool `json:"left,omitempty"`
 }
 
+// ServerID identifies a process of a backend server.
+type ServerID struct {
+	ID      string `json:"id"`              // may be reused by a later process
+	StartMs int64  `json:"since,omitempty"` // start of the process, Unix milliseconds, 0 if unknown
+}
+
 // WithState returns a copy of r in state s, claimed by the member accuser.
 func (r Record) WithState(s State, accuser string) Record {
 	r.State = s
@@ -67,6 +76,7 @@
 	Slots int
 	// WarmupEnd is when its warm-up period ends, zero if there is none.
 	WarmupEnd time.Time
+	Left      ServerID // the server if it has announced its stop, else zero
 }
 
 // warmupTolerance is how much later WarmupEnd has to become for the change to
@@ -76,7 +86,7 @@
 // Differs reports whether u differs enough from o, the state announced last, to
 // be announced.
 func (u Upstream) Differs(o Upstream) bool {
-	return u.Ready != o.Ready || u.Slots != o.Slots || u.WarmupEnd.Sub(o.WarmupEnd) > warmupTolerance
+	return u.Ready != o.Ready || u.Slots != o.Slots || u.Left != o.Left || u.WarmupEnd.Sub(o.WarmupEnd) > warmupTolerance
 }
 
 // WithUpstream returns a copy of r with u as the state of the backend server.
@@ -84,11 +94,12 @@
 	r.Ready = u.Ready
 	r.Slots = u.Slots
 	r.WarmupEnd = u.WarmupEnd
+	r.LeftServer = u.Left
 	return r
 }
 
 // Upstream returns the state of the member's backend server.
-func (r Record) Upstream() Upstream { return Upstream{r.Ready, r.Slots, r.WarmupEnd} }
+func (r Record) Upstream() Upstream { return Upstream{r.Ready, r.Slots, r.WarmupEnd, r.LeftServer} }
 
 // Group returns the name of the membership group that the member belongs to.
 // The members of a group share one table. It is the region, or the data centre
@@ -145,7 +156,7 @@
 	switch {
 	case r.ID == "" || len(r.ID) > maxFieldBytes:
 		return fmt.Errorf("member id has an invalid length of %d bytes", len(r.ID))
-	case len(r.Addr) > maxFieldBytes || len(r.Service) > maxFieldBytes || len(r.DataCentre) > maxFieldBytes || len(r.Region) > maxFieldBytes:
+	case len(r.Addr) > maxFieldBytes || len(r.Service) > maxFieldBytes || len(r.DataCentre) > maxFieldBytes || len(r.Region) > maxFieldBytes || len(r.LeftServer.ID) > maxFieldBytes:
 		return fmt.Errorf("record of member %q has an oversized field", r.ID)
 	case r.State < Alive || r.State > Dead:
 		return fmt.Errorf("member %q has unknown state %d", r.ID, r.State)
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -208,6 +208,17 @@
 	return t.updateSelf(now, t.self.WithUpstream(u), "backend server announced or changed")
 }
 
+// Predecessor returns the record of the latest earlier process at the address of this
+// node.
+func (t *Table) Predecessor() (r Record, ok bool) {
+	for _, e := range t.byAddr[t.self.Addr] {
+		if e.rec.ID != t.self.ID && (!ok || e.rec.StartMs > r.StartMs) {
+			r, ok = e.rec, true
+		}
+	}
+	return r, ok
+}
+
 // SetCanBeHome sets whether this node is eligible as the home of idempotency
 // keys, and announces it.
 func (t *Table) SetCanBeHome(now time.Time, can bool) []Action {
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -223,9 +223,13 @@
 	cfg.Self = member.Record{ID: "a.2", Addr: "a:1", DataCentre: "dc", Incarnation: 1, StartMs: now.UnixMilli()}
 	table := member.NewTable(cfg)
 	before := member.Record{ID: "a.1", Addr: "a:1", DataCentre: "dc", Incarnation: 3, Ready: true, StartMs: now.UnixMilli() - 1000}
+	before.LeftServer = member.ServerID{ID: "i", StartMs: 7}
 	table.Merge(now, []member.Record{before})
 	table.Merge(now, []member.Record{before.WithIncarnation(4)})
 	for _, r := range table.Records() {
 		is.Equal(r.IsUp(), r.ID == "a.2")
 	}
+	r, ok := table.Predecessor()
+	is.True(ok)
+	is.Equal(r.LeftServer, before.LeftServer)
 }
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -271,6 +271,13 @@
 	f.do(ctx, func(now time.Time) { f.perform(ctx, f.table.SetUpstream(now, u)) })
 }
 
+// Predecessor returns the record of the latest earlier process at the address of this
+// node. Unlike View it knows all that Join has learned.
+func (f *Fleet) Predecessor(ctx context.Context) (r member.Record, ok bool) {
+	f.do(ctx, func(time.Time) { r, ok = f.table.Predecessor() })
+	return r, ok
+}
+
 // SetCanBeHome publishes whether this node can be the home of a key. Its tenure,
 // see package homes, restarts when it becomes able to.
 func (f *Fleet) SetCanBeHome(ctx context.Context, can bool) {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -257,6 +257,29 @@
 	g.requestTick()
 }
 
+// leftServer returns the backend server if it has announced its stop, else zero. The
+// caller holds mu.
+func (g *Gate) leftServer() member.ServerID {
+	h, ok := g.heartbeats.Last()
+	if !ok || h.State == beat.Ready {
+		return member.ServerID{}
+	}
+	return member.ServerID{ID: h.ID, StartMs: h.StartMs}
+}
+
+// ObserveFormerLeave records that the given backend server announced its stop to an
+// earlier process of this node.
+func (g *Gate) ObserveFormerLeave(s member.ServerID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	last, known := g.heartbeats.Last()
+	v := g.heartbeats.ObserveLeave(time.Now(), s.ID, s.StartMs)
+	if v != beat.Fresh || known && (last.ID != s.ID || s.StartMs != 0 && last.StartMs > s.StartMs) {
+		return
+	}
+	g.markLeaving(s.ID, "announced to an earlier process of this node")
+}
+
 // Load returns the load of the backend server. It is attached to each reply.
 func (g *Gate) Load() pick.Load {
 	g.mu.Lock()
@@ -366,7 +389,7 @@
 	if g.admission.Queued() > 0 {
 		g.notifyWaiters(g.admission.Tick(now))
 	}
-	upstream := member.Upstream{Ready: g.backendReady(now), Slots: g.backend.Slots}
+	upstream := member.Upstream{Ready: g.backendReady(now), Slots: g.backend.Slots, Left: g.leftServer()}
 	if g.backend.WarmupEnd.After(now) {
 		upstream.WarmupEnd = g.backend.WarmupEnd
 	}
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -139,6 +139,7 @@
 		return
 	}
 	n.feed.SetJoined()
+	n.observeFormerLeave(ctx)
 	if err := n.feed.Boot(ctx, addrs); err != nil {
 		return // the node is stopping
 	}
@@ -146,6 +147,14 @@
 	n.discoverBackend(ctx)
 }
 
+// observeFormerLeave tells the gate if the backend server announced its stop to the
+// process before, as the other nodes remember it. A late heartbeat could say otherwise.
+func (n *Node) observeFormerLeave(ctx context.Context) {
+	if m, ok := n.fleet.Predecessor(ctx); ok && m.LeftServer.ID != "" {
+		n.gate.ObserveFormerLeave(m.LeftServer)
+	}
+}
+
 // defaultBackendSlots is the assumed number of slots of a backend server that was
 // found by a health check, until it announces its own.
 const defaultBackendSlots = 8
@@ -162,20 +171,16 @@
 	if !ok || service.HealthPath == "" {
 		return
 	}
-	n.gate.DiscoverBackend(ctx, s.Backend, service.HealthPath, n.previousSlots())
+	n.gate.DiscoverBackend(ctx, s.Backend, service.HealthPath, n.previousSlots(ctx))
 }
 
 // previousSlots returns the slots of the backend server that the previous node
 // process at this address published, or defaultBackendSlots.
-func (n *Node) previousSlots() int {
-	view := n.fleet.View()
-	slots, newestStart := defaultBackendSlots, int64(0)
-	for _, m := range view.Members {
-		if m.Addr == view.Self.Addr && m.ID != view.Self.ID && m.Slots > 0 && m.StartMs > newestStart {
-			slots, newestStart = m.Slots, m.StartMs
-		}
+func (n *Node) previousSlots(ctx context.Context) int {
+	if m, ok := n.fleet.Predecessor(ctx); ok && m.Slots > 0 {
+		return m.Slots
 	}
-	return slots
+	return defaultBackendSlots
 }
 
 // serveCallersWhenReady listens for callers once the node is ready. Until then,
