--- a/internal/integ/freeze_test.go
+++ b/internal/integ/freeze_test.go
@@ -86,3 +86,49 @@
 	}
 	is.True(frozen.cmd.ProcessState == nil) // it was never restarted
 }
+
+// TestKilledGatekeeperProvesNothing guards against work that ran and is run again, or is
+// told as not run, because the node that sent it to its backend server was killed and
+// its next process knows nothing of it. Calls without a key, sent over two hops.
+func TestKilledGatekeeperProvesNothing(t *testing.T) {
+	f := startFleet(t, fleetOptions{})
+	sender := f.instancesOf("hafnar", "budir")[0]
+	outcomes := map[string]int{}
+	for round, victim := range f.instancesOf("hafnar", "skraning") {
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		answers := map[string]answer{}
+		for i := range 20 {
+			wg.Go(func() {
+				name := fmt.Sprintf("kill-%d-%d", round, i)
+				a := f.work(sender, "POST", "/bookings?work=500ms", name)
+				mu.Lock()
+				defer mu.Unlock()
+				answers[name] = a
+			})
+		}
+		time.Sleep(250 * time.Millisecond)
+		victim.node.kill()
+		f.start(victim.node)
+		wg.Wait()
+		runs := f.runCounts()
+		for name, a := range answers {
+			outcomes[a.outcome]++
+			switch {
+			case runs[name] > 1:
+				t.Errorf("%s ran %d times: %s", name, runs[name], describe(a))
+			case a.err != nil:
+				t.Errorf("%s: no answer: %v", name, a.err)
+			case a.outcome == "not_run" && runs[name] > 0:
+				t.Errorf("%s was told as not run, and ran", name)
+			case a.reportsRun() && runs[name] != 1:
+				t.Errorf("%s was told as run, and ran %d times", name, runs[name])
+			}
+		}
+		f.eventually(20*time.Second, "all nodes are ready again", func() bool { return f.allReady(1) })
+	}
+	t.Logf("outcomes: %v", outcomes)
+	if outcomes["unknown"] == 0 || outcomes[""] == 0 {
+		t.Error("no call was at the killed nodes, or none elsewhere")
+	}
+}
