upconn: an answer that names no request is taken from a new connection only

Callers could get the answer to another request: on the product's own face the echo of the request's id is optional, and a late second copy without an id was taken for the answer to the next request on its connection. Now the connection of an answer without an id is not used again, and such an answer on a connection in use is an error. TestLateCopyWithoutID fails without the two checks.

--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -42,7 +42,7 @@
 		cfg.MaxAnswerBytes = defaultMaxAnswerBytes
 	}
 	c := &client{dialect: cfg.Dialect, dialer: net.Dialer{Timeout: dialTimeout}, maxConns: maxConnsOrDefault(cfg.MaxConns)}
-	c.pool = upconn.New(upconn.Config{MaxConns: c.maxConns, MaxAnswerBytes: cfg.MaxAnswerBytes, IsAnswer: c.isAnswerTo})
+	c.pool = upconn.New(upconn.Config{MaxConns: c.maxConns, MaxAnswerBytes: cfg.MaxAnswerBytes, AnswerID: c.answerID})
 	return c
 }
 
@@ -57,12 +57,8 @@
 	}
 }
 
-// isAnswerTo reports whether res answers the request with the given id. An answer
-// without an id is taken to answer the request that was just sent.
-func (cl *client) isAnswerTo(res *http.Response, id string) bool {
-	info := cl.dialect.ParseResponse(res)
-	return info.ID == "" || info.ID == id
-}
+// answerID returns the id of the request that res answers, empty if it names none.
+func (cl *client) answerID(res *http.Response) string { return cl.dialect.ParseResponse(res).ID }
 
 // closeIdle closes the idle connections to the server.
 func (cl *client) closeIdle() { cl.pool.CloseIdle() }
--- a/io/upconn/pool.go
+++ b/io/upconn/pool.go
@@ -37,9 +37,9 @@
 	// is called for each new connection.
 	MaxConns       func() int
 	MaxAnswerBytes int64 // maximum size of an answer's body
-	// IsAnswer reports whether res answers the request with the given id. An answer
-	// to another request is read and dropped. nil accepts all answers.
-	IsAnswer func(res *http.Response, id string) bool
+	// AnswerID returns the id of the request that res answers, empty if it names none.
+	// An answer to another request is read and dropped. nil accepts all answers.
+	AnswerID func(res *http.Response) string
 	// Dial opens connections. The default is link.Direct.
 	Dial link.Dial
 }
@@ -323,7 +323,11 @@
 		if res.StatusCode >= 100 && res.StatusCode < 200 {
 			continue
 		}
-		if p.cfg.IsAnswer != nil && !p.cfg.IsAnswer(res, r.ID) {
+		id := r.ID
+		if p.cfg.AnswerID != nil {
+			id = p.cfg.AnswerID(res)
+		}
+		if id != "" && id != r.ID {
 			if clean {
 				c.limit.left += p.cfg.MaxAnswerBytes // one answer, which may be large
 			}
@@ -341,6 +345,13 @@
 		if err != nil {
 			return Answer{}, false, err
 		}
+		if p.cfg.AnswerID != nil && id == "" {
+			// On a new connection it can only be to the one request that was sent.
+			if !c.idleSince.IsZero() {
+				return Answer{}, false, errors.New("the answer does not say to which request it is")
+			}
+			clean = false
+		}
 		c.applyKeepAlive(res.Header.Get("Keep-Alive"))
 		return Answer{res, body}, clean && !res.Close && c.br.Buffered() == 0, nil
 	}
--- a/io/upconn/pool_test.go
+++ b/io/upconn/pool_test.go
@@ -160,3 +160,53 @@
 	is.Equal(conns, 2)
 	is.Equal(requests, 22)
 }
+
+// lateCopyServer serves connections on which it sends a copy of each answer again,
+// late: just before the answer to the next request. Its answers name no request.
+func lateCopyServer(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	serve := func(c net.Conn) {
+		defer c.Close()
+		br := bufio.NewReader(c)
+		late := ""
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			body := "to " + req.Header.Get("X-Id")
+			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			fmt.Fprint(c, late+answer)
+			late = answer
+		}
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// TestLateCopyWithoutID guards against a late second copy of an answer that reaches the
+// next caller, because neither answer says which request it is to.
+func TestLateCopyWithoutID(t *testing.T) {
+	is := is.New(t)
+	addr := lateCopyServer(t)
+	p := upconn.New(upconn.Config{MaxAnswerBytes: 1000, AnswerID: func(res *http.Response) string { return res.Header.Get("X-Id") }})
+	for i := range 5 {
+		id := fmt.Sprint("request ", i)
+		a, err := p.Do(context.Background(), addr, upconn.Request{Method: http.MethodGet, Path: "/", Host: "a", Header: http.Header{"X-Id": {id}}, ID: id})
+		is.NoErr(err)
+		is.Equal(string(a.BodyBytes), "to "+id)
+	}
+}
--- a/io/upconn/request.go
+++ b/io/upconn/request.go
@@ -17,7 +17,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	ID     string // passed to Config.IsAnswer
+	ID     string // compared with that of the answer, see Config.AnswerID
 	// MaxIdle is the longest idle time of a connection that is reused for the
 	// request, 0 for no limit. The server may be closing a connection that has been
 	// idle for longer, and then it is unknown whether the request has run.
