--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -102,7 +102,7 @@
 // supersede declares an earlier process at the address of r dead. Member ids
 // are unique to a process, so a restarted node is a new member.
 func (t *Table) supersede(now time.Time, r Record) {
-	for _, e := range t.byAddr[r.Addr] {
+	for _, e := range slices.Clone(t.byAddr[r.Addr]) { // setRecord changes the slice
 		if e.rec.IsUp() && r.IsUp() && e.rec.StartMs < r.StartMs {
 			t.setRecord(now, e, e.rec.WithState(Dead, t.self.ID), "superseded by "+r.ID+" at its address")
 		}
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -233,3 +233,26 @@
 	is.True(ok)
 	is.Equal(r.LeftServer, before.LeftServer)
 }
+
+// TestSupersedesAllEarlierProcesses guards against an earlier process at an address that
+// stays up in the table, because another one there was superseded first.
+func TestSupersedesAllEarlierProcesses(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_800_000_000_000)
+	cfg := member.DefaultConfig()
+	cfg.Self = member.Record{ID: "self", Addr: "self:1", DataCentre: "dc", Incarnation: 1}
+	table := member.NewTable(cfg)
+	process := func(i int64) member.Record {
+		return member.Record{ID: fmt.Sprint("a.", i), Addr: "a:1", DataCentre: "dc", Incarnation: 1, StartMs: now.UnixMilli() + i}
+	}
+	// The earlier ones arrive last, so none of them supersedes another.
+	table.Merge(now, []member.Record{process(3), process(2), process(1)})
+	table.Merge(now, []member.Record{process(4)})
+	var up []string
+	for _, r := range table.Records() {
+		if r.IsUp() {
+			up = append(up, r.ID)
+		}
+	}
+	is.Equal(up, []string{"a.4", "self"})
+}
