--- /dev/null
+++ b/io/node/stop.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"tanagerchute/core/event"
+	"tanagerchute/io/proxy"
+	"tanagerchute/io/timer"
+)
+
+const (
+	// backendDrainReserve is the part of the drain timeout that is reserved for
+	// the calls in flight at the node's backend server.
+	backendDrainReserve = 1500 * time.Millisecond
+	// startReserve is the last part of the drain timeout, in which no call that may
+	// last beyond it is started at a backend server.
+	startReserve = 1200 * time.Millisecond
+	// pendingAcceptTimeout bounds the wait at a stop until the listener for callers
+	// has returned the connections that were pending when it was closed.
+	pendingAcceptTimeout = 2 * time.Second
+	// closeTimeout bounds the last steps of a planned stop, when no call is in
+	// flight.
+	closeTimeout = 400 * time.Millisecond
+	// finalAnswerTimeout bounds the wait for the answers to calls that a planned
+	// stop has canceled.
+	finalAnswerTimeout = 200 * time.Millisecond
+)
+
+// drainAndStop performs the planned stop. The order of its steps matters:
+//
+//  1. It tells all peers that this node accepts no new work. Calls that still
+//     arrive are refused as not run.
+//  2. It waits for the calls in flight.
+//  3. It keeps answering inquiries about the keys that this node was the home of,
+//     until the linger time has passed.
+//  4. It tells the peers that this node has stopped.
+//
+// If the backend server keeps running (Drain.ServeOn), the node first serves it
+// for the linger time, so that callers can move to other nodes, and waits for the
+// requests in progress.
+func (n *Node) drainAndStop(ctx context.Context, s *servers) {
+	startedAt := time.Now()
+	n.recordEvent(event.NodeDraining, "planned stop")
+	n.stopping.Store(true)
+	drain := n.drainSettings()
+	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(drain.Timeout.Std()+drain.Linger.Std()))
+	defer cancel()
+	lingerEnd := startedAt.Add(drain.Linger.Std())
+	n.proxy.PrepareStop(callsDuringStop(startedAt, drain.Timeout.Std()))
+	if drain.ServeOn {
+		timer.Sleep(ctx, time.Until(lingerEnd))
+		requestsCtx, cancel := context.WithDeadline(ctx, startedAt.Add(drain.Timeout.Std()-backendDrainReserve))
+		s.callerConns.waitForCurrentRequests(requestsCtx)
+		cancel()
+	}
+	n.proxy.RefuseNewKeys()
+	n.gate.StartDrain()
+	n.fleet.Leave(ctx)
+	seedRemoved := n.removeSeedRecord(ctx)
+
+	drainCtx, cancelDrain := context.WithDeadline(ctx, startedAt.Add(drain.Timeout.Std()))
+	defer cancelDrain()
+	if err := n.gate.Drain(drainCtx); err != nil {
+		n.recordEvent(event.NodeDraining, "calls are still in flight after "+drain.Timeout.Std().String())
+	}
+	timer.Sleep(ctx, time.Until(lingerEnd))
+	// Since the stop began, answers have carried "Connection: close", so that no
+	// caller sends a request on a connection that is about to be closed.
+	s.closeCallers(drainCtx)
+	closeCtx, cancelClose := context.WithTimeout(ctx, closeTimeout)
+	defer cancelClose()
+	n.fleet.Stop(closeCtx)
+	s.closeOtherServers(closeCtx)
+	<-seedRemoved
+}
+
+// callsDuringStop returns the course of a planned stop that began at startedAt.
+func callsDuringStop(startedAt time.Time, drainTimeout time.Duration) proxy.Stop {
+	return proxy.Stop{
+		LastStart: startedAt.Add(max(drainTimeout-startReserve, drainTimeout/2)),
+		End:       startedAt.Add(drainTimeout),
+	}
+}
+
+// removeSeedRecord starts to remove the node's seed record from the store, so that
+// starting nodes do not try to join a node that is stopping. The returned channel
+// is closed when the record has been removed or closeTimeout has passed.
+func (n *Node) removeSeedRecord(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if n.seeds == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+		defer cancel()
+		n.seeds.Close(ctx)
+	}()
+	return done
+}
+
+// closeOtherServers gracefully stops all servers except the one for callers.
+func (s *servers) closeOtherServers(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, v := range s.bound {
+		wg.Go(func() { closeServer(ctx, v.server) })
+	}
+	wg.Wait()
+}
+
+// closeServer stops a server gracefully, and by force if ctx ends first.
+func closeServer(ctx context.Context, s *http.Server) {
+	if s.Shutdown(ctx) != nil {
+		_ = s.Close()
+	}
+}
+
+// closeCallers stops the server for callers. It accepts no new connections, waits
+// for the requests in progress until ctx ends, then cancels the remaining calls
+// and closes all connections.
+func (s *servers) closeCallers(ctx context.Context) {
+	if active := s.callersListener.Load(); active != nil {
+		_ = active.listener.Close() // the end of accepting is awaited below
+		select {
+		case <-active.done:
+		case <-time.After(pendingAcceptTimeout):
+		}
+		s.callerConns.waitIdle(ctx)
+	}
+	// The calls that are still in progress get their final answer now.
+	s.cancelCalls()
+	answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalAnswerTimeout)
+	defer cancel()
+	s.callerConns.waitIdle(answerCtx)
+	closeServer(answerCtx, s.callers)
+}
