gate: a health check without a limit does not end one, and another server's leaving does not bind

A restarted node took the answer to its health check, which names no limit, for the end of the limit that other nodes attach to their calls (TestLimitKnownToCallersAfterHealthCheck). What an earlier process heard of the leaving of one server was recorded over another one that had taken its place, if that had started earlier by its clock; its heartbeats were stale from then on (TestFormerLeaveOfAnotherServer). Both tests fail without.

--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -225,7 +225,9 @@
 		return
 	}
 	g.setBackend(Backend{Address: addr, Slots: slots, ID: id})
-	g.observeLimit(began, "a health check", statement)
+	if statement.Limited { // without a limit, the answer to a health check says nothing
+		g.observeLimit(began, "a health check", statement)
+	}
 }
 
 // ObserveLeave handles a leave request, by which a backend server announces that
@@ -272,12 +274,12 @@
 func (g *Gate) ObserveFormerLeave(s member.ServerID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	last, known := g.heartbeats.Last()
-	v := g.heartbeats.ObserveLeave(time.Now(), s.ID, s.StartMs)
-	if v != beat.Fresh || known && (last.ID != s.ID || s.StartMs != 0 && last.StartMs > s.StartMs) {
-		return
+	if last, known := g.heartbeats.Last(); known && (last.ID != s.ID || last.StartMs != s.StartMs) {
+		return // another server has taken its place
+	}
+	if g.heartbeats.ObserveLeave(time.Now(), s.ID, s.StartMs) == beat.Fresh {
+		g.markLeaving(s.ID, "announced to an earlier process of this node")
 	}
-	g.markLeaving(s.ID, "announced to an earlier process of this node")
 }
 
 // Load returns the load of the backend server. It is attached to each reply.
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -5,14 +5,17 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"tanagerchute/core/beat"
 	"tanagerchute/core/call"
 	"tanagerchute/core/dedup"
 	"tanagerchute/core/event"
+	"tanagerchute/core/member"
 	"tanagerchute/io/gate"
 	"tanagerchute/io/native"
 )
@@ -83,3 +86,52 @@
 	is.Equal(r.Fate, call.NotRun)
 	is.True(r.Cause != call.CauseCanceled)
 }
+
+// healthDialect is native.Dialect with health checks that name the server.
+type healthDialect struct{ native.Dialect }
+
+// ParseHealthCheck implements tanagerchute.Dialect.
+func (healthDialect) ParseHealthCheck(*http.Response) (string, bool) { return "i-1", true }
+
+// TestLimitKnownToCallersAfterHealthCheck guards against a restarted node that takes the
+// answer to its health check, which names no limit, for the end of a limit that other
+// nodes have heard of.
+func TestLimitKnownToCallersAfterHealthCheck(t *testing.T) {
+	is := is.New(t)
+	var arrived atomic.Int32
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/" {
+			arrived.Add(1)
+			time.Sleep(300 * time.Millisecond)
+		}
+	}))
+	t.Cleanup(srv.Close)
+	g := gate.New(gate.Config{Node: "n", Service: "budir", Dialect: healthDialect{}, NoProbe: true, Journal: event.NewJournal(event.Config{Capacity: 16})})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go g.Run(ctx)
+	g.DiscoverBackend(ctx, strings.TrimPrefix(srv.URL, "http://"), "/health", 8)
+	now := time.Now()
+	for range 8 {
+		c := call.Call{
+			ID: dedup.NewID(), Attempt: dedup.NewID(), Service: "budir", Method: http.MethodGet, Path: "/", Header: http.Header{},
+			Deadline: now.Add(time.Second), WaitUntil: now.Add(time.Second),
+			Notice: call.ServerNotice{Server: "i-1", RateLimit: 1, HeardAt: now.Add(-time.Second)},
+		}
+		go g.Serve(context.Background(), c)
+	}
+	time.Sleep(200 * time.Millisecond)
+	is.Equal(arrived.Load(), int32(0)) // the first turn comes after a second
+}
+
+// TestFormerLeaveOfAnotherServer guards against a server that is never used, because the
+// one before it at its address had left and started later by its clock.
+func TestFormerLeaveOfAnotherServer(t *testing.T) {
+	is := is.New(t)
+	g := gate.New(gate.Config{Node: "n", Service: "budir", Dialect: native.Dialect{}, NoProbe: true, Journal: event.NewJournal(event.Config{Capacity: 16})})
+	h := beat.Heartbeat{ID: "new", Service: "budir", Address: "127.0.0.1:1", Slots: 1, StartMs: 5, Sequence: 1}
+	is.Equal(g.ObserveHeartbeat(h), beat.Fresh)
+	g.ObserveFormerLeave(member.ServerID{ID: "old", StartMs: 10})
+	h.Sequence++
+	is.Equal(g.ObserveHeartbeat(h), beat.Fresh)
+}
