--- a/io/upconn/pool.go
+++ b/io/upconn/pool.go
@@ -26,6 +26,9 @@
 	// maxHeadBytes bounds what is read of an answer before its body: its head, the
 	// interim answers before it, and the heads of answers to other requests.
 	maxHeadBytes = 1 << 20
+	// maxDropped bounds the answers that are dropped for one request: interim ones, and
+	// those to other requests.
+	maxDropped = 8
 	// writeGrace bounds the wait for the rest of a request to be written after its
 	// answer has been read. The server may still be reading the request.
 	writeGrace = 50 * time.Millisecond
@@ -310,12 +313,12 @@
 }
 
 // readAnswer reads answers until one belongs to the request, and drops the others.
-// The dropped ones must not exceed the size of one answer. clean reports whether the
+// There must be fewer than maxDropped of these, no larger than one answer. clean reports whether the
 // connection can be reused.
 func (p *Pool) readAnswer(c *conn, r Request) (a Answer, clean bool, err error) {
 	clean = true
 	c.limit.left = maxHeadBytes
-	for {
+	for range maxDropped {
 		res, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
 		if err != nil {
 			return Answer{}, false, errors.Wrap(err, "read answer")
@@ -355,6 +358,7 @@
 		c.applyKeepAlive(res.Header.Get("Keep-Alive"))
 		return Answer{res, body}, clean && !res.Close && c.br.Buffered() == 0, nil
 	}
+	return Answer{}, false, errors.New("too many interim answers or answers to other requests")
 }
 
 // readBody reads a body up to its declared end, or returns ErrAnswerTooLarge if it
