--- a/cmd/tanagerchute/upstream.go
+++ b/cmd/tanagerchute/upstream.go
@@ -62,7 +62,16 @@
 	if err != nil {
 		return exitFailure(err)
 	}
-	b := server.New(server.Config{Service: s.Service, Slots: s.Slots, Work: s.Work.Std(), Egress: s.Egress})
+	cfg := server.Config{Service: s.Service, Slots: s.Slots, Work: s.Work.Std(), Egress: s.Egress}
+	if s.Ledger != "" {
+		file, err := os.OpenFile(s.Ledger, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return exitFailure(err)
+		}
+		defer file.Close()
+		cfg.LedgerOut = file
+	}
+	b := server.New(cfg)
 	node := admin.Client{Addr: s.Node}
 	go b.Announce(ctx, node, s.Listen)
 	announceLeave := func() {
--- a/internal/integ/freeze_test.go
+++ b/internal/integ/freeze_test.go
@@ -24,7 +24,7 @@
 
 // work sends a call that the backend servers know by the given name.
 func (f *fleet) work(in *instance, method, path, name string) answer {
-	req, err := http.NewRequest(method, "http://"+in.callerAddr+path, bytes.NewReader(nil))
+	req, err := http.NewRequest(method, "http://"+in.CallerAddr+path, bytes.NewReader(nil))
 	if err != nil {
 		return answer{err: err}
 	}
@@ -41,9 +41,9 @@
 	is := is.New(t)
 	f := startFleet(t, fleetOptions{})
 	// The sender has no upstream of the service beside it, so both local ones get work.
-	sender, frozen := f.instancesOf("hafnar", "budir")[0], f.instancesOf("hafnar", "skraning")[0].node
+	sender, frozen := f.instancesOf("hafnar", "budir")[0], f.instancesOf("hafnar", "skraning")[0].Node
 	file := f.writeFile("patient.jsonc", patientDocument())
-	f.mustRun("apply", "-wait", "-node", sender.adminAddr, "-store", f.storeURL, "-parent", "1", file)
+	f.mustRun("apply", "-wait", "-node", sender.AdminAddr, "-store", f.StoreURL, "-parent", "1", file)
 	for _, freeze := range []time.Duration{time.Second, 3 * time.Second, 8 * time.Second} {
 		t.Run(freeze.String(), func(t *testing.T) {
 			var wg sync.WaitGroup
@@ -63,9 +63,9 @@
 				})
 			}
 			time.Sleep(700 * time.Millisecond)
-			frozen.signal(syscall.SIGSTOP)
+			frozen.Signal(syscall.SIGSTOP)
 			time.Sleep(freeze)
-			frozen.signal(syscall.SIGCONT)
+			frozen.Signal(syscall.SIGCONT)
 			wg.Wait()
 			runs := f.runCounts()
 			again := 0
@@ -81,10 +81,10 @@
 				}
 			}
 			t.Logf("%d of %d calls, all of them idempotent, ran again elsewhere", again, len(answers))
-			f.eventually(20*time.Second, "all nodes are ready again", func() bool { return f.allReady(2) })
+			f.eventually(20*time.Second, "all nodes are ready again", func() bool { return f.AllReady(2) })
 		})
 	}
-	is.True(frozen.cmd.ProcessState == nil) // it was never restarted
+	is.True(frozen.Cmd.ProcessState == nil) // it was never restarted
 }
 
 // TestKilledGatekeeperProvesNothing guards against work that ran and is run again, or is
@@ -108,8 +108,8 @@
 			})
 		}
 		time.Sleep(250 * time.Millisecond)
-		victim.node.kill()
-		f.start(victim.node)
+		victim.Node.Kill()
+		f.start(victim.Node)
 		wg.Wait()
 		runs := f.runCounts()
 		for name, a := range answers {
@@ -125,7 +125,7 @@
 				t.Errorf("%s was told as run, and ran %d times", name, runs[name])
 			}
 		}
-		f.eventually(20*time.Second, "all nodes are ready again", func() bool { return f.allReady(1) })
+		f.eventually(20*time.Second, "all nodes are ready again", func() bool { return f.AllReady(1) })
 	}
 	t.Logf("outcomes: %v", outcomes)
 	if outcomes["unknown"] == 0 || outcomes[""] == 0 {
--- a/internal/integ/once_test.go
+++ b/internal/integ/once_test.go
@@ -14,6 +14,8 @@
 	"github.com/google/uuid"
 	"github.com/matryer/is"
 
+	"tanagerchute/internal/procs"
+	"tanagerchute/io/fakekv"
 	"tanagerchute/io/server"
 )
 
@@ -118,9 +120,9 @@
 				f.setFaults(in, c.faults)
 			}
 			b := &booking{key: newKey()}
-			plain := f.call(f.instances[0], "POST", "skraning", "/deposits", "") // without a key
+			plain := f.call(f.Instances[0], "POST", "skraning", "/deposits", "") // without a key
 			is.Equal(plain.outcome, c.first)
-			a := f.book(f.instances[0], b)
+			a := f.book(f.Instances[0], b)
 			if c.first == "unknown" {
 				is.Equal(a.outcome, c.first)
 			} else {
@@ -131,14 +133,14 @@
 			}
 			// Without the fault, the booking may run only if it is known not to
 			// have run before.
-			for _, in := range f.instances {
+			for _, in := range f.Instances {
 				f.book(in, b)
 			}
 			f.checkBookings([]*booking{b})
 			if c.first == "unknown" {
 				is.Equal(f.runCounts()[b.key], c.runs)
 			}
-			f.eventually(20*time.Second, "all nodes are ready again", func() bool { return f.allReady(1) })
+			f.eventually(20*time.Second, "all nodes are ready again", func() bool { return f.AllReady(1) })
 		})
 	}
 }
@@ -148,14 +150,14 @@
 // several bookings.
 func TestConcurrentRepeatsRunOnce(t *testing.T) {
 	is := is.New(t)
-	f := startFleet(t, fleetOptions{work: "50ms"})
+	f := startFleet(t, fleetOptions{work: 50 * time.Millisecond})
 	time.Sleep(keyWarmup)
 	var all []*booking
 	for range 10 {
 		key := newKey()
-		got := make([]answer, len(f.instances))
+		got := make([]answer, len(f.Instances))
 		var wg sync.WaitGroup
-		for i, in := range f.instances {
+		for i, in := range f.Instances {
 			wg.Go(func() { got[i] = f.call(in, "POST", "skraning", "/bookings", key) })
 		}
 		wg.Wait()
@@ -175,21 +177,21 @@
 	is := is.New(t)
 	f := startFleet(t, fleetOptions{})
 	time.Sleep(keyWarmup)
-	before := f.call(f.instances[0], "POST", "skraning", "/bookings", "order-1")
+	before := f.call(f.Instances[0], "POST", "skraning", "/bookings", "order-1")
 	is.True(before.reportsRun()) // an opaque key while the store is up
-	again := f.call(f.instances[5], "POST", "skraning", "/bookings", "order-1")
+	again := f.call(f.Instances[5], "POST", "skraning", "/bookings", "order-1")
 	is.Equal(again.body, before.body)
 
-	f.put(f.storeURL+"/faults", []byte(`{"down": true}`))
+	f.setStoreFaults(fakekv.Faults{Down: true})
 	var all []*booking
 	for i := range 30 {
 		b := &booking{key: newKey()}
 		all = append(all, b)
-		is.True(f.book(f.instances[i%9], b).reportsRun())
-		is.True(f.book(f.instances[(i+4)%9], b).reportsRun())
+		is.True(f.book(f.Instances[i%9], b).reportsRun())
+		is.True(f.book(f.Instances[(i+4)%9], b).reportsRun())
 	}
 	opaque := &booking{key: "order-2"}
-	is.Equal(f.book(f.instances[3], opaque).outcome, "unknown")
+	is.Equal(f.book(f.Instances[3], opaque).outcome, "unknown")
 	f.checkBookings(append(all, opaque))
 	is.Equal(f.runCounts()["order-1"], 1)
 }
@@ -199,7 +201,7 @@
 // connections are reset or stop carrying data, and the store fails temporarily.
 // No booking may run twice or get a wrong answer.
 func TestBookingsDuringFailures(t *testing.T) {
-	f := startFleet(t, fleetOptions{work: "20ms", linger: "2s"})
+	f := startFleet(t, fleetOptions{work: 20 * time.Millisecond, linger: 2 * time.Second})
 	time.Sleep(keyWarmup)
 	ctx, cancel := context.WithTimeout(context.Background(), 24*time.Second)
 	defer cancel()
@@ -220,8 +222,8 @@
 	f.injectFailures(ctx)
 	wg.Wait()
 	f.checkBookings(all)
-	f.eventually(30*time.Second, "all nodes are ready again", func() bool { return f.allReady(1) })
-	a := f.call(f.instances[0], "POST", "skraning", "/bookings", "")
+	f.eventually(30*time.Second, "all nodes are ready again", func() bool { return f.AllReady(1) })
+	a := f.call(f.Instances[0], "POST", "skraning", "/bookings", "")
 	is.New(t).True(a.reportsRun())
 }
 
@@ -230,10 +232,10 @@
 func (f *fleet) bookWithRepeats(rng *rand.Rand) *booking {
 	b := &booking{key: newKey()}
 	for range 6 {
-		a := f.book(f.instances[rng.IntN(len(f.instances))], b)
+		a := f.book(f.Instances[rng.IntN(len(f.Instances))], b)
 		if a.reportsRun() {
 			// Send one more repeat after the answer, as an impatient caller does.
-			f.book(f.instances[rng.IntN(len(f.instances))], b)
+			f.book(f.Instances[rng.IntN(len(f.Instances))], b)
 			if !b.last().reportsRun() {
 				b.answers = append(b.answers, a) // the earlier answer still holds
 			}
@@ -254,37 +256,37 @@
 		}
 	}
 	for round := 0; ctx.Err() == nil; round++ {
-		in := f.instances[rng.IntN(len(f.instances))]
+		in := f.Instances[rng.IntN(len(f.Instances))]
 		switch round % 6 {
 		case 0:
-			in.node.kill()
+			in.Node.Kill()
 			pause(2 * time.Second)
-			f.start(in.node)
+			f.start(in.Node)
 		case 1:
-			in.node.signal(syscall.SIGSTOP)
+			in.Node.Signal(syscall.SIGSTOP)
 			pause(4 * time.Second)
-			in.node.signal(syscall.SIGCONT)
+			in.Node.Signal(syscall.SIGCONT)
 		case 2:
 			f.addToxic(in, `{"name": "cut", "type": "reset_peer", "attributes": {"timeout": 0}}`)
 			pause(time.Second)
 			f.removeToxic(in, "cut")
 		case 3:
-			f.put(f.storeURL+"/faults", []byte(`{"down": true}`))
+			f.setStoreFaults(fakekv.Faults{Down: true})
 			pause(2 * time.Second)
-			f.put(f.storeURL+"/faults", []byte(`{}`))
+			f.setStoreFaults(fakekv.Faults{})
 		case 4:
 			f.addToxic(in, `{"name": "mute", "type": "timeout", "stream": "upstream", "attributes": {"timeout": 0}}`)
 			pause(2 * time.Second)
 			f.removeToxic(in, "mute")
 		case 5:
-			in.node.signal(syscall.SIGTERM)
+			in.Node.Signal(syscall.SIGTERM)
 			select {
-			case <-in.node.exited:
+			case <-in.Node.Exited:
 			case <-time.After(40 * time.Second):
 				f.t.Error("the node did not exit within 40 s after SIGTERM")
-				in.node.kill()
+				in.Node.Kill()
 			}
-			f.start(in.node)
+			f.start(in.Node)
 		}
 		pause(500 * time.Millisecond)
 	}
@@ -292,14 +294,14 @@
 
 // addToxic adds a fault to the proxy between a node and its peers.
 func (f *fleet) addToxic(in *instance, toxicJSON string) {
-	if _, err := in.peerProxy.Toxics.AddToxicJson(strings.NewReader(toxicJSON)); err != nil {
+	if err := procs.AddToxic(in.PeerProxy, toxicJSON); err != nil {
 		f.t.Error(err)
 	}
 }
 
 // removeToxic removes a fault by its name.
 func (f *fleet) removeToxic(in *instance, name string) {
-	if err := in.peerProxy.Toxics.RemoveToxic(context.Background(), name); err != nil {
+	if err := procs.RemoveToxic(in.PeerProxy, name); err != nil {
 		f.t.Error(err)
 	}
 }
@@ -308,7 +310,7 @@
 // planned stop. No call may fail.
 func TestRollingRestartFailsNoCall(t *testing.T) {
 	is := is.New(t)
-	f := startFleet(t, fleetOptions{work: "20ms"})
+	f := startFleet(t, fleetOptions{work: 20 * time.Millisecond})
 	time.Sleep(keyWarmup)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -337,16 +339,16 @@
 		for _, c := range dataCentres {
 			in := f.instancesOf(c, "")[i]
 			stops.Go(func() {
-				if code := in.node.terminate(t, 40*time.Second); code != 0 {
-					t.Errorf("%s exited with status %d", in.spec.Name, code)
+				if code := f.terminate(in.Node, 40*time.Second); code != 0 {
+					t.Errorf("%s exited with status %d", in.Spec.Name, code)
 				}
 			})
 		}
 		stops.Wait()
 		for _, c := range dataCentres {
-			f.start(f.instancesOf(c, "")[i].node)
+			f.start(f.instancesOf(c, "")[i].Node)
 		}
-		f.eventually(20*time.Second, "all nodes are ready after the restart", func() bool { return f.allReady(1) })
+		f.eventually(20*time.Second, "all nodes are ready after the restart", func() bool { return f.AllReady(1) })
 	}
 	cancel()
 	wg.Wait()
@@ -362,9 +364,9 @@
 // can't run the booking twice, since nothing is sent over a refused connection.
 func (f *fleet) bookAtListeningNode(rng *rand.Rand, b *booking) answer {
 	var a answer
-	n := rng.IntN(len(f.instances))
-	for i := range f.instances {
-		a = f.book(f.instances[(n+i)%len(f.instances)], b)
+	n := rng.IntN(len(f.Instances))
+	for i := range f.Instances {
+		a = f.book(f.Instances[(n+i)%len(f.Instances)], b)
 		if a.err == nil || !strings.Contains(a.err.Error(), "connection refused") {
 			return a
 		}
@@ -378,7 +380,7 @@
 	is := is.New(t)
 	f := startFleet(t, fleetOptions{})
 	began := time.Now()
-	a := f.call(f.instances[0], "GET", "skraning", "/places?work=30s", "")
+	a := f.call(f.Instances[0], "GET", "skraning", "/places?work=30s", "")
 	is.Equal(a.status, http.StatusGatewayTimeout)
 	is.True(time.Since(began) < 2*time.Second) // the class allows 800 ms
 	f.eventually(3*time.Second, "the backend server has recorded the call", func() bool {
--- a/internal/integ/path_test.go
+++ b/internal/integ/path_test.go
@@ -17,9 +17,9 @@
 // backend server, stops a node as planned, and applies a second version.
 func TestEndToEnd(t *testing.T) {
 	is := is.New(t)
-	f := startFleet(t, fleetOptions{linger: "1s"})
+	f := startFleet(t, fleetOptions{linger: 1 * time.Second})
 
-	for _, in := range f.instances {
+	for _, in := range f.Instances {
 		a := f.call(in, "GET", "skraning", "/places?call=budir/rosters", "")
 		is.NoErr(a.err)
 		is.Equal(a.status, http.StatusOK)
@@ -29,7 +29,7 @@
 
 	// After a backend server dies, its node sends calls to other upstreams.
 	dead := f.instancesOf("hafnar", "budir")[0]
-	dead.upstream.kill()
+	dead.Upstream.Kill()
 	for range 20 {
 		a := f.call(dead, "GET", "budir", "/rosters", "")
 		is.Equal(a.status, http.StatusOK)
@@ -37,7 +37,7 @@
 
 	// A planned stop exits with status 0, and calls to the other nodes succeed.
 	stopped := f.instancesOf("selfoss", "skraning")[0]
-	is.Equal(stopped.node.terminate(t, 20*time.Second), 0)
+	is.Equal(f.terminate(stopped.Node, 20*time.Second), 0)
 	for _, in := range f.instancesOf("selfoss", "") {
 		if in != stopped {
 			is.Equal(f.call(in, "GET", "skraning", "/places", "").status, http.StatusOK)
@@ -46,14 +46,14 @@
 
 	changed := bytes.Replace(sample.Nordurljos, []byte(`"800ms"`), []byte(`"700ms"`), 1)
 	file := f.writeFile("mesh.jsonc", changed)
-	out := f.mustRun("apply", "-store", f.storeURL, "-parent", "1", "-wait", "-node", dead.adminAddr, file)
+	out := f.mustRun("apply", "-store", f.StoreURL, "-parent", "1", "-wait", "-node", dead.AdminAddr, file)
 	for _, c := range dataCentres {
 		is.True(strings.Contains(out, "version 2 is in force in "+c))
 	}
-	is.True(strings.Contains(f.mustRun("status", "-node", dead.adminAddr, "-json"), `"version": 2`))
-	is.True(strings.Contains(f.mustRun("explain", "-node", dead.adminAddr, "2"), "version_applied"))
-	is.True(strings.Contains(f.mustRun("explain", "-node", dead.adminAddr, stopped.spec.Name), "stopped as planned"))
-	is.True(strings.Contains(f.mustRun("history", "-store", f.storeURL, "-deployment", "nordurljos"), "2  "))
+	is.True(strings.Contains(f.mustRun("status", "-node", dead.AdminAddr, "-json"), `"version": 2`))
+	is.True(strings.Contains(f.mustRun("explain", "-node", dead.AdminAddr, "2"), "version_applied"))
+	is.True(strings.Contains(f.mustRun("explain", "-node", dead.AdminAddr, stopped.Spec.Name), "stopped as planned"))
+	is.True(strings.Contains(f.mustRun("history", "-store", f.StoreURL, "-deployment", "nordurljos"), "2  "))
 }
 
 // TestInvalidCallsAreNotRun sends calls that are malformed, too large or too deep.
@@ -62,9 +62,9 @@
 func TestInvalidCallsAreNotRun(t *testing.T) {
 	is := is.New(t)
 	f := startFleet(t, fleetOptions{})
-	in := f.instances[0]
+	in := f.Instances[0]
 	request := func(method, host, path string, body string, header map[string]string) *http.Request {
-		r, err := http.NewRequest(method, "http://"+in.callerAddr+path, strings.NewReader(body))
+		r, err := http.NewRequest(method, "http://"+in.CallerAddr+path, strings.NewReader(body))
 		is.NoErr(err)
 		r.Host = host
 		for k, v := range header {
@@ -105,7 +105,7 @@
 // checks that it is refused as not run.
 func (f *fleet) sendTruncatedBody(in *instance) {
 	f.t.Helper()
-	got := sendRaw(f.t, in.callerAddr, "POST /bookings HTTP/1.1\r\nHost: skraning\r\nContent-Length: 100\r\n\r\nhalf")
+	got := sendRaw(f.t, in.CallerAddr, "POST /bookings HTTP/1.1\r\nHost: skraning\r\nContent-Length: 100\r\n\r\nhalf")
 	if !strings.Contains(got, " 400 ") || !strings.Contains(got, "Tanager-Outcome: not_run") {
 		f.t.Fatalf("a truncated body was answered with %q", got)
 	}
@@ -117,13 +117,13 @@
 func TestIsolatedNodeRunsNothing(t *testing.T) {
 	is := is.New(t)
 	f := startFleet(t, fleetOptions{})
-	f.platform.kill()
-	for _, in := range f.instances {
-		in.node.kill()
+	f.Platform.Kill()
+	for _, in := range f.Instances {
+		in.Node.Kill()
 	}
-	in := f.instances[0]
-	f.start(in.node)
-	f.eventually(10*time.Second, "the admin interface answers", func() bool { return len(f.status(in, admin.ScopeNode).Nodes) == 1 })
+	in := f.Instances[0]
+	f.start(in.Node)
+	f.eventually(10*time.Second, "the admin interface answers", func() bool { return len(f.Status(in, admin.ScopeNode).Nodes) == 1 })
 	var a answer
 	f.eventually(15*time.Second, "the node accepts calls", func() bool {
 		a = f.call(in, "GET", "skraning", "/places", "")
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -26,6 +26,9 @@
 	Egress   string        // egress address of the server's node
 	WarmUp   time.Duration // time after the start in which calls take several times as long
 	Protocol Protocol      // headers, nil for the Tanager headers
+	// LedgerOut, if it is set, gets each entry of the ledger as a line of JSON when
+	// the call begins, and again when its work is completed or canceled.
+	LedgerOut io.Writer
 }
 
 // Faults selects the faults to inject. They can be changed while a Server runs.
@@ -50,6 +53,9 @@
 	LateCopy bool `json:"late_copy"`
 	// Cut makes it run, and then end the response at this place.
 	Cut Cut `json:"cut"`
+	// Leave makes it tell its node that it leaves, and announce itself no more. It
+	// still runs the calls that it gets.
+	Leave bool `json:"leave"`
 }
 
 // Entry records one execution of a call.
@@ -65,6 +71,7 @@
 	At       time.Time      `json:"at"`                 // time of arrival
 	Done     bool           `json:"done,omitempty"`     // the work was completed
 	Canceled bool           `json:"canceled,omitempty"` // the request was canceled before the work was completed
+	End      time.Time      `json:"end,omitzero"`       // when it was completed or canceled
 }
 
 const (
@@ -137,6 +144,7 @@
 	defer s.mu.Unlock()
 	if len(s.ledger) < maxLedgerEntries {
 		s.ledger = append(s.ledger, e)
+		s.writeEntry(e)
 		return len(s.ledger) - 1
 	}
 	return -1
@@ -149,6 +157,22 @@
 	defer s.mu.Unlock()
 	if index >= 0 {
 		f(&s.ledger[index])
+		s.writeEntry(s.ledger[index])
+	}
+}
+
+// writeEntry writes an entry to Config.LedgerOut. A process that could not write its
+// ledger would hide runs, so it panics. The caller holds mu.
+func (s *Server) writeEntry(e Entry) {
+	if s.cfg.LedgerOut == nil {
+		return
+	}
+	data, err := json.Marshal(e)
+	if err == nil {
+		_, err = s.cfg.LedgerOut.Write(append(data, '\n'))
+	}
+	if err != nil {
+		panic(fmt.Sprintf("write ledger: %v", err))
 	}
 }
 
@@ -205,11 +229,11 @@
 	}
 	index := s.record(e)
 	if !s.work(r.Context(), s.workDuration(r, f)) {
-		s.update(index, func(e *Entry) { e.Canceled = true })
+		s.update(index, func(e *Entry) { e.Canceled, e.End = true, time.Now() })
 		return
 	}
 	nested, err := s.callNested(r)
-	s.update(index, func(e *Entry) { e.Done = true })
+	s.update(index, func(e *Entry) { e.Done, e.End = true, time.Now() })
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
@@ -314,14 +338,25 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	text := s.cfg.Service + " did " + r.Method + " " + r.URL.Path + " " + workKey(r) + nested
+	text := Text(s.cfg.Service, r.Method, r.URL.Path, workKey(r)) + nested
 	if n, err := strconv.Atoi(r.URL.Query().Get("bytes")); err == nil && n <= maxBodyBytes {
-		text = strings.Repeat("x", n)
+		text = Pad(text, n)
 	}
 	w.Header().Set("Content-Type", "text/plain")
 	fmt.Fprintln(w, text)
 }
 
+// Text returns the first line of the response to a call, without the response to a
+// nested call.
+func Text(service, method, path, key string) string {
+	return service + " did " + method + " " + path + " " + key
+}
+
+// Pad cuts or extends text to n bytes.
+func Pad(text string, n int) string {
+	return text[:min(n, len(text))] + strings.Repeat("x", max(0, n-len(text)))
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v) // fails only if the client has disconnected
@@ -334,7 +369,12 @@
 	defer t.Stop()
 	retryDelay := 50 * time.Millisecond
 	for {
-		err := node.Announce(ctx, gate.Backend{Address: addr, Slots: s.cfg.Slots})
+		var err error
+		if s.Faults().Leave {
+			err = node.MarkBackendLeaving(ctx)
+		} else {
+			err = node.Announce(ctx, gate.Backend{Address: addr, Slots: s.cfg.Slots})
+		}
 		if err != nil {
 			select {
 			case <-ctx.Done():
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -152,6 +152,9 @@
 	// Work is the service time of a call.
 	Work jsonc.Duration `json:"work,omitempty"`
 	Log  string         `json:"log,omitempty"`
+	// Ledger is a file to which the server appends its ledger, so that it outlives
+	// the process.
+	Ledger string `json:"ledger,omitempty"`
 }
 
 var nameRE = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
