--- a/internal/procs/faults.go
+++ b/internal/procs/faults.go
@@ -21,7 +21,7 @@
 	if err := p.Start(); err != nil {
 		return nil, errors.Wrapf(err, "proxy %s", name)
 	}
-	return p, nil
+	return p, addTally(p)
 }
 
 // AddToxic adds a fault, described in toxiproxy's JSON, to a proxy.
--- a/io/server/raw.go
+++ b/io/server/raw.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -144,8 +145,12 @@
 		if err != nil {
 			return
 		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
 		info := s.cfg.Protocol.ReadRequest(r.Header)
-		s.record(Entry{Request: info.ID, Method: r.Method, Target: r.RequestURI, At: time.Now(), Done: true})
+		now := time.Now()
+		s.record(Entry{Request: info.ID, Key: workKey(r), Method: r.Method, Host: r.Host, Path: r.URL.Path, Target: r.RequestURI, At: now, Done: true, End: now})
 		id = info.ID
 	}
 }
