--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -11,10 +11,14 @@
 
 // Bounds of the checks.
 const (
-	calmTime      = 3 * time.Second  // without a fault, before a call or a stop that must not fail
-	keyCalmTime   = 10 * time.Second // the same for calls with a key, which depend on the homes of the key
-	stopMargin    = 2 * time.Second  // of a planned stop, beyond drain.timeout or drain.linger
-	leaveBound    = 3 * time.Second  // after which a server that leaves gets no new work
+	calmTime      = 3 * time.Second        // without a fault, before a call or a stop that must not fail
+	keyCalmTime   = 10 * time.Second       // the same for calls with a key, which depend on the homes of the key
+	stopMargin    = 2 * time.Second        // of a planned stop, beyond drain.timeout or drain.linger
+	leaveBound    = 3 * time.Second        // after which a server that leaves gets no new work
+	noticeTime    = 500 * time.Millisecond // after which the node of a server knows its rate limit
+	limitWindow   = 4 * time.Second        // in which calls under a rate limit are counted
+	limitFactor   = 1.5
+	limitSlack    = 5                // calls
 	versionBound  = 7 * time.Second  // after which a version is in force everywhere
 	recoveryBound = 10 * time.Second // after the last fault, until all nodes serve again
 	steadyTime    = 2 * time.Second  // in which they are observed then
@@ -34,6 +38,7 @@
 	NoFault   Rule = "no call is lost without a fault that explains it"
 	StopEnds  Rule = "a planned stop ends in time, with status 0"
 	NoNewWork Rule = "a server that left gets no new work"
+	KeptLimit Rule = "all nodes together keep the rate limit of a server"
 	InForce   Rule = "a version is in force in time"
 	NoReturn  Rule = "no node goes back to an older version"
 	Answered  Rule = "each call is answered by its deadline"
@@ -69,6 +74,7 @@
 	}
 	r.checkStops(e)
 	r.checkLeaving(e)
+	r.checkLimits(e)
 	r.checkVersions(e)
 	r.checkServing(e)
 	return r
@@ -210,6 +216,34 @@
 	}
 }
 
+// checkLimits checks how many calls servers got that had named a rate limit.
+func (r *Result) checkLimits(e *Evidence) {
+	for _, i := range e.Injections {
+		if i.Kind != Limit {
+			continue
+		}
+		var at []time.Time
+		for _, runs := range e.Runs {
+			for _, x := range runs {
+				if x.Node == i.Node && x.At.After(i.Began.Add(noticeTime)) && x.At.Before(i.Ended) {
+					at = append(at, x.At)
+				}
+			}
+		}
+		slices.SortFunc(at, time.Time.Compare)
+		most := 0
+		for n, from := range at {
+			end := n
+			for end < len(at) && at[end].Sub(from) < limitWindow {
+				end++
+			}
+			most = max(most, end-n)
+		}
+		allowed := int(limitFactor*float64(i.Rate)*limitWindow.Seconds()) + limitSlack
+		r.check(KeptLimit, most <= allowed, "server %d named %d a second at %s, and got %d calls in %v, allowed %d", i.Node, i.Rate, clock(i.Began), most, limitWindow, allowed)
+	}
+}
+
 // checkVersions checks the answers of nodes about the version in force.
 func (r *Result) checkVersions(e *Evidence) {
 	acked := map[uint64]time.Time{}
@@ -275,20 +309,17 @@
 	}
 	due := last.Add(recoveryBound)
 	for n := range e.Starts {
-		for c := range classes {
-			served, failed := 0, []*Call(nil)
-			for _, x := range e.Calls {
-				if x.Node != n || x.Class != &classes[c] || x.Sent.Before(due) {
-					continue
-				}
-				if x.succeeded() {
-					served++
-				} else {
-					failed = append(failed, x)
-				}
+		served, failed := 0, []*Call(nil)
+		for _, x := range e.Calls {
+			switch {
+			case x.Node != n || x.Sent.Before(due):
+			case x.succeeded():
+				served++
+			default:
+				failed = append(failed, x)
 			}
-			r.check(Serving, served > 0 && len(failed) == 0, "node %d, %s %s after %s: %d served, %d not: %v",
-				n, classes[c].method, classes[c].path, clock(due), served, len(failed), failed[:min(len(failed), 3)])
 		}
+		r.check(Serving, served > 0 && len(failed) == 0, "node %d after %s: %d calls served, %d not: %v",
+			n, clock(due), served, len(failed), failed[:min(len(failed), 3)])
 	}
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -23,6 +24,7 @@
 	Exited time.Time // Stop: when the process ended
 	Status int       // Stop: its exit status
 	Acked  time.Time // Leave: when the node acknowledged it, zero if it did not
+	Rate   int       // Limit: calls a second
 	Ended  time.Time
 	Felt   int64 // calls or bytes that met the fault
 	Err    error // the fault could not be injected
@@ -205,6 +207,9 @@
 		return j.injectLeave(i)
 	case Break:
 		faults = brokenAnswers()[i.Variant%len(brokenAnswers())]
+	case Limit:
+		i.Rate = 1 + i.Variant%4
+		faults.RateLimit = strconv.Itoa(i.Rate)
 	case Late:
 		faults.Slow = jsonc.Duration(time.Duration(500+i.Variant%2000) * time.Millisecond)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -29,11 +29,12 @@
 	Leave      Kind = "leave"       // of a backend server that goes on serving for a while
 	Break      Kind = "break"       // a backend server breaks off, or answers with foreign bytes
 	Late       Kind = "late"        // a backend server answers late
+	Limit      Kind = "limit"       // a backend server names a rate limit
 )
 
 // AllKinds returns all kinds of faults.
 func AllKinds() []Kind {
-	return []Kind{Kill, Stop, Freeze, Stall, Delay, Reset, OneWay, Silence, StoreSlow, StoreAway, StoreLoses, StoreCut, Crash, Leave, Break, Late}
+	return []Kind{Kill, Stop, Freeze, Stall, Delay, Reset, OneWay, Silence, StoreSlow, StoreAway, StoreLoses, StoreCut, Crash, Leave, Break, Late, Limit}
 }
 
 // ParseKinds parses names of kinds that are separated by commas. An empty text means
@@ -75,7 +76,7 @@
 		return nodeLane
 	case Delay, Reset, OneWay, Silence:
 		return linkLane
-	case Crash, Leave, Break, Late:
+	case Crash, Leave, Break, Late, Limit:
 		return serverLane
 	}
 	return storeLane
@@ -146,6 +147,8 @@
 		return p.between(minFreeze, maxFreeze)
 	case Leave:
 		return p.between(4*time.Second, 6*time.Second) // longer than leaveBound
+	case Limit:
+		return p.between(noticeTime+limitWindow, 2*limitWindow)
 	}
 	return p.between(200*time.Millisecond, 2500*time.Millisecond)
 }
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"tanagerchute/core/config"
+	"tanagerchute/core/jsonc"
+	"tanagerchute/internal/serial"
+	"tanagerchute/io/server"
+	"tanagerchute/io/setup"
+)
+
+func TestMain(m *testing.M) { os.Exit(serial.Run(m.Run)) }
+
+// TestSoak runs a short soak with all kinds of faults.
+func TestSoak(t *testing.T) {
+	report, err := Soak(Config{Seed: 2, Duration: 12 * time.Second, Nodes: 9, Kinds: AllKinds()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	report.Write(&text)
+	t.Log(text.String())
+	if report.Failed() {
+		t.Error("the soak failed")
+	}
+}
+
+// TestPlanIsReplayable guards against plans that differ between runs with the same
+// seed, and against faults that overlap in the same part of an instance.
+func TestPlanIsReplayable(t *testing.T) {
+	is := is.New(t)
+	cfg := PlanConfig{Seed: 1, Duration: time.Minute, Nodes: 9, Centres: 3, Kinds: AllKinds(), StopTime: 8 * time.Second}
+	plan := NewPlan(cfg)
+	is.True(reflect.DeepEqual(plan, NewPlan(cfg)))
+	cfg.Seed = 2
+	is.True(!reflect.DeepEqual(plan, NewPlan(cfg)))
+	seen := map[Kind]bool{}
+	for i, a := range plan {
+		seen[a.Kind] = true
+		for _, b := range plan[i+1:] {
+			if a.Kind.lane() == b.Kind.lane() && a.Node == b.Node && b.At < a.At+a.Length {
+				t.Errorf("%+v overlaps %+v", a, b)
+			}
+		}
+	}
+	is.True(len(seen) > len(AllKinds())/2)
+}
+
+// TestDocumentIsValid guards against a configuration of the soak that nodes refuse.
+func TestDocumentIsValid(t *testing.T) {
+	is := is.New(t)
+	for _, version := range []uint64{1, versionRoutes, 20} {
+		data, err := json.Marshal(document(version))
+		is.NoErr(err)
+		_, err = config.Parse("mesh.jsonc", data)
+		is.NoErr(err)
+	}
+}
+
+// TestReadLedger guards against runs that are counted twice, because the ledger has a
+// line for their start and one for their end, or not at all.
+func TestReadLedger(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "ledger.jsonl")
+	lines := `{"request":"a","key":"k1","at":"2026-12-04T12:00:00Z"}
+{"request":"a","key":"k1","at":"2026-12-04T12:00:01Z"}
+{"request":"a","key":"k1","at":"2026-12-04T12:00:00Z","done":true,"end":"2026-12-04T12:00:02Z"}
+{"request":"b","key":"k2","at":"2026-12-04T12:00:00Z"}
+`
+	is.NoErr(os.WriteFile(file, []byte(lines), 0o600))
+	runs, err := readLedger(file, 3)
+	is.NoErr(err)
+	is.Equal(len(runs), 3)
+	is.True(runs[0].Done)
+	is.True(!runs[1].Done && runs[1].End.IsZero()) // the second run of the same request
+}
+
+// second returns a time that many seconds after a fixed one.
+func second(s float64) time.Time {
+	return time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC).Add(time.Duration(s * float64(time.Second)))
+}
+
+// TestChecks gives each check evidence that must and must not be a finding.
+func TestChecks(t *testing.T) {
+	booking, keyed := &classes[2], &classes[3]
+	answered := func(x Call) *Call { x.Class, x.Status = booking, 200; return &x }
+	unknown := func(x Call) *Call { x.Class, x.Status, x.Outcome = booking, 502, "unknown"; return &x }
+	refused := func(x Call) *Call { x.Class, x.Status, x.Outcome = keyed, 503, "not_run"; return &x }
+	run := func(node int, from, to float64) Run {
+		return Run{Node: node, Entry: server.Entry{Key: "k", At: second(from), End: second(to)}}
+	}
+	call := Call{Key: "k", Node: 0, Sent: second(10), Got: second(11)}
+	fault := func(k Kind, node int, from, to float64) Injection {
+		return Injection{Fault: Fault{Kind: k, Node: node}, Began: second(from), Ended: second(to), Exited: second(to)}
+	}
+	late := fault(Leave, 1, 1, 20)
+	late.Acked = second(2)
+	limited := fault(Limit, 1, 2, 9)
+	limited.Rate = 1
+	many := func(node, n int, from float64) []Run {
+		var out []Run
+		for i := range n {
+			out = append(out, run(node, from+float64(i)/8, from+1))
+		}
+		return out
+	}
+	slow := fault(Stop, 0, 1, 12)
+	for _, c := range []struct {
+		name       string
+		calls      []*Call
+		runs       []Run
+		injections []Injection
+		want       Rule // empty if there must be no finding
+	}{
+		{"answered", []*Call{answered(call)}, []Run{run(1, 10, 11)}, nil, ""},
+		{"ran twice", []*Call{answered(call)}, []Run{run(1, 10, 11), run(2, 10, 11)}, nil, Twice},
+		{"refused and ran", []*Call{refused(call), refused(call)}, []Run{run(1, 10, 11)}, nil, NotRun},
+		{"refused, then answered", []*Call{refused(call), answered(call)}, []Run{run(1, 10, 11)}, nil, ""},
+		{"answered without a run", []*Call{answered(call)}, nil, nil, Ran},
+		{"answer of another call", []*Call{answered(Call{Key: "k", Foreign: "other", Sent: second(10), Got: second(11)})}, []Run{run(1, 10, 11)}, nil, OwnAnswer},
+		{"lost without a fault", []*Call{unknown(call)}, []Run{run(1, 10, 11)}, nil, NoFault},
+		{"lost beside a freeze", []*Call{unknown(call)}, []Run{run(1, 10, 11)}, []Injection{fault(Freeze, 1, 10, 11)}, NoFault},
+		{"lost at a killed node", []*Call{unknown(call)}, []Run{run(1, 10, 11)}, []Injection{fault(Kill, 1, 10, 11)}, ""},
+		{"lost elsewhere", []*Call{unknown(call)}, []Run{run(1, 10, 11)}, []Injection{fault(Kill, 2, 10, 11)}, NoFault},
+		{"lost nobody knows where", []*Call{unknown(call)}, nil, []Injection{fault(Kill, 2, 10, 11)}, ""},
+		{"no answer of a stopping node", []*Call{{Class: booking, Key: "k", Sent: second(10), Got: second(11), Err: errors.New("EOF")}}, nil, []Injection{fault(Stop, 0, 9, 15)}, StopCuts},
+		{"given up by a stopping gatekeeper", []*Call{unknown(call)}, []Run{run(1, 10, 11)}, []Injection{fault(Stop, 1, 9, 15)}, StopCuts},
+		{"given up in the last sixth", []*Call{unknown(call)}, []Run{run(1, 10, 11)}, []Injection{fault(Stop, 1, 4, 12)}, ""},
+		{"stops late", nil, nil, []Injection{slow}, StopEnds},
+		{"work after leaving", []*Call{answered(call)}, []Run{run(1, 10, 11)}, []Injection{late}, NoNewWork},
+		{"more than the limit", nil, many(1, 16, 5), []Injection{limited}, KeptLimit},
+		{"under the limit", nil, many(1, 10, 5), []Injection{limited}, ""},
+		{"answered too late", []*Call{answered(Call{Key: "k", Sent: second(10), Got: second(21)})}, []Run{run(1, 10, 11)}, nil, Answered},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := &Evidence{Drain: setup.Drain{Timeout: jsonc.Duration(8 * time.Second)}, Injections: c.injections, Calls: c.calls, Runs: map[string][]Run{"k": c.runs}}
+			got := Check(e).Findings
+			if c.want == "" && len(got) > 0 || c.want != "" && !slices.ContainsFunc(got, func(f Finding) bool { return f.Rule == c.want }) {
+				t.Errorf("findings %v, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// TestVersionChecks gives the checks of versions a node that is late, and one that goes
+// back to an older version.
+func TestVersionChecks(t *testing.T) {
+	is := is.New(t)
+	probe := func(version uint64, at float64, inForce bool) Probe {
+		return Probe{Version: version, Sent: second(at), Got: second(at + 0.1), InForce: inForce}
+	}
+	rules := func(probes ...Probe) []Rule {
+		e := &Evidence{Starts: [][]time.Time{nil}, Versions: []Applied{{1, second(0)}, {2, second(10)}}, Probes: probes}
+		var out []Rule
+		for _, f := range Check(e).Findings {
+			if f.Rule != Serving {
+				out = append(out, f.Rule)
+			}
+		}
+		return out
+	}
+	is.Equal(len(rules(probe(1, 1, true), probe(2, 11, false), probe(2, 12, true))), 0)
+	is.Equal(rules(probe(2, 18, false)), []Rule{InForce})
+	is.Equal(rules(probe(2, 11, true), probe(2, 12, false)), []Rule{NoReturn})
+}
