soak: calls under a key are judged by the last answer to their caller

A call whose home is out of reach is told unknown at once by design, and its caller repeats it under the same key (docs/operate/callers.md). Callers of the soak now do so until the call's deadline. How many first answers were unknown is reported.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -131,8 +131,13 @@
 }
 
 // checkLoss checks that a call whose fate its caller can't know met a fault that
-// explains it. Freezes, planned stops, and servers that leave or are slow don't.
+// explains it. Freezes, planned stops, and servers that leave or are slow don't. A call
+// with a key may end as unknown while the home of the key is out of reach; its caller
+// repeats it, and only the last answer counts.
 func (r *Result) checkLoss(e *Evidence, x *Call) {
+	if x.Repeated {
+		return
+	}
 	rule := NoFault
 	if stops := e.stopsAround(x); len(stops) > 0 {
 		rule = StopCuts
--- a/internal/soak/evidence.go
+++ b/internal/soak/evidence.go
@@ -38,7 +38,6 @@
 	Probes     []Probe
 	FailedPubs int
 	Runs       map[string][]Run // by the key of the work
-	LoadEnd    time.Time        // when the callers were told to end
 }
 
 // readLedgers reads the ledgers of all backend servers.
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -43,13 +43,16 @@
 	return &injector{fleet: f, stopTime: stopTime, starts: make([][]time.Time, len(f.Instances))}
 }
 
-// run injects all faults of a plan and returns when the last one has ended.
-func (j *injector) run(plan []Fault) []Injection {
+// run injects all faults of a plan and returns when the last one has ended. After ctx
+// has ended it begins no more.
+func (j *injector) run(ctx context.Context, plan []Fault) []Injection {
 	began := time.Now()
 	var wg sync.WaitGroup
 	for _, f := range plan {
 		wg.Go(func() {
-			time.Sleep(time.Until(began.Add(f.At)))
+			if !sleep(ctx, time.Until(began.Add(f.At))) {
+				return
+			}
 			i := j.inject(f)
 			j.mu.Lock()
 			defer j.mu.Unlock()
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -26,7 +26,6 @@
 	callersPerNode = 3
 	homeShare      = 0.8 // of the calls of a caller go to the node beside it
 	callTimeout    = answerWithin + 4*time.Second
-	maxRepeats     = 3 // of a call with an idempotency key
 )
 
 // class is a kind of calls.
@@ -59,7 +58,9 @@
 	Foreign string        // why a successful answer isn't the expected one, empty if it is
 	Body    string        // the start of the body in this case
 	Idle    time.Duration // for which its connection was idle before
-	Err     error         // there was no complete answer
+	// Repeated means that the caller sent the call again, under the same key.
+	Repeated bool
+	Err      error // there was no complete answer
 }
 
 // atMostOnce reports whether the work of the call may run only once.
@@ -73,7 +74,11 @@
 
 // String describes the call for a report.
 func (c *Call) String() string {
-	text := fmt.Sprintf("%s %s via node %d, sent %s, took %v: ", c.Class.method, c.Key, c.Node, clock(c.Sent), c.Got.Sub(c.Sent).Round(time.Millisecond))
+	id := c.Key
+	if c.Class.keyed {
+		id = "under key " + id
+	}
+	text := fmt.Sprintf("%s %s via node %d, sent %s, took %v: ", c.Class.method, id, c.Node, clock(c.Sent), c.Got.Sub(c.Sent).Round(time.Millisecond))
 	if c.Err != nil {
 		return text + c.Err.Error() + fmt.Sprintf(" (connection idle for %v)", c.Idle.Round(time.Millisecond))
 	}
@@ -112,12 +117,11 @@
 		cl := &classes[rng.IntN(len(classes))]
 		key := uuid.Must(uuid.NewV7()).String()
 		target := c.target(cl)
+		first := time.Now()
 		x := c.send(cl, key, target)
-		for range maxRepeats {
-			if x == nil || !cl.keyed || x.succeeded() {
-				break
-			}
-			c.pause(50, 250)
+		for x != nil && cl.keyed && !x.succeeded() && time.Since(first) < answerWithin {
+			x.Repeated = true
+			c.pause(100, 400)
 			x = c.send(cl, key, target)
 		}
 		c.pause(5, 60)
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -22,7 +25,9 @@
 		flag.Usage()
 		os.Exit(2)
 	}
-	report, err := Soak(cfg)
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	report, err := Soak(ctx, cfg)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(1)
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -86,7 +86,11 @@
 // writeOutcomes writes how many calls ended in which way.
 func (r *Report) writeOutcomes(w io.Writer) {
 	counts := map[string]int{}
+	repeated := 0
 	for _, x := range r.Evidence.Calls {
+		if x.Repeated && x.lost() {
+			repeated++
+		}
 		switch {
 		case x.succeeded():
 			counts["answered"]++
@@ -99,6 +103,7 @@
 	for _, k := range slices.SortedFunc(maps.Keys(counts), func(a, b string) int { return cmp.Compare(counts[b], counts[a]) }) {
 		fmt.Fprintf(w, "  %d %s\n", counts[k], k)
 	}
+	fmt.Fprintf(w, "  (%d calls under a key were told unknown, or got no answer, and were repeated)\n", repeated)
 }
 
 func (r *Report) writeChecks(w io.Writer) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -40,8 +40,9 @@
 	return setup.Drain{Timeout: jsonc.Duration(5200 * time.Millisecond), Linger: jsonc.Duration(2500 * time.Millisecond), ServeOn: true}
 }
 
-// Soak performs a run and checks it. An error means that the run could not be made.
-func Soak(cfg Config) (*Report, error) {
+// Soak performs a run and checks it. An error means that the run could not be made, or
+// that ctx ended.
+func Soak(ctx context.Context, cfg Config) (*Report, error) {
 	var err error
 	if cfg.Dir == "" {
 		if cfg.Dir, err = os.MkdirTemp("", "soak"); err != nil {
@@ -64,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e, err := gather(cfg, f, drain)
+	e, err := gather(ctx, cfg, f, drain)
 	if err != nil {
 		return nil, err
 	}
@@ -77,7 +78,7 @@
 }
 
 // gather runs callers, operator and faults, and returns what they saw.
-func gather(cfg Config, f *procs.Fleet, drain setup.Drain) (*Evidence, error) {
+func gather(ctx context.Context, cfg Config, f *procs.Fleet, drain setup.Drain) (*Evidence, error) {
 	o := &operator{fleet: f}
 	if err := o.publish(0); err != nil {
 		return nil, err
@@ -92,7 +93,7 @@
 	})
 	j := newInjector(f, 2*stopTime)
 	l := &load{fleet: f}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(func() { l.run(ctx, cfg.Seed) })
@@ -101,9 +102,10 @@
 		wg.Go(func() { o.probe(ctx, n) })
 	}
 	e := &Evidence{Drain: drain, Starts: j.starts}
-	e.Injections = j.run(plan)
-	time.Sleep(recoveryBound + steadyTime)
-	e.LoadEnd = time.Now()
+	e.Injections = j.run(ctx, plan)
+	if !sleep(ctx, recoveryBound+steadyTime) {
+		return nil, ctx.Err()
+	}
 	cancel()
 	wg.Wait()
 	slices.SortFunc(e.Injections, func(a, b Injection) int { return a.Began.Compare(b.Began) })
