--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -12,7 +12,7 @@
 // Bounds of the checks.
 const (
 	calmTime      = 3 * time.Second        // without a fault, before a call or a stop that must not fail
-	keyCalmTime   = 10 * time.Second       // the same for calls with a key, which depend on the homes of the key
+	keyCalmTime   = 10 * time.Second       // the same before the first call under a key, which depends on the homes of the key
 	stopMargin    = 2 * time.Second        // of a planned stop, beyond drain.timeout or drain.linger
 	leaveBound    = 3 * time.Second        // after which a server that leaves gets no new work
 	noticeTime    = 500 * time.Millisecond // after which the node of a server knows its rate limit
@@ -181,7 +181,7 @@
 	}
 	nodes := e.nodesOf(x)
 	for _, i := range e.Injections {
-		if !i.around(x.Sent.Add(-calm), x.Got) || !i.breaksCalls() {
+		if !i.around(x.First.Add(-calm), x.Got) || !i.breaksCalls() {
 			continue
 		}
 		if x.Class.keyed || len(nodes) == 1 || i.touches(nodes) {
@@ -317,7 +317,7 @@
 		served, failed := 0, []*Call(nil)
 		for _, x := range e.Calls {
 			switch {
-			case x.Node != n || x.Sent.Before(due):
+			case x.Node != n || x.First.Before(due): // or a repeat of an earlier call
 			case x.succeeded():
 				served++
 			default:
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -48,8 +48,9 @@
 // Call is a call as its caller saw it.
 type Call struct {
 	Class   *class
-	Key     string // by which the ledgers know its work
-	Node    int    // index of the node that it was sent to
+	Key     string    // by which the ledgers know its work
+	Node    int       // index of the node that it was sent to
+	First   time.Time // when the caller sent it first, under this key
 	Sent    time.Time
 	Got     time.Time // when the answer was complete, or the failure known
 	Status  int
@@ -118,11 +119,11 @@
 		key := uuid.Must(uuid.NewV7()).String()
 		target := c.target(cl)
 		first := time.Now()
-		x := c.send(cl, key, target)
+		x := c.send(Call{Class: cl, Key: key, First: first}, target)
 		for x != nil && cl.keyed && !x.succeeded() && time.Since(first) < answerWithin {
 			x.Repeated = true
 			c.pause(100, 400)
-			x = c.send(cl, key, target)
+			x = c.send(Call{Class: cl, Key: key, First: first}, target)
 		}
 		c.pause(5, 60)
 	}
@@ -150,19 +151,19 @@
 
 // send sends a call to the home node or to a random one. If the connection is refused,
 // it tries the next node, as nothing was sent. It returns nil if all are refused.
-func (c *caller) send(cl *class, key, target string) *Call {
+func (c *caller) send(x Call, target string) *Call {
 	nodes := len(c.load.fleet.Instances)
 	first := c.home
 	if c.rng.Float64() > homeShare {
 		first = c.rng.IntN(nodes)
 	}
 	for i := range nodes {
-		x := &Call{Class: cl, Key: key, Node: (first + i) % nodes}
-		if c.do(x, target) {
+		x.Node = (first + i) % nodes
+		if c.do(&x, target) {
 			c.load.mu.Lock()
 			defer c.load.mu.Unlock()
-			c.load.calls = append(c.load.calls, x)
-			return x
+			c.load.calls = append(c.load.calls, &x)
+			return &x
 		}
 		c.load.mu.Lock()
 		c.load.refused++
