integ: a key must not run again when its home stops and serves on (red)

Cause: onMemberChange records a removal only if the new record still says that the member can be a home, so that one that steps down while it is up is never asked.

The test fails: bookings whose home got SIGTERM 300 ms after they began ran twice.

--- a/internal/integ/fleet_test.go
+++ b/internal/integ/fleet_test.go
@@ -65,8 +65,10 @@
 type fleetOptions struct {
 	specs  []mesh.InstanceSpec
 	linger time.Duration // drain.linger of the nodes
-	slots  int
-	work   time.Duration
+	// serveOn sets drain.serve_on of the nodes.
+	serveOn bool
+	slots   int
+	work    time.Duration
 }
 
 // startFleet starts all processes and waits until all nodes are ready with
@@ -78,7 +80,7 @@
 	}
 	p, err := procs.Start(procs.Config{
 		Binary: binaryPath, Dir: t.TempDir(), Specs: o.specs,
-		Drain: setup.Drain{Linger: jsonc.Duration(cmp.Or(o.linger, 6*time.Second))},
+		Drain: setup.Drain{Linger: jsonc.Duration(cmp.Or(o.linger, 6*time.Second)), ServeOn: o.serveOn},
 		Slots: cmp.Or(o.slots, 12), Work: jsonc.Duration(cmp.Or(o.work, 5*time.Millisecond)),
 	})
 	f := &fleet{Fleet: p, t: t, client: &http.Client{Timeout: 15 * time.Second}}
--- a/internal/integ/once_test.go
+++ b/internal/integ/once_test.go
@@ -184,6 +184,35 @@
 	t.Logf("%d of %d bookings are unknown in the end", unknown, len(all))
 }
 
+// TestRepeatDuringPlannedStopRunsOnce guards against work that runs again because the
+// home of its key has stepped down: the home stops as planned while the work runs, serves
+// on for the linger time, and the caller repeats the key.
+func TestRepeatDuringPlannedStopRunsOnce(t *testing.T) {
+	f := startFleet(t, fleetOptions{serveOn: true})
+	file := f.writeFile("patient.jsonc", patientDocument())
+	f.mustRun("apply", "-wait", "-node", f.Instances[0].AdminAddr, "-store", f.StoreURL, "-parent", "1", file)
+	time.Sleep(keyWarmup)
+	sender := f.instancesOf("selfoss", "skraning")[0]
+	const number = 30 // a third of the keys has the stopping node as its home
+	all := make([]*booking, number)
+	var wg sync.WaitGroup
+	send := func(b *booking, answer *answer) {
+		wg.Go(func() { *answer = f.call(sender, "POST", "skraning", "/bookings?work=1500ms", b.key) })
+	}
+	for i := range all {
+		all[i] = &booking{key: "hafnar." + newKey(), answers: make([]answer, 2)}
+		send(all[i], &all[i].answers[0])
+	}
+	time.Sleep(300 * time.Millisecond)
+	f.instancesOf("hafnar", "skraning")[0].Node.Signal(syscall.SIGTERM)
+	time.Sleep(400 * time.Millisecond)
+	for _, b := range all {
+		send(b, &b.answers[1])
+	}
+	wg.Wait()
+	f.checkBookings(all)
+}
+
 // TestConcurrentRepeatsRunOnce sends a booking through all nodes at the same time.
 // It must run once, and all callers must get its answer. This is repeated with
 // several bookings.
