fakekv, fakes: the stand-ins of the store restart from a copy

The stand-ins knew only a rollback of single keys. They now take a copy and restart from it: the era in a header of each answer rises by one, calls and watches in progress are cut, the store is away for a while, revisions and ids of leases are given out again, and a watch from a revision that the store does not have is answered like a compacted one.

--- a/io/etcd/wire.go
+++ b/io/etcd/wire.go
@@ -142,6 +142,11 @@
 	Code    int    `json:"code"`
 }
 
+// EraHeader is the HTTP header with the era of the store, a whole number that rises
+// each time the store restarts from an older copy. etcd itself does not send it: who
+// restores a copy sets it at the proxy in front of the store.
+const EraHeader = "X-Store-Era"
+
 // Paths of the gateway.
 const (
 	PathRange     = "/v3/kv/range"
--- a/io/fakekv/server.go
+++ b/io/fakekv/server.go
@@ -53,7 +53,9 @@
 	writes     *rate.Limiter
 	mu         sync.Mutex
 	faults     Faults
-	down       chan struct{} // closed and replaced when Faults.Down is set
+	down       chan struct{} // closed and replaced by cutWatches
+	copied     *snapshot     // taken by TakeCopy
+	awayUntil  time.Time     // set by RestoreCopy
 	readCalls  atomic.Uint64
 	writeCalls atomic.Uint64
 	watchCalls atomic.Uint64
@@ -88,6 +90,8 @@
 	s.mux.HandleFunc("PUT /faults", s.putFaults)
 	s.mux.HandleFunc("POST /faults/lapse", s.postLapse)
 	s.mux.HandleFunc("POST /faults/rollback", s.postRollback)
+	s.mux.HandleFunc("POST /faults/copy", s.postCopy)
+	s.mux.HandleFunc("POST /faults/restore", s.postRestore)
 	s.mux.HandleFunc("GET /calls", s.getCalls)
 }
 
@@ -106,7 +110,9 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(newEraWriter(s, w), r)
+}
 
 // Faults returns the faults that are injected now.
 func (s *Server) Faults() Faults {
@@ -120,12 +126,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if f.Down && !s.faults.Down {
-		close(s.down)
-		s.down = make(chan struct{})
+		s.cutWatches()
 	}
 	s.faults = f
 }
 
+// cutWatches closes the connections of all open watches. It must be called with
+// s.mu held.
+func (s *Server) cutWatches() {
+	close(s.down)
+	s.down = make(chan struct{})
+}
+
 // ExpireLeases ends all leases at once.
 func (s *Server) ExpireLeases() { s.store.expire(time.Now(), true) }
 
@@ -197,7 +209,7 @@
 // admit counts a call and applies the faults Down and Slow and the rate limit.
 func (s *Server) admit(ctx context.Context, limit *rate.Limiter, write bool) *gatewayError {
 	f := s.Faults()
-	if f.Down {
+	if f.Down || s.isAway() {
 		// A real store that is down does not respond. The stand-in closes the
 		// connection instead, so that tests don't wait for a timeout.
 		panic(http.ErrAbortHandler)
--- a/io/fakekv/store.go
+++ b/io/fakekv/store.go
@@ -29,6 +29,7 @@
 // store holds the keys, the leases and the history of changes.
 type store struct {
 	mu                sync.Mutex
+	era               uint64 // rises by one with each restore
 	revision          int64
 	keys              map[string]etcd.KeyValue
 	history           []change
@@ -38,12 +39,19 @@
 	changed           chan struct{} // closed and replaced at each change
 }
 
+// Counters of a new store.
+const (
+	firstRevision = 1
+	firstLease    = 1
+)
+
 func newStore() *store {
 	return &store{
-		revision:  1,
+		era:       1,
+		revision:  firstRevision,
 		keys:      map[string]etcd.KeyValue{},
 		leases:    map[int64]*lease{},
-		nextLease: 1,
+		nextLease: firstLease,
 		changed:   make(chan struct{}),
 	}
 }
--- a/io/fakekv/watch.go
+++ b/io/fakekv/watch.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"tanagerchute/io/etcd"
 )
@@ -26,7 +27,8 @@
 }
 
 // streamWatch sends the changes in the range of c. The watch is canceled at once
-// if its start revision has been compacted.
+// if the store does not have its start revision, because it has been compacted or
+// was only given out in an earlier era.
 func (s *Server) streamWatch(w http.ResponseWriter, r *http.Request, c etcd.WatchCreate, down <-chan struct{}) {
 	enc := json.NewEncoder(w)
 	rc := http.NewResponseController(w)
@@ -38,7 +40,7 @@
 	if next == 0 {
 		next = rev + 1
 	}
-	if next <= compacted {
+	if next <= compacted || next > rev+1 {
 		send(etcd.WatchResult{Canceled: true, CompactRevision: compacted + 1})
 		return
 	}
@@ -100,6 +102,24 @@
 	writeJSON(w, http.StatusOK, struct{}{})
 }
 
+// postCopy takes a copy for postRestore.
+func (s *Server) postCopy(w http.ResponseWriter, _ *http.Request) {
+	s.TakeCopy()
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+// postRestore restarts the store from the last copy. The query may give the time
+// for which the store is away. The answer carries the new era.
+func (s *Server) postRestore(w http.ResponseWriter, r *http.Request) {
+	away, err := time.ParseDuration(r.FormValue("away"))
+	if err != nil && r.FormValue("away") != "" {
+		(&gatewayError{http.StatusBadRequest, 3, err.Error()}).write(w)
+		return
+	}
+	s.RestoreCopy(away)
+	newEraWriter(s, w.(*eraWriter).ResponseWriter).WriteHeader(http.StatusOK)
+}
+
 func (s *Server) getCalls(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, s.Calls())
 }
