Store: revisions and leases belong to an era, which any answer may end

A store that restarts from an older copy gives out revisions and ids of leases again. The clients compared them as if they were one series, so a watch from a lost revision waited for changes that it had missed, a node renewed the lease of another one, a condition on a lost revision held for another change, and an answer that was delayed since before the restart was taken for a present one.

Root Store: Revision and Lease carry their era, a watch ends with ErrEraChanged when any answer on any connection is of a new one, a delayed answer is no answer.

--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -14,6 +14,8 @@
 	"github.com/go-faster/errors"
 
 	"tanagerchute"
+	"tanagerchute/core/eras"
+	"tanagerchute/io/eramon"
 )
 
 // Config configures a Client.
@@ -36,6 +38,7 @@
 type Client struct {
 	cfg      Config
 	http     *http.Client
+	eras     *eramon.Monitor
 	endpoint atomic.Uint32 // index of the endpoint in use, modulo their number
 }
 
@@ -49,7 +52,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{Timeout: cfg.Timeout}).DialContext
 	}
-	return &Client{cfg: cfg, http: &http.Client{Transport: &http.Transport{
+	return &Client{cfg: cfg, eras: eramon.New(), http: &http.Client{Transport: &http.Transport{
 		DialContext:         cfg.Dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     time.Minute,
@@ -60,45 +63,55 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Get implements tanagerchute.Store.
-func (c *Client) Get(ctx context.Context, key string) (tanagerchute.KV, int64, error) {
+func (c *Client) Get(ctx context.Context, key string) (tanagerchute.KV, tanagerchute.Revision, error) {
 	var r RangeResponse
-	if err := c.read(ctx, PathRange, RangeRequest{Key: []byte(key)}, &r); err != nil {
-		return tanagerchute.KV{}, 0, errors.Wrapf(err, "get %s", key)
+	era, err := c.read(ctx, PathRange, RangeRequest{Key: []byte(key)}, &r)
+	if err != nil {
+		return tanagerchute.KV{}, tanagerchute.Revision{}, errors.Wrapf(err, "get %s", key)
 	}
+	rev := c.eras.Revision(era, r.Header.Revision)
 	if len(r.KVs) == 0 {
-		return tanagerchute.KV{Key: key}, r.Header.Revision, nil
+		return tanagerchute.KV{Key: key}, rev, nil
 	}
-	return r.KVs[0].kv(), r.Header.Revision, nil
+	return r.KVs[0].kv(), rev, nil
 }
 
 // List implements tanagerchute.Store.
-func (c *Client) List(ctx context.Context, prefix string, consistency tanagerchute.Consistency) ([]tanagerchute.KV, int64, error) {
+func (c *Client) List(ctx context.Context, prefix string, consistency tanagerchute.Consistency) ([]tanagerchute.KV, tanagerchute.Revision, error) {
 	var r RangeResponse
 	req := RangeRequest{Key: []byte(prefix), RangeEnd: PrefixEnd([]byte(prefix)), Serializable: consistency == tanagerchute.Stale}
-	if err := c.read(ctx, PathRange, req, &r); err != nil {
-		return nil, 0, errors.Wrapf(err, "list %s", prefix)
+	era, err := c.read(ctx, PathRange, req, &r)
+	if err != nil {
+		return nil, tanagerchute.Revision{}, errors.Wrapf(err, "list %s", prefix)
 	}
 	out := make([]tanagerchute.KV, len(r.KVs))
 	for i, kv := range r.KVs {
 		out[i] = kv.kv()
 	}
-	return out, r.Header.Revision, nil
+	return out, c.eras.Revision(era, r.Header.Revision), nil
 }
 
 // Commit implements tanagerchute.Store.
 func (c *Client) Commit(ctx context.Context, t tanagerchute.Txn) (bool, error) {
+	if err := c.eras.CheckTxn(t); err != nil {
+		return false, errors.Wrap(err, "commit")
+	}
 	var req TxnRequest
 	for _, cond := range t.Conds {
 		req.Compare = append(req.Compare, Compare{Key: []byte(cond.Key), Target: "MOD", Result: "EQUAL", ModRevision: cond.ModRevision})
 	}
 	for _, put := range t.Puts {
-		req.Success = append(req.Success, RequestOp{Put: &PutRequest{Key: []byte(put.Key), Value: put.Value, Lease: put.Lease}})
+		req.Success = append(req.Success, RequestOp{Put: &PutRequest{Key: []byte(put.Key), Value: put.Value, Lease: put.Lease.ID}})
 	}
 	for _, key := range t.Deletes {
 		req.Success = append(req.Success, RequestOp{Delete: &DeleteRequest{Key: []byte(key)}})
 	}
 	var r TxnResponse
-	if err := c.call(ctx, PathTxn, req, &r); err != nil {
+	era, err := c.call(ctx, PathTxn, req, &r)
+	if err == nil && r.Succeeded {
+		err = eramon.CheckCommit(t, era)
+	}
+	if err != nil {
 		return false, errors.Wrap(err, "commit")
 	}
 	return r.Succeeded, nil
@@ -106,19 +119,20 @@
 
 // Grant implements tanagerchute.Store. It rounds the time to live up to whole
 // seconds, the unit of the gateway.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (tanagerchute.Lease, error) {
 	var r LeaseResponse
 	seconds := int64((ttl + time.Second - 1) / time.Second)
-	if err := c.call(ctx, PathGrant, LeaseRequest{TTL: seconds}, &r); err != nil {
-		return 0, errors.Wrap(err, "grant lease")
+	era, err := c.call(ctx, PathGrant, LeaseRequest{TTL: seconds}, &r)
+	if err != nil {
+		return tanagerchute.Lease{}, errors.Wrap(err, "grant lease")
 	}
-	return r.ID, nil
+	return tanagerchute.Lease{Era: era, ID: r.ID}, nil
 }
 
 // KeepAlive implements tanagerchute.Store.
-func (c *Client) KeepAlive(ctx context.Context, lease int64) error {
+func (c *Client) KeepAlive(ctx context.Context, lease tanagerchute.Lease) error {
 	var r KeepAliveResponse
-	if err := c.call(ctx, PathKeepAlive, LeaseRequest{ID: lease}, &r); err != nil {
+	if err := c.callLease(ctx, PathKeepAlive, lease, &r); err != nil {
 		return errors.Wrap(err, "keep lease alive")
 	}
 	if r.Result.TTL <= 0 {
@@ -128,18 +142,48 @@
 }
 
 // Revoke implements tanagerchute.Store.
-func (c *Client) Revoke(ctx context.Context, lease int64) error {
+func (c *Client) Revoke(ctx context.Context, lease tanagerchute.Lease) error {
 	var r HeaderResponse
-	if err := c.call(ctx, PathRevoke, LeaseRequest{ID: lease}, &r); err != nil {
+	if err := c.callLease(ctx, PathRevoke, lease, &r); err != nil {
 		return errors.Wrap(err, "revoke lease")
 	}
 	return nil
 }
 
+// callLease makes a call about one lease. It returns tanagerchute.ErrLeaseExpired if
+// the lease is of another era than the store.
+func (c *Client) callLease(ctx context.Context, path string, lease tanagerchute.Lease, res any) error {
+	if err := c.eras.CheckLease(lease); err != nil {
+		return err
+	}
+	era, err := c.call(ctx, path, LeaseRequest{ID: lease.ID}, res)
+	if err == nil && eras.Differ(lease.Era, era) {
+		return tanagerchute.ErrLeaseExpired
+	}
+	return err
+}
+
+// Eras implements tanagerchute.Store.
+func (c *Client) Eras() eras.State { return c.eras.State() }
+
+// OnEraVerdict implements tanagerchute.Store.
+func (c *Client) OnEraVerdict(f func(eras.Verdict)) { c.eras.OnVerdict(f) }
+
 // Watch implements tanagerchute.Store.
-func (c *Client) Watch(ctx context.Context, key string, revision int64, ready func(), f func(tanagerchute.Event)) error {
+func (c *Client) Watch(ctx context.Context, key string, revision tanagerchute.Revision, ready func(), f func(tanagerchute.Event)) error {
+	ctx, cancel := c.eras.WatchContext(ctx, revision.Era)
+	defer cancel()
+	err := c.streamWatch(ctx, key, revision.Number, ready, f)
+	if cause := context.Cause(ctx); cause != nil {
+		return errors.Wrapf(cause, "watch %s", key)
+	}
+	return err
+}
+
+// streamWatch reads the stream of one watch until it ends or ctx does.
+func (c *Client) streamWatch(ctx context.Context, key string, revision int64, ready func(), f func(tanagerchute.Event)) error {
 	req := WatchRequest{Create: WatchCreate{Key: []byte(key), StartRevision: revision}}
-	res, err := c.post(ctx, PathWatch, req)
+	res, _, err := c.post(ctx, PathWatch, req)
 	if err != nil {
 		return errors.Wrapf(err, "watch %s", key)
 	}
@@ -150,6 +194,9 @@
 		if err := dec.Decode(&m); err != nil {
 			return errors.Wrapf(tanagerchute.ErrUnavailable, "watch %s ended: %v", key, err)
 		}
+		if ctx.Err() != nil {
+			return ctx.Err() // the message may be of another era
+		}
 		if m.Result.CompactRevision > 0 {
 			return errors.Wrapf(tanagerchute.ErrCompacted, "watch %s from revision %d", key, revision)
 		}
@@ -178,55 +225,63 @@
 
 // read is like call, for a read-only call. A lost response returns ErrUnavailable
 // instead of ErrOutcomeUnknown, since the call has had no effect.
-func (c *Client) read(ctx context.Context, path string, req, res any) error {
-	return tanagerchute.ReadError(c.call(ctx, path, req, res))
+func (c *Client) read(ctx context.Context, path string, req, res any) (eras.Era, error) {
+	era, err := c.call(ctx, path, req, res)
+	return era, tanagerchute.ReadError(err)
 }
 
-// call sends req to path and decodes the response into res.
-func (c *Client) call(ctx context.Context, path string, req, res any) error {
+// call sends req to path and decodes the response into res. It returns the era of the
+// response.
+func (c *Client) call(ctx context.Context, path string, req, res any) (eras.Era, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
-	r, err := c.post(ctx, path, req)
+	r, era, err := c.post(ctx, path, req)
 	if err != nil {
-		return err
+		return era, err
 	}
 	defer r.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxResponseBytes))
 	if err != nil {
-		return tanagerchute.CallError(err)
+		return era, tanagerchute.CallError(err)
 	}
 	if err := json.Unmarshal(body, res); err != nil {
-		return errors.Wrap(tanagerchute.ErrOutcomeUnknown, err.Error())
+		return era, errors.Wrap(tanagerchute.ErrOutcomeUnknown, err.Error())
 	}
-	return nil
+	return era, nil
 }
 
-// post sends body to path and returns the response if its status is 200. After a
-// network error it switches to the next endpoint.
-func (c *Client) post(ctx context.Context, path string, body any) (*http.Response, error) {
+// post sends body to path and returns the response, if its status is 200, and its era.
+// After a network error it switches to the next endpoint. A response of an earlier era
+// than the current one is ignored.
+func (c *Client) post(ctx context.Context, path string, body any) (*http.Response, eras.Era, error) {
 	if c.cfg.OnCall != nil {
 		c.cfg.OnCall(path)
 	}
 	data, err := json.Marshal(body)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode")
+		return nil, eras.Era{}, errors.Wrap(err, "encode")
 	}
 	base := c.cfg.Endpoints[int(c.endpoint.Load())%len(c.cfg.Endpoints)]
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, strings.TrimSuffix(base, "/")+path, bytes.NewReader(data))
 	if err != nil {
-		return nil, errors.Wrap(err, "build request")
+		return nil, eras.Era{}, errors.Wrap(err, "build request")
 	}
 	req.Header.Set("Content-Type", "application/json")
+	sentAt := time.Now()
 	res, err := c.http.Do(req)
 	if err != nil {
 		c.endpoint.Add(1)
-		return nil, tanagerchute.CallError(err)
+		return nil, eras.Era{}, tanagerchute.CallError(err)
 	}
-	if res.StatusCode == http.StatusOK {
-		return res, nil
+	era, err := c.eras.Observe(res.Header.Values(EraHeader), sentAt)
+	if err == nil && res.StatusCode == http.StatusOK {
+		return res, era, nil
 	}
 	defer res.Body.Close()
-	return nil, statusError(res)
+	if err == nil {
+		err = statusError(res)
+	}
+	return nil, era, err
 }
 
 // gRPC status codes in error responses of the gateway.
--- a/io/fakekv/copy.go
+++ b/io/fakekv/copy.go
@@ -69,7 +69,7 @@
 func (s *Server) RestoreCopy(away time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := snapshot{revision: firstRevision, nextLease: firstLease}
+	c := snapshot{revision: firstRevision, keys: map[string]etcd.KeyValue{}, nextLease: firstLease}
 	if s.copied != nil {
 		c = *s.copied
 	}
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -74,6 +74,7 @@
 	deltas    map[deltaKey]*wire.Version // cache of encode
 	fetches   chan string                // addresses of nodes with a later version
 	pushes    chan push
+	readAgain chan struct{} // receives a value from ReadAgain
 	isReader  atomic.Bool
 	storeLost atomic.Bool  // the store can't be read
 	ready     atomic.Bool  // Boot has asked its sources and put a version in force
@@ -109,6 +110,7 @@
 		deltas:    map[deltaKey]*wire.Version{},
 		fetches:   make(chan string, fetchQueueSize),
 		pushes:    make(chan push, pushQueueSize),
+		readAgain: make(chan struct{}, 1),
 	}
 	f.rank.Store(noRank)
 	return f
--- a/io/feed/reader.go
+++ b/io/feed/reader.go
@@ -133,17 +133,45 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.recordStoreLost(err)
 		if time.Since(began) > maxRetryDelay {
 			delay = minRetryDelay
 		}
-		if !timer.Sleep(ctx, f.jitter(delay)) {
+		if errors.Is(err, tanagerchute.ErrEraChanged) {
+			delay = minRetryDelay // the store can be read
+		} else {
+			f.recordStoreLost(err)
+		}
+		if !f.pause(ctx, f.jitter(delay)) {
 			return
 		}
 		delay = min(2*delay, maxRetryDelay)
 	}
 }
 
+// ReadAgain makes a reader that is waiting to retry read the store soon, because
+// another call has shown that the store has restarted. It does not block.
+func (f *Feed) ReadAgain() {
+	select {
+	case f.readAgain <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits until d has passed, or for a jittered minRetryDelay after ReadAgain. It
+// returns false if ctx ended first.
+func (f *Feed) pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	case <-f.readAgain:
+		return timer.Sleep(ctx, f.jitter(minRetryDelay))
+	}
+}
+
 func (f *Feed) recordStoreLost(err error) {
 	if !f.storeLost.Swap(true) {
 		f.recordReaderEvent(event.StoreLost, err.Error())
@@ -175,7 +203,7 @@
 	}
 	failed := make(chan error, 2)
 	go func() {
-		failed <- f.cfg.Source.Watch(ctx, f.VersionByDigest, head.Revision+1, f.recordStoreBack, func(v vers.Version, err error) {
+		failed <- f.cfg.Source.Watch(ctx, f.VersionByDigest, head.Revision.Next(), f.recordStoreBack, func(v vers.Version, err error) {
 			f.applyFromStore(ctx, v, err)
 		})
 	}()
--- a/io/ledger/ledger.go
+++ b/io/ledger/ledger.go
@@ -182,6 +182,7 @@
 		return tanagerchute.Txn{}, err
 	}
 	t := tanagerchute.Txn{
+		Era:   parent.Revision.Era,
 		Conds: []tanagerchute.Cond{{Key: l.HeadKey(), ModRevision: parent.ModRevision}},
 		Puts:  []tanagerchute.Put{{Key: l.HeadKey(), Value: head}, {Key: l.versionKey(v.Number), Value: full}},
 	}
@@ -227,7 +228,7 @@
 
 // Restore implements tanagerchute.Source.
 func (l *Ledger) Restore(ctx context.Context, v vers.Version, head tanagerchute.Head) (bool, error) {
-	txn, err := l.buildTxn(v, tanagerchute.Head{ModRevision: head.ModRevision})
+	txn, err := l.buildTxn(v, tanagerchute.Head{ModRevision: head.ModRevision, Revision: head.Revision})
 	if err != nil {
 		return false, err
 	}
@@ -235,7 +236,7 @@
 }
 
 // Watch implements tanagerchute.Source.
-func (l *Ledger) Watch(ctx context.Context, lookup tanagerchute.VersionLookup, revision int64, ready func(), f func(vers.Version, error)) error {
+func (l *Ledger) Watch(ctx context.Context, lookup tanagerchute.VersionLookup, revision tanagerchute.Revision, ready func(), f func(vers.Version, error)) error {
 	return l.cfg.Store.Watch(ctx, l.HeadKey(), revision, ready, func(e tanagerchute.Event) {
 		if e.Deleted {
 			f(vers.Version{}, errors.New("key head was deleted"))
--- a/io/seeds/seeds.go
+++ b/io/seeds/seeds.go
@@ -71,8 +71,8 @@
 	cfg       Config
 	closeCtx  context.Context // canceled by Close, which also cancels store calls in flight
 	cancel    context.CancelFunc
-	mu        sync.Mutex // guards the fields below
-	lease     int64      // 0 if this node has no record
+	mu        sync.Mutex         // guards the fields below
+	lease     tanagerchute.Lease // zero if this node has no record
 	lastRenew time.Time
 	lastList  time.Time
 	lastSweep time.Time
@@ -200,11 +200,11 @@
 // unregister removes this node's record, if there is one, by revoking its
 // lease.
 func (r *Registry) unregister(ctx context.Context) {
-	if r.lease == 0 {
+	if r.lease == (tanagerchute.Lease{}) {
 		return
 	}
 	if err := r.cfg.Store.Revoke(ctx, r.lease); err == nil || errors.Is(err, tanagerchute.ErrLeaseExpired) {
-		r.lease = 0
+		r.lease = tanagerchute.Lease{}
 		r.lastRenew = time.Time{}
 	}
 }
@@ -212,12 +212,12 @@
 // renew renews the lease. If there is none, or it has expired, for example while
 // this process was paused, renew grants a new one and writes the record again.
 func (r *Registry) renew(ctx context.Context) error {
-	if r.lease != 0 {
+	if r.lease != (tanagerchute.Lease{}) {
 		err := r.cfg.Store.KeepAlive(ctx, r.lease)
 		if !errors.Is(err, tanagerchute.ErrLeaseExpired) {
 			return err
 		}
-		r.lease = 0
+		r.lease = tanagerchute.Lease{}
 	}
 	lease, err := r.cfg.Store.Grant(ctx, recordTTL)
 	if err != nil {
--- a/io/source/source.go
+++ b/io/source/source.go
@@ -43,7 +43,7 @@
 }
 
 // Watch implements tanagerchute.Source.
-func (s *Source) Watch(ctx context.Context, _ tanagerchute.VersionLookup, revision int64, ready func(), f func(vers.Version, error)) error {
+func (s *Source) Watch(ctx context.Context, _ tanagerchute.VersionLookup, revision tanagerchute.Revision, ready func(), f func(vers.Version, error)) error {
 	return s.cfg.Store.Watch(ctx, s.cfg.Key, revision, ready, func(e tanagerchute.Event) {
 		if e.Deleted {
 			f(vers.Version{}, errors.Errorf("key %s was deleted", s.cfg.Key))
--- a/source.go
+++ b/source.go
@@ -13,8 +13,8 @@
 // Head is the newest version of the configuration, as read from a Source.
 type Head struct {
 	Version     vers.Version // number 0 if there is none
-	ModRevision int64        // store revision of the last change of its key
-	Revision    int64        // store revision at which it was read
+	ModRevision int64        // store revision of the last change of its key, of the era of Revision
+	Revision    Revision     // store revision at which it was read
 }
 
 // Source provides the versions of the configuration. They are kept in the store,
@@ -27,8 +27,8 @@
 	Head(ctx context.Context, lookup VersionLookup) (Head, error)
 	// Watch calls f with each new version from the given store revision on, or
 	// with an error for a version that can't be read. It calls ready once the
-	// watch is established. It returns when ctx ends or the store fails.
-	Watch(ctx context.Context, lookup VersionLookup, revision int64, ready func(), f func(vers.Version, error)) error
+	// watch is established. It returns when ctx ends, the store fails or its era changes.
+	Watch(ctx context.Context, lookup VersionLookup, revision Revision, ready func(), f func(vers.Version, error)) error
 	// Restore writes a version that was in force and that the store has lost
 	// back to the store, unless the store has changed since head was read. It
 	// reports whether it wrote the version. A read-only source reports false.
--- a/store.go
+++ b/store.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"tanagerchute/core/eras"
 )
 
 // Errors returned by a Store.
@@ -22,8 +24,12 @@
 	// ErrCompacted means that a watch asked for a revision that the store has
 	// compacted.
 	ErrCompacted = errors.New("store revision compacted")
-	// ErrLeaseExpired means that a lease has expired or was revoked.
+	// ErrLeaseExpired means that a lease has expired or was revoked, or that the
+	// store has lost it.
 	ErrLeaseExpired = errors.New("store lease expired")
+	// ErrEraChanged means that the store has restarted from an older copy, so that
+	// the revisions of the call mean nothing any more. The call was not executed.
+	ErrEraChanged = errors.New("store has restarted from an older copy")
 )
 
 // CallError converts the error of a network call to a store. It returns
@@ -46,6 +52,26 @@
 	return err
 }
 
+// Revision is a revision of the store. Revisions of different eras are not comparable,
+// since the store gives out the same numbers again after a restart from an older copy.
+type Revision struct {
+	Era    eras.Era // unknown if the store names none
+	Number int64
+}
+
+// Next returns the revision after r.
+func (r Revision) Next() Revision {
+	r.Number++
+	return r
+}
+
+// Lease identifies a lease. Its id is only meaningful in its era. The zero Lease means
+// no lease.
+type Lease struct {
+	Era eras.Era // in which it was granted, unknown if the store names none
+	ID  int64
+}
+
 // KV is a key with its value at a store revision.
 type KV struct {
 	Key            string
@@ -59,7 +85,7 @@
 type Put struct {
 	Key   string
 	Value []byte
-	Lease int64 // id of the lease to attach the key to, 0 for none
+	Lease Lease // to attach the key to
 }
 
 // Cond is a condition of a transaction: that the key was last changed at
@@ -72,6 +98,7 @@
 // Txn is a transaction. Its writes take effect atomically if all conditions
 // hold. Otherwise none of them does.
 type Txn struct {
+	Era     eras.Era // of the revisions in Conds, unknown if they name none
 	Conds   []Cond
 	Puts    []Put
 	Deletes []string
@@ -97,22 +124,31 @@
 // above, wrapped.
 type Store interface {
 	// Get returns the value of a key. The ModRevision of a key that does not
-	// exist is 0. revision is the current revision of the store.
-	Get(ctx context.Context, key string) (kv KV, revision int64, err error)
+	// exist is 0. revision is the current revision of the store, and all revisions of
+	// kv are of its era.
+	Get(ctx context.Context, key string) (kv KV, revision Revision, err error)
 	// List returns all keys with the given prefix, sorted by key.
-	List(ctx context.Context, prefix string, c Consistency) (kvs []KV, revision int64, err error)
-	// Commit executes a transaction and reports whether its conditions held.
+	List(ctx context.Context, prefix string, c Consistency) (kvs []KV, revision Revision, err error)
+	// Commit executes a transaction and reports whether its conditions held. It
+	// returns ErrEraChanged if they are of another era than the current one.
 	Commit(ctx context.Context, t Txn) (ok bool, err error)
 	// Grant creates a lease with the given time to live.
-	Grant(ctx context.Context, ttl time.Duration) (lease int64, err error)
+	Grant(ctx context.Context, ttl time.Duration) (lease Lease, err error)
 	// KeepAlive renews a lease.
-	KeepAlive(ctx context.Context, lease int64) error
+	KeepAlive(ctx context.Context, lease Lease) error
 	// Revoke ends a lease and deletes the keys attached to it.
-	Revoke(ctx context.Context, lease int64) error
+	Revoke(ctx context.Context, lease Lease) error
 	// Watch calls f for each change of key from revision on, in order, until
 	// ctx ends or the connection fails. It calls ready once the watch is
-	// established.
-	Watch(ctx context.Context, key string, revision int64, ready func(), f func(Event)) error
+	// established. It returns ErrEraChanged when any answer of the store shows that
+	// its era is not that of revision any more.
+	Watch(ctx context.Context, key string, revision Revision, ready func(), f func(Event)) error
+	// Eras returns what is known about the eras of the store.
+	Eras() eras.State
+	// OnEraVerdict sets the function that is called with each verdict about the era
+	// of an answer, but for those of the current era. It must not block. It must be
+	// set before the first call.
+	OnEraVerdict(f func(eras.Verdict))
 }
 
 // Layout determines which members of a group monitor the liveness of which
