node: a node writes again what a store that went back to a copy has lost

A seed record came back at the next renewal, up to 5 s later, or not at all when the store had given the id of its lease to another node. Claims of opaque keys did not come back.

A change of the era wakes the reader and makes each node write its seed record and the claims of its last 30 s again, after a random delay of at most 400 ms, in bounded batches. Where an id was claimed anew, the earlier time is kept. A seed that does not watch the store, or has lost it, renews each second, so that it notices a restart; a node that remembers claims reads the store each second. One event for each change, store_era_changed; answers whose era is missing, malformed or not credible are counted and reported as store_era_ignored. A planned stop renews its lease before it ends it, since the id may belong to another node by now.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -37,7 +37,9 @@
 	StoreRepaired      Kind = "store_repaired" // a version that the store had lost was written back
 	StoreLost          Kind = "store_lost"     // the store can't be reached
 	StoreBack          Kind = "store_back"
-	ReaderStarted      Kind = "reader_started" // the node watches the store for new versions
+	StoreEraChanged    Kind = "store_era_changed" // the store has restarted from an older copy
+	StoreEraIgnored    Kind = "store_era_ignored" // an answer of the store named no era, or one that is not credible
+	ReaderStarted      Kind = "reader_started"    // the node watches the store for new versions
 	ReaderStopped      Kind = "reader_stopped"
 	PeerJoined         Kind = "peer_joined"
 	PeerSuspected      Kind = "peer_suspected"
--- a/io/ledger/claims.go
+++ b/io/ledger/claims.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -24,7 +25,9 @@
 // costs a write to the store, so it is only used for opaque keys, which do not
 // contain the time at which they were issued.
 type Claims struct {
-	cfg Config
+	cfg    Config
+	mu     sync.Mutex
+	recent []ownClaim // made by this process, oldest first
 }
 
 // NewClaims returns the Claims of a deployment.
@@ -67,6 +70,7 @@
 	}
 	ok, err := c.cfg.Store.Commit(ctx, txn)
 	if err == nil && ok {
+		c.remember(ownClaim{keys, now})
 		return now, nil
 	}
 	if err != nil && !errors.Is(err, tanagerchute.ErrOutcomeUnknown) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -74,7 +74,9 @@
 	gate             *gate.Gate
 	proxy            *proxy.Proxy
 	relay            *relay.Relay
-	seeds            *seeds.Registry
+	seeds            *seeds.Registry // nil without a store
+	claims           *ledger.Claims  // nil without a store
+	eras             *storeEras
 	byteMeters       byteMeters
 	vars             *expvar.Map
 	attached         []attachedHandler
@@ -114,7 +116,7 @@
 func New(cfg Config) (*Node, error) {
 	s := cfg.Settings
 	now := time.Now()
-	n := &Node{cfg: cfg, id: s.Name + "." + idSuffix(now), metrics: metric.New(), drainRequested: make(chan struct{}), killed: make(chan struct{})}
+	n := &Node{cfg: cfg, id: s.Name + "." + idSuffix(now), metrics: metric.New(), eras: newStoreEras(), drainRequested: make(chan struct{}), killed: make(chan struct{})}
 	if cfg.Dial == nil {
 		n.cfg.Dial = link.Direct
 	}
@@ -217,7 +219,7 @@
 		Node: n.id, DataCentre: s.Group(), DataCentres: s.Groups(), Deployment: n.deploymentID(), Dialect: n.cfg.Dialect,
 		Fleet: n.fleet, Feed: n.feed, Gate: n.gate, Client: n.client, Journal: n.journal,
 		Dial:   n.byteMeters.calls.Dial(n.cfg.Dial, n.isRemoteAddr),
-		Tracer: n.tracer.Tracer(), Claims: n.newClaims(), Rand: n.newRand("proxy"),
+		Tracer: n.tracer.Tracer(), Claims: n.proxyClaims(), Rand: n.newRand("proxy"),
 		MaxBodyBytes: s.Limits.RequestBytes, MaxAnswerBytes: s.Limits.AnswerBytes,
 		NestedCallsUntraced: s.LocalCallers, KeysUnused: s.KeysUnused, Retry: retryLimits(s),
 		Hedge: s.Hedge != nil && *s.Hedge, Policy: n.cfg.Policy, OnCall: n.recordCall, OnAttempt: n.recordAttempt,
@@ -245,13 +247,15 @@
 		trackerConfig = vers.DocumentConfig(s.Deployment)
 	}
 	if n.cfg.Store != nil {
+		n.cfg.Store.OnEraVerdict(n.observeEra)
 		ledgerConfig := ledger.Config{Store: n.cfg.Store, Deployment: s.Deployment}
 		if source == nil {
 			source = ledger.New(ledgerConfig)
 		}
+		n.claims = ledger.NewClaims(ledgerConfig)
 		n.seeds = seeds.New(seeds.Config{
-			Store: n.cfg.Store, Deployment: s.Deployment, Fleet: n.fleet, Claims: ledger.NewClaims(ledgerConfig),
-			OnSeeds: n.setSeeds,
+			Store: n.cfg.Store, Deployment: s.Deployment, Fleet: n.fleet, Claims: n.claims,
+			OnSeeds: n.setSeeds, Watching: func() bool { return n.feed.IsReader() && !n.feed.StoreLost() },
 		})
 	}
 	n.feed = feed.New(feed.Config{
@@ -260,13 +264,13 @@
 	})
 }
 
-// newClaims returns the claims for opaque idempotency keys, or a nil interface
+// proxyClaims returns the claims for opaque idempotency keys, or a nil interface
 // if there is no store.
-func (n *Node) newClaims() proxy.Claims {
-	if n.cfg.Store == nil {
+func (n *Node) proxyClaims() proxy.Claims {
+	if n.claims == nil {
 		return nil
 	}
-	return ledger.NewClaims(ledger.Config{Store: n.cfg.Store, Deployment: n.cfg.Settings.Deployment})
+	return n.claims
 }
 
 // setSeeds passes the seed addresses by data centre, as read from the store, to
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -98,6 +98,8 @@
 	wg.Go(func() { n.relay.Run(ctx) })
 	if n.seeds != nil {
 		wg.Go(func() { n.seeds.Run(ctx) })
+		wg.Go(func() { n.claims.Run(ctx) })
+		wg.Go(func() { n.runStoreEras(ctx) })
 	}
 }
 
--- a/io/seeds/seeds.go
+++ b/io/seeds/seeds.go
@@ -22,6 +22,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -38,7 +39,11 @@
 const (
 	recordTTL  = 15 * time.Second
 	renewEvery = 5 * time.Second
-	listEvery  = 3 * time.Second
+	// soleContactRenewEvery replaces renewEvery at a seed that does not watch the
+	// store, or has lost it. The renewals are then its only calls, and show it when
+	// the store has restarted from an older copy.
+	soleContactRenewEvery = 900 * time.Millisecond
+	listEvery             = 3 * time.Second
 	// standbyListEvery replaces listEvery while a seed of another data centre of
 	// the region reads the seeds.
 	standbyListEvery = 15 * time.Second
@@ -61,6 +66,9 @@
 	Deployment string
 	Fleet      *fleet.Fleet
 	Claims     *ledger.Claims
+	// Watching reports whether this node watches the store, so that it learns soon
+	// that the store has restarted.
+	Watching func() bool
 	// OnSeeds is called with the addresses of all seeds, by the name of their
 	// group, after each periodic read.
 	OnSeeds func(map[string][]string)
@@ -144,7 +152,7 @@
 	if now.Sub(r.rankedSince) < settleTime {
 		return
 	}
-	if now.Sub(r.lastRenew) >= renewEvery && r.renew(ctx) == nil {
+	if now.Sub(r.lastRenew) >= r.renewInterval() && r.renew(ctx) == nil {
 		r.lastRenew = now
 	}
 	if rank != 0 {
@@ -174,6 +182,14 @@
 	}
 }
 
+// renewInterval returns the time between two renewals of the record of a seed.
+func (r *Registry) renewInterval() time.Duration {
+	if r.cfg.Watching() {
+		return renewEvery
+	}
+	return soleContactRenewEvery
+}
+
 // listInterval returns the time between two reads of all seeds.
 func (r *Registry) listInterval() time.Duration {
 	view := r.cfg.Fleet.View()
@@ -197,13 +213,40 @@
 	}
 }
 
+// WriteAgain writes this node's record with a new lease if the store has lost the one
+// that it was attached to. It describes what it wrote, and returns an empty string if
+// this node has no record or is not a seed any more.
+func (r *Registry) WriteAgain(ctx context.Context) (string, error) {
+	ctx, unlock := r.lock(ctx)
+	defer unlock()
+	if r.lease == (tanagerchute.Lease{}) || r.closeCtx.Err() != nil || r.cfg.Fleet.View().ReaderRank(seedsPerDataCentre) < 0 {
+		return "", nil
+	}
+	if r.lease.Era == r.cfg.Store.Eras().Current {
+		return fmt.Sprintf("seed record (lease %d)", r.lease.ID), nil // by a renewal
+	}
+	lost := r.lease
+	if err := r.renew(ctx); err != nil {
+		r.lease = lost
+		return "", err
+	}
+	r.lastRenew = time.Now()
+	return fmt.Sprintf("seed record (lease %d after %d)", r.lease.ID, lost.ID), nil
+}
+
 // unregister removes this node's record, if there is one, by revoking its
 // lease.
 func (r *Registry) unregister(ctx context.Context) {
 	if r.lease == (tanagerchute.Lease{}) {
 		return
 	}
-	if err := r.cfg.Store.Revoke(ctx, r.lease); err == nil || errors.Is(err, tanagerchute.ErrLeaseExpired) {
+	// A renewal shows whether the store still has the lease. If not, it may have given
+	// the id to that of another node.
+	err := r.cfg.Store.KeepAlive(ctx, r.lease)
+	if err == nil {
+		err = r.cfg.Store.Revoke(ctx, r.lease)
+	}
+	if err == nil || errors.Is(err, tanagerchute.ErrLeaseExpired) {
 		r.lease = tanagerchute.Lease{}
 		r.lastRenew = time.Time{}
 	}
