--- a/core/eras/tracker.go
+++ b/core/eras/tracker.go
@@ -10,8 +10,8 @@
 	// was cut off from the store misses a few eras.
 	maxStep = 8
 	// resetAfter is the time without an answer of the current era after which a lower
-	// era is believed. No answer is delayed for longer.
-	resetAfter = 30 * time.Second
+	// era is believed. A read that may be out of date is not older than that.
+	resetAfter = 5 * time.Second
 )
 
 // Answer is what one answer of the store says about the era.
@@ -153,7 +153,7 @@
 // observeJump handles an answer of an era that is far above the current one.
 func (t *Tracker) observeJump(e Era, a Answer) Verdict {
 	cur, d := t.state.Current, t.doubtful
-	if d.known && e.number >= d.number && e.number-d.number <= maxStep {
+	if d.known && a.SentAt.After(t.doubtedAt) && e.number >= d.number && e.number-d.number <= maxStep {
 		return t.enter(Advanced, e, a, fmt.Sprintf("era %v after era %v, named by two answers", e, cur))
 	}
 	t.doubtful, t.doubtedAt = e, a.ReceivedAt
--- a/io/mesh/era_test.go
+++ b/io/mesh/era_test.go
@@ -140,3 +140,28 @@
 		awaitVersion(t, m, lost+1, maxPropagationTime, everyInstance)
 	}
 }
+
+// TestIsolatedDataCentreAfterRestore restarts the store from an older copy while a data
+// centre can't reach it. The version that was in force must stay in force there and
+// everywhere else, and the next change must reach all nodes.
+func TestIsolatedDataCentreAfterRestore(t *testing.T) {
+	is := is.New(t)
+	m, ctx := start(t, smallConfig())
+	m.Platform.TakeCopy()
+	number, err := m.Apply(ctx, "lost", changedDocument(2))
+	is.NoErr(err)
+	awaitVersion(t, m, number, maxPropagationTime, everyInstance)
+	m.Isolate("selfoss", mesh.Isolation{Store: true})
+	m.Platform.RestoreCopy(200 * time.Millisecond)
+	for end := time.Now().Add(200*time.Millisecond + maxRewriteTime); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for _, in := range m.Instances {
+			is.Equal(in.Node.Stamp().Number, number) // no node goes back
+		}
+	}
+	next, err := m.Apply(ctx, "after", changedDocument(3))
+	is.NoErr(err)
+	is.Equal(next, number+1)
+	awaitVersion(t, m, next, maxPropagationTime, everyInstance)
+	m.Isolate("selfoss", mesh.Isolation{})
+	awaitSeedRecords(t, ctx, m, 30*time.Second)
+}
