ledger: an operator is told when the store has lost the version that was changed

A version that was published after a lost one, at a revision that the store had given out again, was reported as 'it is not known whether'. Publish now starts over from the present version where the client knows of the restart, and returns ErrParentLost where the store took the write.

--- a/cmd/tanagerchute/apply.go
+++ b/cmd/tanagerchute/apply.go
@@ -150,6 +150,8 @@
 			return v.Number, nil
 		case errors.As(err, &conflict):
 			continue // compare with the version that was published first
+		case errors.Is(err, ledger.ErrParentLost):
+			return 0, errors.Wrap(err, "the version was written, but nodes may refuse it: apply the document again")
 		}
 		return 0, errors.Wrapf(err, "it is not known whether the version was accepted; look for operation %s in history", op)
 	}
--- a/io/ledger/ledger.go
+++ b/io/ledger/ledger.go
@@ -137,8 +137,13 @@
 	return fmt.Sprintf("version %d by %s was published in the meantime", v.Number, v.Author)
 }
 
+// ErrParentLost means that a version was written after another one than its parent,
+// since the store restarted from an older copy meanwhile. Nodes may refuse it.
+var ErrParentLost = errors.New("the store has lost the version that this one follows")
+
 // Publish writes a draft as the next version. It returns a *Conflict if another
-// version has been published since the parent was read. It returns an error that
+// version has been published since the parent was read, or the store has lost the
+// parent. It returns ErrParentLost if it noticed that too late. It returns an error that
 // wraps tanagerchute.ErrOutcomeUnknown if ctx ends before the store shows whether a
 // write took effect.
 func (l *Ledger) Publish(ctx context.Context, d Draft) (vers.Version, error) {
@@ -152,7 +157,7 @@
 		switch {
 		case err == nil && ok:
 			return v, nil
-		case err == nil:
+		case err == nil, errors.Is(err, tanagerchute.ErrEraChanged):
 			return l.resolveOutcome(ctx, d)
 		case errors.Is(err, tanagerchute.ErrOutcomeUnknown):
 			maybeWritten = true
@@ -198,7 +203,7 @@
 	for {
 		v, err := l.findOperation(ctx, d)
 		var c *Conflict
-		if err == nil || errors.As(err, &c) {
+		if err == nil || errors.As(err, &c) || errors.Is(err, ErrParentLost) {
 			return v, err
 		}
 		if !timer.Sleep(ctx, retryDelay) {
@@ -220,12 +225,27 @@
 			return vers.Version{}, err
 		}
 		if v.Op == d.Op {
-			return v, nil
+			return v, l.checkParent(ctx, v)
 		}
 	}
 	return vers.Version{}, &Conflict{Head: head}
 }
 
+// checkParent returns ErrParentLost if the version before v is not its parent. The
+// oldest version in the store has none.
+func (l *Ledger) checkParent(ctx context.Context, v vers.Version) error {
+	parent, err := l.Get(ctx, v.Number-1)
+	switch {
+	case errors.Is(err, ErrVersionNotFound):
+		return nil
+	case err != nil:
+		return err
+	case parent.Digest != v.Parent:
+		return errors.Wrapf(ErrParentLost, "version %d", v.Number)
+	}
+	return nil
+}
+
 // Restore implements tanagerchute.Source.
 func (l *Ledger) Restore(ctx context.Context, v vers.Version, head tanagerchute.Head) (bool, error) {
 	txn, err := l.buildTxn(v, tanagerchute.Head{ModRevision: head.ModRevision, Revision: head.Revision})
