--- a/io/gate/probe.go
+++ b/io/gate/probe.go
@@ -7,6 +7,10 @@
 	"tanagerchute/core/event"
 )
 
+// failAfterRefusedDials is the number of refused connections in a row after which
+// a backend server counts as failing.
+const failAfterRefusedDials = 2
+
 // runProbes probes an idle backend server until ctx ends. A probe only opens a
 // connection, since health endpoints can be wrong while a refused connection is
 // reliable.
