upconn: separate pool, exchange and stale connections

pool.go held the pool, the exchange of one request and answer, and what the pool learns from stale connections in 382 lines.

--- /dev/null
+++ b/io/upconn/exchange.go
@@ -0,0 +1,167 @@
+package upconn
+
+import (
+	"bytes"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// dialTimeout bounds the wait for a new connection. The server runs close to
+	// the node.
+	dialTimeout = time.Second
+	// maxInlineBodyBytes is the largest body that is written before the answer is
+	// read. It fits into the socket buffers, so the write does not block. Larger
+	// bodies are written while the answer is read.
+	maxInlineBodyBytes = 16 << 10
+	// maxHeadBytes bounds what is read of an answer before its body: its head, the
+	// interim answers before it, and the heads of answers to other requests.
+	maxHeadBytes = 1 << 20
+	// maxDropped bounds the answers that are dropped for one request: interim ones, and
+	// those to other requests.
+	maxDropped = 8
+	// writeGrace bounds the wait for the rest of a request to be written after its
+	// answer has been read. The server may still be reading the request.
+	writeGrace = 50 * time.Millisecond
+)
+
+// Answer is an answer whose body has been read.
+type Answer struct {
+	*http.Response
+	BodyBytes []byte // the body
+}
+
+// Error is the error of a request that got no answer.
+type Error struct {
+	// Sent reports whether any byte of the request may have reached the server.
+	Sent bool
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Err.Error() }
+
+// Unwrap returns the underlying error.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Errors that Error wraps.
+var (
+	ErrAnswerTooLarge = errors.New("answer is too large")
+	ErrConnLimit      = errors.New("all connections to the backend server are in use")
+)
+
+// exchange writes a request and reads its answer. reusable reports whether the
+// connection can carry another request.
+func (p *Pool) exchange(c *conn, r Request) (a Answer, reusable bool, err error) {
+	var head bytes.Buffer
+	if err := r.writeHead(&head); err != nil {
+		return Answer{}, false, &Error{Err: err}
+	}
+	written := make(chan error, 1)
+	if len(r.Body) <= maxInlineBodyBytes {
+		n, err := c.Write(append(head.Bytes(), r.Body...))
+		if err != nil {
+			return Answer{}, false, &Error{Sent: n > 0, Err: errors.Wrap(err, "write")}
+		}
+		written <- nil
+	} else {
+		go func() {
+			buffers := net.Buffers{head.Bytes(), r.Body}
+			_, err := buffers.WriteTo(c.Conn)
+			written <- err
+		}()
+	}
+	a, clean, err := p.readAnswer(c, r)
+	if err != nil {
+		return Answer{}, false, &Error{Sent: true, Err: err}
+	}
+	return a, clean && awaitWritten(written), nil
+}
+
+// awaitWritten reports whether the whole request is written within writeGrace.
+// A server may answer before it has read the body. The connection can't be reused
+// then, since the server would take the rest of the body for the next request.
+func awaitWritten(written <-chan error) bool {
+	t := time.NewTimer(writeGrace)
+	defer t.Stop()
+	select {
+	case err := <-written:
+		return err == nil
+	case <-t.C:
+		return false
+	}
+}
+
+// readAnswer reads answers until one belongs to the request, and drops the others.
+// There must be fewer than maxDropped of these, no larger than one answer. clean reports whether the
+// connection can be reused.
+func (p *Pool) readAnswer(c *conn, r Request) (a Answer, clean bool, err error) {
+	clean = true
+	c.limit.left = maxHeadBytes
+	for range maxDropped {
+		res, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
+		if err != nil {
+			return Answer{}, false, errors.Wrap(err, "read answer")
+		}
+		if res.StatusCode >= 100 && res.StatusCode < 200 {
+			continue
+		}
+		id := r.ID
+		if p.cfg.AnswerID != nil {
+			id = p.cfg.AnswerID(res)
+		}
+		if id != "" && id != r.ID {
+			if clean {
+				c.limit.left += p.cfg.MaxAnswerBytes // one answer, which may be large
+			}
+			clean = false
+			if res.Close {
+				return Answer{}, false, errors.New("the answer is to another request")
+			}
+			if _, err := io.Copy(io.Discard, res.Body); err != nil {
+				return Answer{}, false, errors.Wrap(err, "read answer to another request")
+			}
+			continue
+		}
+		c.limit.left = math.MaxInt64 // readBody has its own limit
+		body, err := readBody(res, p.cfg.MaxAnswerBytes)
+		if err != nil {
+			return Answer{}, false, err
+		}
+		if p.cfg.AnswerID != nil && id == "" {
+			// On a new connection it can only be to the one request that was sent.
+			if !c.idleSince.IsZero() {
+				return Answer{}, false, errors.New("the answer does not say to which request it is")
+			}
+			clean = false
+		}
+		c.applyKeepAlive(res.Header.Get("Keep-Alive"))
+		return Answer{res, body}, clean && !res.Close && c.br.Buffered() == 0, nil
+	}
+	return Answer{}, false, errors.New("too many interim answers or answers to other requests")
+}
+
+// readBody reads a body up to its declared end, or returns ErrAnswerTooLarge if it
+// is longer than limit.
+func readBody(res *http.Response, limit int64) ([]byte, error) {
+	if res.ContentLength > limit {
+		return nil, ErrAnswerTooLarge
+	}
+	var b bytes.Buffer
+	if res.ContentLength > 0 {
+		b.Grow(int(res.ContentLength) + bytes.MinRead)
+	}
+	n, err := b.ReadFrom(io.LimitReader(res.Body, limit+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read body")
+	}
+	if n > limit {
+		return nil, ErrAnswerTooLarge
+	}
+	return b.Bytes(), nil
+}
