--- a/io/gate/statement.go
+++ b/io/gate/statement.go
@@ -24,7 +24,7 @@
 	source := "the answer to " + c.ID
 	g.observeLimit(sentAt, source, s)
 	if s.Leaving && g.leavingHeardAt.IsZero() {
-		g.heedLeaving(time.Now(), "named in "+source)
+		g.beginLeave(time.Now(), "named in "+source)
 	}
 }
 
@@ -72,9 +72,9 @@
 	g.recordEvent(k, g.backend.logName(), cause)
 }
 
-// heedLeaving ends new calls to the backend server, which said at heardAt that it
+// beginLeave ends new calls to the backend server, which said at heardAt that it
 // leaves. The caller holds mu.
-func (g *Gate) heedLeaving(heardAt time.Time, cause string) {
+func (g *Gate) beginLeave(heardAt time.Time, cause string) {
 	g.leavingHeardAt = heardAt
 	g.heartbeats.ObserveDraining(heardAt, g.backend.ID)
 	g.markLeaving(g.backend.logName(), cause)
@@ -89,7 +89,7 @@
 	}
 	cause := fmt.Sprintf("heard by %s %v ago", c.From, now.Sub(n.HeardAt).Round(time.Millisecond))
 	if n.Leaving && !g.backendLeaving {
-		g.heedLeaving(n.HeardAt, cause)
+		g.beginLeave(n.HeardAt, cause)
 	}
 	if n.RateLimit > 0 && g.admission.AdoptLimit(now, n.RateLimit, n.HeardAt) {
 		g.recordLimit(cause)
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -188,16 +188,16 @@
 func (p *Proxy) sendTo(ctx context.Context, target pick.Candidate, c call.Call, onSilent func()) call.Reply {
 	switch {
 	case target.ID == p.cfg.Node:
-		return p.serveOwn(ctx, c)
+		return p.serveLocally(ctx, c)
 	case c.AtMostOnce:
 		return p.sendAtMostOnce(ctx, target, c, onSilent)
 	}
 	return p.send(ctx, target.Addr, c, onSilent)
 }
 
-// serveOwn sends an attempt to the own backend server. An at-most-once call goes on
-// there when its caller has left, but not its caller when a planned stop ends.
-func (p *Proxy) serveOwn(ctx context.Context, c call.Call) call.Reply {
+// serveLocally sends an attempt to the own backend server. An at-most-once call goes
+// on there when its caller has left, but not its caller when a planned stop ends.
+func (p *Proxy) serveLocally(ctx context.Context, c call.Call) call.Reply {
 	if !c.AtMostOnce {
 		return p.cfg.Gate.Serve(ctx, c)
 	}
