gate: the last event about a server's statements is always recorded

Cause: recordStatement left out an event of a kind that came within a second of the last one. If the server said nothing else after that, the last event about its limit or a malformed statement stayed outdated, though the gauge was right.

Change: event.Pacer holds the last event on a topic that came too soon, and the gate's tick records it when the second has passed, with how long it was held and how many it replaces. Limited and unlimited are one topic, so that a held event is dropped once a newer one says otherwise. Held events about a server are recorded before another one takes its place. Still at most one event of a kind each second, but for that replacement, and at most two are held. A held event is lost if the process ends within that second.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -5,6 +5,8 @@
 // it has dropped, so that a reader can tell whether few events happened or older
 // ones are missing.
 //
+// A Pacer bounds the rate of events that an outside system causes.
+//
 // # Usage
 //
 //	j := event.NewJournal(event.Config{Node: "hafnar-1", Capacity: 4096})
--- a/io/gate/announce.go
+++ b/io/gate/announce.go
@@ -58,6 +58,7 @@
 		g.refusedDials = 0
 		g.leavingHeardAt = time.Time{}
 		g.client.closeIdle()
+		g.recordHeld(g.statements.Flush(time.Now())) // they are about the previous one
 		g.recordEvent(event.UpstreamReady, b.logName(), "announced")
 	}
 	g.backendLeaving = false
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -59,14 +59,14 @@
 	mu             sync.Mutex
 	backend        Backend
 	heartbeats     beat.Tracker
-	announcedAt    time.Time                // time of the last announcement
-	lastSuccess    time.Time                // time of the last successful call
-	refusedDials   int                      // in a row
-	backendLeaving bool                     // the server accepts no new calls
-	statementsAt   map[event.Kind]time.Time // last events of recordStatement
-	leavingHeardAt time.Time                // when the server said in an answer that it leaves, zero if it did not
-	draining       bool                     // the gate accepts no new calls
-	inFlight       int                      // calls in flight, including those at a previous backend server
+	announcedAt    time.Time    // time of the last announcement
+	lastSuccess    time.Time    // time of the last successful call
+	refusedDials   int          // in a row
+	backendLeaving bool         // the server accepts no new calls
+	statements     *event.Pacer // events about what the server says of itself
+	leavingHeardAt time.Time    // when the server said in an answer that it leaves, zero if it did not
+	draining       bool         // the gate accepts no new calls
+	inFlight       int          // calls in flight, including those at a previous backend server
 	admission      *admit.Controller
 	health         *health.Monitor
 	waiters        map[string]chan admissionResult // by attempt id
@@ -85,7 +85,7 @@
 		health:        newHealthMonitor(cfg),
 		records:       runner.NewSyncTable(),
 		waiters:       map[string]chan admissionResult{},
-		statementsAt:  map[event.Kind]time.Time{},
+		statements:    event.NewPacer(statementInterval),
 		callTracker:   nested.New(),
 		drained:       make(chan struct{}),
 		tickRequested: make(chan struct{}, 1),
--- a/io/gate/statement.go
+++ b/io/gate/statement.go
@@ -32,7 +32,7 @@
 // to a request sent at sentAt. source names the answer. The caller holds mu.
 func (g *Gate) observeLimit(sentAt time.Time, source string, s tanagerchute.ServerStatement) {
 	if s.Malformed != nil {
-		g.recordStatement(event.StatementMalformed, fmt.Sprintf("%v, in %s", s.Malformed, source))
+		g.recordStatement(topicMalformed, event.StatementMalformed, fmt.Sprintf("%v, in %s", s.Malformed, source))
 		if !s.Limited {
 			return // it may have named a limit that could not be read
 		}
@@ -51,25 +51,39 @@
 func (g *Gate) recordLimit(cause string) {
 	rate, limited := g.admission.Quota().Rate()
 	if !limited {
-		g.recordStatement(event.UpstreamUnlimited, "no limit is "+cause)
+		g.recordStatement(topicLimit, event.UpstreamUnlimited, "no limit is "+cause)
 		return
 	}
-	g.recordStatement(event.UpstreamLimited, fmt.Sprintf("%.3g requests a second, %s", rate, cause))
+	g.recordStatement(topicLimit, event.UpstreamLimited, fmt.Sprintf("%.3g requests a second, %s", rate, cause))
 }
 
 // statementInterval is the shortest time between two events of one kind about what
 // the backend server says. It may say something else in each answer.
 const statementInterval = time.Second
 
+// Topics of the events about what the backend server says. An event makes the earlier
+// ones on its topic outdated.
+const (
+	topicLimit     = "limit"
+	topicMalformed = "malformed"
+)
+
 // recordStatement records an event about what the backend server says of itself, at
-// most one of a kind each statementInterval. The caller holds mu.
-func (g *Gate) recordStatement(k event.Kind, cause string) {
-	now := time.Now()
-	if now.Sub(g.statementsAt[k]) < statementInterval {
-		return
+// most one of a kind each statementInterval. If there was one already, tick records
+// the last event on the topic later. The caller holds mu.
+func (g *Gate) recordStatement(topic string, k event.Kind, cause string) {
+	e := event.Event{At: time.Now(), Kind: k, Subject: g.backend.logName(), Cause: cause}
+	if e, ok := g.statements.Offer(topic, e); ok {
+		g.cfg.Journal.Add(e)
+	}
+}
+
+// recordHeld records the events that recordStatement has held and that are due.
+// The caller holds mu.
+func (g *Gate) recordHeld(due []event.Event) {
+	for _, e := range due {
+		g.cfg.Journal.Add(e)
 	}
-	g.statementsAt[k] = now
-	g.recordEvent(k, g.backend.logName(), cause)
 }
 
 // beginLeave ends new calls to the backend server, which said at heardAt that it
--- a/io/gate/tick.go
+++ b/io/gate/tick.go
@@ -49,13 +49,14 @@
 	}
 }
 
-// tick advances the admission queue, and calls OnUpstreamChange if the state of the
-// backend server has changed.
+// tick advances the admission queue, records the events that are due, and calls
+// OnUpstreamChange if the state of the backend server has changed.
 func (g *Gate) tick(now time.Time) {
 	g.mu.Lock()
 	if g.admission.Queued() > 0 {
 		g.notifyWaiters(g.admission.Tick(now))
 	}
+	g.recordHeld(g.statements.Due(now))
 	upstream := member.Upstream{Ready: g.backendReady(now), Slots: g.backend.Slots, Left: g.leftServer()}
 	if g.backend.WarmupEnd.After(now) {
 		upstream.WarmupEnd = g.backend.WarmupEnd
