--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -30,6 +31,8 @@
 // its node in the time in which the node should have acknowledged it.
 var errUnreachable = errors.New("no connection to the node in time")
 
+var errAnswerTooLarge = errors.New("the answer exceeds the size limit")
+
 // propagator injects and extracts the traceparent header.
 var propagator = propagation.TraceContext{}
 
@@ -87,12 +90,17 @@
 	req.Header.Set(peer.HeaderDeployment, p.cfg.Deployment)
 	res, err := client.http.Do(req)
 	if err != nil {
+		p.recordMissingAnswer(ctx, addr, c, a, err)
 		return failedReply(ctx, a)
 	}
 	a.stop()
 	defer res.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(res.Body, p.cfg.MaxAnswerBytes+1))
-	if err != nil || int64(len(body)) > p.cfg.MaxAnswerBytes {
+	if err == nil && int64(len(body)) > p.cfg.MaxAnswerBytes {
+		err = errAnswerTooLarge
+	}
+	if err != nil {
+		p.recordMissingAnswer(ctx, addr, c, a, err)
 		return failedReply(ctx, a)
 	}
 	r, err := decodeReply(c, res, body)
@@ -103,6 +111,20 @@
 	return r
 }
 
+// recordMissingAnswer records why the answer of a node did not arrive, if its call had
+// a connection and neither its sender nor its deadline has ended it.
+func (p *Proxy) recordMissingAnswer(ctx context.Context, addr string, c call.Call, a *ackWatch, err error) {
+	if !a.connected.Load() || ctx.Err() != nil {
+		return
+	}
+	acknowledged := "not acknowledged"
+	if a.acked.Load() {
+		acknowledged = "acknowledged"
+	}
+	p.recordEvent(event.AnswerMissing, c, fmt.Sprintf("%s: %v, %v after the call was sent, %s",
+		addr, err, time.Since(a.startedAt).Round(time.Millisecond), acknowledged))
+}
+
 // failedReply returns the reply for an attempt that got no valid answer. Without a
 // connection the call can't have run, otherwise its fate is unknown.
 func failedReply(ctx context.Context, a *ackWatch) call.Reply {
