--- a/internal/integ/freeze_test.go
+++ b/internal/integ/freeze_test.go
@@ -132,3 +132,52 @@
 		t.Error("no call was at the killed nodes, or none elsewhere")
 	}
 }
+
+// TestStoppingNodeAwaitsBusyNodes guards against a planned stop under which calls are
+// given up, while backend servers work on them, because the nodes beside these servers
+// get no processor time for a moment. Idempotent calls, more than the retry budget, on
+// connections that a ping is under way on.
+func TestStoppingNodeAwaitsBusyNodes(t *testing.T) {
+	f := startFleet(t, fleetOptions{work: "100ms"})
+	sender, busy := f.instancesOf("hafnar", "budir")[0], f.instancesOf("hafnar", "skraning")
+	file := f.writeFile("patient.jsonc", patientDocument())
+	f.mustRun("apply", "-wait", "-node", sender.adminAddr, "-store", f.storeURL, "-parent", "1", file)
+	send := func(round string, n int) map[string]answer {
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		answers := map[string]answer{}
+		for i := range n {
+			wg.Go(func() {
+				name := fmt.Sprintf("%s-%d", round, i)
+				a := f.work(sender, "GET", "/places", name)
+				mu.Lock()
+				defer mu.Unlock()
+				answers[name] = a
+			})
+		}
+		wg.Wait()
+		return answers
+	}
+	send("before", 20)
+	time.Sleep(1100 * time.Millisecond) // connections are pinged after 1.2 s without data
+	sender.node.signal(syscall.SIGTERM)
+	for _, in := range busy {
+		in.node.signal(syscall.SIGSTOP)
+	}
+	time.AfterFunc(900*time.Millisecond, func() {
+		for _, in := range busy {
+			in.node.signal(syscall.SIGCONT)
+		}
+	})
+	time.Sleep(300 * time.Millisecond)
+	for name, a := range send("stopping", 40) {
+		if a.err != nil || a.status != http.StatusOK {
+			t.Errorf("%s: %s", name, describe(a))
+		}
+	}
+	select {
+	case <-sender.node.exited:
+	case <-time.After(30 * time.Second):
+		t.Error("the node did not stop")
+	}
+}
--- a/io/proxy/ack_test.go
+++ b/io/proxy/ack_test.go
@@ -63,7 +63,10 @@
 }
 
 // newSender returns a proxy whose fleet has only its own node.
-func newSender(t *testing.T) *Proxy {
+func newSender(t *testing.T) *Proxy { return newSenderWithDial(t, link.Direct) }
+
+// newSenderWithDial is like newSender, with calls on the connections that dial opens.
+func newSenderWithDial(t *testing.T, dial link.Dial) *Proxy {
 	client := peer.NewClient(peer.Config{Deployment: "test", Dial: link.Direct})
 	journal := event.NewJournal(event.Config{Node: "sender", Capacity: 16})
 	fl := fleet.New(fleet.Config{
@@ -71,7 +74,7 @@
 		Stamp: func() vers.Stamp { return vers.Stamp{} }, OnPeerStamp: func(string, vers.Stamp) {},
 	})
 	p := New(Config{
-		Node: "sender", Deployment: "test", Fleet: fl, Feed: feed.New(feed.Config{Fleet: fl}), Client: client, Dial: link.Direct,
+		Node: "sender", Deployment: "test", Fleet: fl, Feed: feed.New(feed.Config{Fleet: fl}), Client: client, Dial: dial,
 		Journal: journal, Tracer: noop.NewTracerProvider().Tracer(""), Rand: rand.New(rand.NewPCG(1, 2)),
 	})
 	t.Cleanup(p.Close)
