proxy: a link that falls silent ends no call

Cause: a connection between nodes on which nothing was received for 1.2 s is pinged, and net/http closes it, with all calls on it, if the ping is not answered in 0.5 s. A node that gets no processor time for that long, or whose large answers the ping waits behind, is late, not dead: it passes the calls on and its server runs them. Idempotent calls then need budget for a resend, which a busy fleet has used up, and get 502. Connections for large answers are idle most of the time, so most calls on them meet a ping that is under way. The class of fault: a slow peer is taken for a dead one, and one connection's end decides on all work on it.

New calls get a new connection; calls in flight are hedged, or asked for if they may run only once, as when they are not acknowledged, and their answers still count. The connection is closed after 10 s of silence. Control messages keep the short timeout.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -65,6 +65,7 @@
 	RequestMoved       Kind = "request_moved"    // sent again, or not to a local upstream
 	RequestUnknown     Kind = "request_unknown"  // it may have run
 	AnswerMissing      Kind = "answer_missing"   // the connection to the node that a call was sent to ended before its answer
+	LinkSilent         Kind = "link_silent"      // nothing is received from a node that calls are in flight to
 	RequestFenced      Kind = "request_fenced"   // an attempt that had not started may no longer start
 	RequestReplayed    Kind = "request_replayed" // it got the answer recorded for its key
 	StandingLost       Kind = "standing_lost"    // the node has lost the quorum
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"tanagerchute/core/acks"
 	"tanagerchute/io/link"
 	"tanagerchute/io/wire"
 )
@@ -15,9 +16,10 @@
 
 // Timeouts of a connection.
 const (
-	pingAfterIdle = 1200 * time.Millisecond // a ping is sent if no frame was received for this long
-	pingTimeout   = 500 * time.Millisecond  // the connection is closed if the ping is not answered
-	idleTimeout   = 5 * time.Second         // a connection without requests is closed
+	// controlPingTimeout is when a connection for control messages is closed if a ping
+	// is not answered. Each message has a timeout and is sent again.
+	controlPingTimeout = acks.PingTimeout
+	idleTimeout        = 5 * time.Second // a connection without requests is closed
 )
 
 // Config configures a Client.
@@ -39,7 +41,7 @@
 
 // NewClient returns a client that has opened no connection yet.
 func NewClient(cfg Config) *Client {
-	transport := NewTransport(cfg.Dial)
+	transport := NewTransport(cfg.Dial, controlPingTimeout)
 	return &Client{
 		cfg:   cfg,
 		http:  &http.Client{Transport: &deploymentTransport{transport, cfg.Deployment}},
@@ -47,9 +49,9 @@
 	}
 }
 
-// NewTransport returns a transport for HTTP/2 without TLS that closes connections
-// on which pings are not answered.
-func NewTransport(dial link.Dial) *http.Transport {
+// NewTransport returns a transport for HTTP/2 without TLS. It closes a connection,
+// with all requests on it, if a ping is not answered within pingTimeout.
+func NewTransport(dial link.Dial, pingTimeout time.Duration) *http.Transport {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
@@ -58,7 +60,7 @@
 		IdleConnTimeout:    idleTimeout,
 		DisableCompression: true,
 		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: pingAfterIdle,
+			SendPingTimeout: acks.PingAfterIdle,
 			PingTimeout:     pingTimeout,
 		},
 	}
@@ -83,7 +85,7 @@
 // own, and a function that closes the connection. A new connection can work
 // while an existing one no longer responds.
 func (c *Client) DedicatedTo(addr string) (wire.Peer, func()) {
-	transport := NewTransport(c.cfg.Dial)
+	transport := NewTransport(c.cfg.Dial, controlPingTimeout)
 	client := &http.Client{Transport: &deploymentTransport{transport, c.cfg.Deployment}}
 	return wire.NewPeerProtobufClient("http://"+addr, client), transport.CloseIdleConnections
 }
--- a/io/proxy/clients.go
+++ b/io/proxy/clients.go
@@ -16,6 +16,10 @@
 	// client for a node. Without it, a slow node would lose one connection after
 	// the other.
 	minReplaceInterval = time.Second
+	// callPingTimeout is when a connection is closed, with all calls on it, if a ping is
+	// not answered. That is long after linkWatch has found it silent, since the node may
+	// only be busy, and its answers still count.
+	callPingTimeout = 10 * time.Second
 )
 
 // clientKey identifies a client. Calls with a large answer have a connection of
@@ -29,9 +33,10 @@
 // clientPool holds the HTTP clients for other nodes. It is safe for concurrent
 // use.
 type clientPool struct {
-	dial    link.Dial
-	mu      sync.Mutex
-	clients map[clientKey]*nodeClient
+	dial     link.Dial
+	onSilent func(linkSilence) // called when a link falls silent while calls are in flight on it
+	mu       sync.Mutex
+	clients  map[clientKey]*nodeClient
 }
 
 // nodeClient is an HTTP client for one node, which has its own connection.
@@ -40,6 +45,7 @@
 	http       *http.Client
 	replacedAt time.Time // zero if it replaces no other client
 	acks       *ackTimes // of the node, shared with the clients that this one replaces
+	link       *linkWatch
 }
 
 // ackTimes estimates how long a node takes to acknowledge calls. It is safe for
@@ -61,11 +67,11 @@
 	return a.estimator.Timeout()
 }
 
-func newClientPool(d link.Dial) *clientPool {
-	return &clientPool{dial: d, clients: map[clientKey]*nodeClient{}}
+func newClientPool(d link.Dial, onSilent func(linkSilence)) *clientPool {
+	return &clientPool{dial: d, onSilent: onSilent, clients: map[clientKey]*nodeClient{}}
 }
 
-// get returns the client for a node.
+// get returns the client for a node. It replaces one whose link is silent.
 func (p *clientPool) get(key clientKey) *nodeClient {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -74,14 +80,19 @@
 		if len(p.clients) >= maxClients {
 			p.closeAll()
 		}
-		n = &nodeClient{key: key, http: p.newClient(), acks: &ackTimes{}}
+		n = p.newClient(key, &ackTimes{})
 		p.clients[key] = n
 	}
+	if n.link.silent(time.Now()) {
+		return p.replaceLocked(n)
+	}
 	return n
 }
 
-func (p *clientPool) newClient() *http.Client {
-	return &http.Client{Transport: peer.NewTransport(p.dial), CheckRedirect: noRedirect}
+func (p *clientPool) newClient(key clientKey, acks *ackTimes) *nodeClient {
+	watch := newLinkWatch(key.addr, p.onSilent)
+	transport := peer.NewTransport(watch.dial(p.dial), callPingTimeout)
+	return &nodeClient{key: key, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}, acks: acks, link: watch}
 }
 
 // noRedirect keeps a client from following redirects, which are answers of the
@@ -95,12 +106,23 @@
 func (p *clientPool) replace(failed *nodeClient) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.clients[failed.key] == failed {
+		p.replaceLocked(failed)
+	}
+}
+
+// replaceLocked is like replace, and returns the client to use now. failed is the
+// client of its node. The caller holds mu.
+func (p *clientPool) replaceLocked(failed *nodeClient) *nodeClient {
 	now := time.Now()
-	if p.clients[failed.key] != failed || now.Sub(failed.replacedAt) < minReplaceInterval {
-		return
+	if now.Sub(failed.replacedAt) < minReplaceInterval {
+		return failed
 	}
 	failed.http.CloseIdleConnections()
-	p.clients[failed.key] = &nodeClient{key: failed.key, http: p.newClient(), replacedAt: now, acks: failed.acks}
+	n := p.newClient(failed.key, failed.acks)
+	n.replacedAt = now
+	p.clients[failed.key] = n
+	return n
 }
 
 // close closes the idle connections.
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -116,7 +116,6 @@
 	}
 	p := &Proxy{
 		cfg:        cfg,
-		clients:    newClientPool(cfg.Dial),
 		candidates: newCandidateCache(cfg.Node),
 		budgets:    newRetryBudgets(cfg.Retry, func() int { return len(cfg.Fleet.View().ActiveIDs()) }),
 		picker:     pick.New(pick.DefaultConfig(cfg.Rand)),
@@ -124,6 +123,7 @@
 		homeTable:  &homeTable{SyncTable: runner.NewSyncTable()},
 		notices:    newNotices(),
 	}
+	p.clients = newClientPool(cfg.Dial, p.recordLinkSilent)
 	p.ended, p.endNow = context.WithCancel(context.Background())
 	return p
 }
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -79,6 +80,8 @@
 	}
 	a.start()
 	defer a.stop()
+	client.link.add(a)
+	defer client.link.remove(a)
 	req, err := http.NewRequestWithContext(a.trace(ctx), c.Method, "http://"+addr+callPath, bytes.NewReader(c.Body))
 	if err != nil {
 		return call.Refuse(call.NotRun, err.Error(), 0)
@@ -125,6 +128,12 @@
 		addr, err, time.Since(a.startedAt).Round(time.Millisecond), acknowledged))
 }
 
+// recordLinkSilent records that nothing is received from a node for too long.
+func (p *Proxy) recordLinkSilent(s linkSilence) {
+	p.cfg.Journal.Add(event.Event{At: time.Now(), Kind: event.LinkSilent, Subject: s.addr, Cause: fmt.Sprintf(
+		"nothing received for %v, %d calls in flight are sent elsewhere or asked for, and still awaited", time.Since(s.heardAt).Round(time.Millisecond), s.inFlight)})
+}
+
 // failedReply returns the reply for an attempt that got no valid answer. Without a
 // connection the call can't have run, otherwise its fate is unknown.
 func failedReply(ctx context.Context, a *ackWatch) call.Reply {
@@ -147,11 +156,13 @@
 
 // ackWatch watches one attempt for the acknowledgement of its node, which is
 // status 102 (Processing). A node that takes longer than acks.Estimator expects is
-// partitioned or frozen, or a middlebox has dropped the state of the connection.
+// partitioned or frozen, or a middlebox has dropped the state of the connection. The
+// same is assumed if its link falls silent later, see linkWatch.
 type ackWatch struct {
 	times     *ackTimes
-	onTimeout func()
+	onTimeout func() // called once at most
 	startedAt time.Time
+	once      sync.Once // for onTimeout
 	timer     *time.Timer
 	connected atomic.Bool // the attempt has a connection
 	expired   atomic.Bool
@@ -163,10 +174,14 @@
 // start starts the wait for the acknowledgement.
 func (a *ackWatch) start() {
 	a.startedAt = time.Now()
-	a.timer = time.AfterFunc(a.times.timeout(), func() {
-		a.expired.Store(true)
-		a.onTimeout()
-	})
+	a.timer = time.AfterFunc(a.times.timeout(), a.expire)
+}
+
+// expire ends the wait: the node has not acknowledged the attempt in time, or has
+// fallen silent since.
+func (a *ackWatch) expire() {
+	a.expired.Store(true)
+	a.once.Do(a.onTimeout)
 }
 
 // stop ends the wait.
