node: what follows a planned stop has one deadline

Cause: the steps after the last answer had 0.4 s each for messages, servers and traces, and none for the end of background work, counted one after the other: up to 6.02 s of the 6 s of grace, for a node that is on time.

No test fails before: the steps only add up at a node that gets too little processor time.

--- a/io/node/run.go
+++ b/io/node/run.go
@@ -53,20 +53,36 @@
 	case err = <-s.serveErrs:
 	case <-n.killed:
 	}
-	n.shutDown(bgCtx, s)
+	closeBy := n.shutDown(bgCtx, s)
 	cancelBg()
-	wg.Wait()
+	awaitGroup(&wg, closeBy)
 	n.proxy.Close()
 	n.client.Close()
 	n.recordEvent(event.NodeStopped, "after "+time.Since(startedAt).Round(time.Second).String())
-	closeCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	closeCtx, cancel := context.WithDeadline(context.Background(), closeBy)
 	defer cancel()
 	return errors.Join(err, n.tracer.Close(closeCtx))
 }
 
+// awaitGroup waits until the goroutines of wg have ended, or until deadline. No caller
+// depends on what they do at the end of the process.
+func awaitGroup(wg *sync.WaitGroup, deadline time.Time) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		wg.Wait()
+	}()
+	t := time.NewTimer(time.Until(deadline))
+	defer t.Stop()
+	select {
+	case <-done:
+	case <-t.C:
+	}
+}
+
 // shutDown performs a planned stop. If the node has been killed, or is killed
-// meanwhile, it stops at once.
-func (n *Node) shutDown(ctx context.Context, s *servers) {
+// meanwhile, it stops at once. It returns the deadline of all that is left to do.
+func (n *Node) shutDown(ctx context.Context, s *servers) (closeBy time.Time) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan struct{})
@@ -75,7 +91,7 @@
 		select {
 		case <-n.killed:
 		default:
-			n.drainAndStop(ctx, s)
+			closeBy = n.drainAndStop(ctx, s)
 		}
 	}()
 	select {
@@ -88,6 +104,10 @@
 		_ = v.server.Close()
 	}
 	<-done
+	if closeBy.IsZero() {
+		closeBy = time.Now().Add(closeTimeout)
+	}
+	return closeBy
 }
 
 // startComponents starts the background work of the components.
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -21,8 +21,8 @@
 	// pendingAcceptTimeout bounds the wait at a stop until the listener for callers
 	// has returned the connections that were pending when it was closed.
 	pendingAcceptTimeout = 2 * time.Second
-	// closeTimeout bounds the last steps of a planned stop, when no call is in
-	// flight.
+	// closeTimeout bounds all the last steps of a planned stop together, when no call
+	// is in flight.
 	closeTimeout = 400 * time.Millisecond
 	// finalAnswerTimeout bounds the wait for the answers to calls that a planned
 	// stop has canceled.
@@ -41,7 +41,9 @@
 // If the backend server keeps running (Drain.ServeOn), the node first serves it
 // for the linger time, so that callers can move to other nodes, and waits for the
 // requests in progress.
-func (n *Node) drainAndStop(ctx context.Context, s *servers) {
+//
+// It returns the deadline of what is left to do.
+func (n *Node) drainAndStop(ctx context.Context, s *servers) time.Time {
 	startedAt := time.Now()
 	n.recordEvent(event.NodeDraining, "planned stop")
 	n.stopping.Store(true)
@@ -70,11 +72,13 @@
 	// Since the stop began, answers have carried "Connection: close", so that no
 	// caller sends a request on a connection that is about to be closed.
 	s.closeCallers(drainCtx)
-	closeCtx, cancelClose := context.WithTimeout(ctx, closeTimeout)
+	closeBy := time.Now().Add(closeTimeout)
+	closeCtx, cancelClose := context.WithDeadline(ctx, closeBy)
 	defer cancelClose()
 	n.fleet.Stop(closeCtx)
 	s.closeOtherServers(closeCtx)
 	<-seedRemoved
+	return closeBy
 }
 
 // callsDuringStop returns the course of a planned stop that began at startedAt.
