proxy: a refusal of another node has no status

What on-call engineers saw: request_done with fate=unknown or not_run and status=503, though the caller got 502 and no backend server had answered.

TestRefusalHasNoStatus failed before: 503 instead of 0.

--- a/io/proxy/meta.go
+++ b/io/proxy/meta.go
@@ -135,8 +135,12 @@
 	}
 	h := res.Header
 	h.Del(headerAnswer)
+	status := 0 // that of a refusal is of the message between nodes only
+	if call.Fate(m.GetFate()) == call.Answered {
+		status = res.StatusCode
+	}
 	return call.Reply{
-		Fate: call.Fate(m.GetFate()), Status: res.StatusCode, Header: h, Body: body, Cause: m.GetCause(),
+		Fate: call.Fate(m.GetFate()), Status: status, Header: h, Body: body, Cause: m.GetCause(),
 		RetryAfter: time.Duration(m.GetRetryAfter()), Node: m.GetNode(), Version: m.GetVersion(), Replied: true, NestedFailure: m.GetBelow(),
 		Load: pick.Load{
 			InFlight: int(m.GetInFlight()), Queued: int(m.GetQueued()), Limit: int(m.GetLimit()),
--- /dev/null
+++ b/io/proxy/meta_test.go
@@ -0,0 +1,30 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tanagerchute/core/call"
+)
+
+// TestRefusalHasNoStatus guards against a log that names a status for a call that no
+// backend server has answered: that of the message between nodes.
+func TestRefusalHasNoStatus(t *testing.T) {
+	is := is.New(t)
+	c := testCall(http.MethodGet, time.Second).WithAttempt("a-1", call.Upstream)
+	for _, sent := range []call.Reply{
+		call.Refuse(call.Unknown, call.CauseBrokenAnswer, 0),
+		call.Refuse(call.NotRun, call.CauseDraining, time.Second),
+	} {
+		h := http.Header{}
+		h.Set(headerAnswer, encodeHeader(answerMeta(c, sent)))
+		got, err := decodeReply(c, &http.Response{StatusCode: http.StatusServiceUnavailable, Header: h}, nil)
+		is.NoErr(err)
+		is.Equal(got.Fate, sent.Fate)
+		is.Equal(got.Cause, sent.Cause)
+		is.Equal(got.Status, 0)
+	}
+}
