gate: a call that was started from the queue counts as in flight at once

What callers could see: 502, 0.4 s after a planned stop seemed to be done, for a call at which the server was at work.

Cause: a call from the queue was counted by its own goroutine, after it had been told to start. A drain that began in between found no call in flight and was done for good. On a node with little processor time the goroutine runs late.

Change: it is counted where it is told, under the lock.

TestDrainAwaitsStartedCall failed before: the drain had ended before the call was sent.

--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -153,9 +153,6 @@
 		a = <-ch
 	}
 	if a.started {
-		g.mu.Lock()
-		g.inFlight++
-		g.mu.Unlock()
 		return nil
 	}
 	r := refusalReply(a.refusal)
--- a/io/gate/wait.go
+++ b/io/gate/wait.go
@@ -25,6 +25,9 @@
 func (g *Gate) notifyWaiter(id string, a admissionResult) {
 	if ch, ok := g.waiters[id]; ok {
 		delete(g.waiters, id)
+		if a.started {
+			g.inFlight++ // from now on, although the goroutine of the call may run later
+		}
 		ch <- a // does not block: buffered, and only one result is sent
 	}
 }
