node: a planned stop awaits the calls that pass through the node

What callers saw: 502 for a call of another data centre that ran at an upstream beside a stopping entry node, 0.9 s after the stop had begun, with seconds of its time left. A large answer that its sender had not read yet was cut too.

Cause: the stop awaited the calls at its own backend server and those of its own callers. What it passes on for other nodes, and answers on their way, had what was left of the last 0.4 s.

Change: all requests in progress at the node, whoever sent them, are awaited until the end of the drain timeout.

--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -33,7 +33,8 @@
 //
 //  1. It tells all peers that this node accepts no new work. Calls that still
 //     arrive are refused as not run.
-//  2. It waits for the calls in flight.
+//  2. It waits for the calls in flight, those included that it passes on for other
+//     nodes.
 //  3. It keeps answering inquiries about the keys that this node was the home of,
 //     until the linger time has passed.
 //  4. It tells the peers that this node has stopped.
@@ -72,6 +73,7 @@
 	// Since the stop began, answers have carried "Connection: close", so that no
 	// caller sends a request on a connection that is about to be closed.
 	s.closeCallers(drainCtx)
+	n.proxy.WaitIdle(drainCtx) // calls that pass through this node, answers on their way
 	closeBy := time.Now().Add(closeTimeout)
 	closeCtx, cancelClose := context.WithDeadline(ctx, closeBy)
 	defer cancelClose()
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -79,6 +79,8 @@
 // backend server.
 func (p *Proxy) Ingress(origin Origin) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.inProgress.Add(1)
+		defer p.inProgress.Add(-1)
 		in := ingressRequest{arrivedAt: time.Now(), origin: origin, snapshot: p.cfg.Feed.Snapshot()}
 		in.limits = p.limits(in.snapshot)
 		if rej := validateHeaders(r, in.limits.MaxHeaderBytes); rej != nil {
--- a/io/proxy/peers.go
+++ b/io/proxy/peers.go
@@ -32,6 +32,8 @@
 
 // servePeerCall serves a call from another node.
 func (p *Proxy) servePeerCall(w http.ResponseWriter, r *http.Request) {
+	p.inProgress.Add(1)
+	defer p.inProgress.Add(-1)
 	c, err := p.readPeerCall(r)
 	if err != nil {
 		p.cfg.Journal.Add(event.Event{At: time.Now(), Kind: event.FrameDropped, Subject: r.RemoteAddr, Cause: err.Error()})
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"tanagerchute/io/link"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/runner"
+	"tanagerchute/io/timer"
 )
 
 // Config configures a Proxy.
@@ -96,9 +97,10 @@
 	homeTable  *homeTable
 	notices    *notices
 
-	stop   atomic.Pointer[Stop] // nil before a planned stop
-	ended  context.Context      // ends at Stop.End
-	endNow context.CancelFunc
+	inProgress atomic.Int64         // requests whose answers are not written yet
+	stop       atomic.Pointer[Stop] // nil before a planned stop
+	ended      context.Context      // ends at Stop.End
+	endNow     context.CancelFunc
 
 	mu              sync.Mutex // protects the fields below and Config.Rand
 	picker          *pick.Picker
@@ -150,6 +152,16 @@
 	time.AfterFunc(time.Until(s.End), p.endNow)
 }
 
+// idleCheckInterval is how often WaitIdle checks for requests in progress.
+const idleCheckInterval = 5 * time.Millisecond
+
+// WaitIdle waits until no request of a caller or of another node is in progress, or ctx
+// ends. Those of other nodes include the calls that this node passes on for them.
+func (p *Proxy) WaitIdle(ctx context.Context) {
+	for p.inProgress.Load() > 0 && timer.Sleep(ctx, idleCheckInterval) {
+	}
+}
+
 // latestStart returns when c may be started at the latest, zero if there is no bound.
 func (p *Proxy) latestStart(c call.Call) time.Time {
 	s := p.stop.Load()
