link, proxy, upconn: a peer that reads late keeps its calls

Cause: TCP_USER_TIMEOUT was 2 s on every connection. It also ends one whose peer acknowledges each probe but has no room for data, since its process is busy and does not read. All calls on it ended, between nodes and to the own backend server.

Change: link.Dialer has the time as a parameter. Connections for calls to nodes have callPingTimeout (10 s), as linkWatch finds their silence without ending anything, and so have those to the backend server, whose requests have deadlines. link.Direct keeps 2 s for control messages and the store. A test's delays and faults are wrapped around either (Config.WrapDial), so that they have the real timeouts.

--- a/io/link/doc.go
+++ b/io/link/doc.go
@@ -1,6 +1,9 @@
 // Package link opens connections between nodes, accepts connections, and counts
 // the bytes that are sent and received.
 //
+// A Dialer opens connections that fail if the peer is silent for a given time. Direct
+// is one with a short time, for messages that can be sent again.
+//
 // A Listener loses no pending connection when it is closed. WithReadTimeouts
 // bounds the time that callers take to send their requests.
 //
--- a/io/link/meter.go
+++ b/io/link/meter.go
@@ -16,31 +16,49 @@
 // dialTimeout bounds the wait for a new connection.
 const dialTimeout = time.Second
 
-// Timeouts after which a connection fails if the peer's TCP stack does not answer.
+// Times of the keep-alive probes on an idle connection.
 const (
-	userTimeout       = 2 * time.Second // for unacknowledged data
-	keepAliveIdle     = time.Second     // idle time before the first keep-alive probe
-	keepAliveInterval = time.Second     // between two probes
-	keepAliveCount    = 2               // unanswered probes
+	keepAliveIdle     = time.Second // before the first probe
+	keepAliveInterval = time.Second // between two probes
 )
 
-// Direct opens a plain TCP connection. The connection fails if the peer does not
+// directTimeout is the UnansweredTimeout of Direct.
+const directTimeout = 2 * time.Second
+
+// Direct opens a plain TCP connection for messages that are sent again if they are
+// lost: it fails soon, with all that is under way on it. See Dialer.
+func Direct(ctx context.Context, network, addr string) (net.Conn, error) {
+	return Dialer{UnansweredTimeout: directTimeout}.Dial(ctx, network, addr)
+}
+
+// Dialer opens plain TCP connections. A connection fails if the peer does not
 // acknowledge data or does not answer keep-alive probes, for example because a
 // firewall in between has lost the state of the connection.
-func Direct(ctx context.Context, network, addr string) (net.Conn, error) {
-	d := net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control:         setUserTimeout,
+//
+// It also fails if the peer acknowledges but has no room for more data, since its
+// process is busy and does not read (TCP_USER_TIMEOUT does not tell the two apart).
+// So UnansweredTimeout is long where work is under way that can't be sent again.
+type Dialer struct {
+	UnansweredTimeout time.Duration // after which a connection fails
+}
+
+// Dial opens a connection. It is a Dial.
+func (d Dialer) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	nd := net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: int(d.UnansweredTimeout / keepAliveInterval),
+		},
+		Control: d.setUserTimeout,
 	}
-	return d.DialContext(ctx, network, addr)
+	return nd.DialContext(ctx, network, addr)
 }
 
 // setUserTimeout sets the TCP_USER_TIMEOUT option of a socket.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+func (d Dialer) setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var setErr error
 	err := c.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.UnansweredTimeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -203,11 +203,11 @@
 	return nil
 }
 
-// dialFrom returns the function with which the nodes of a data centre open
-// connections. It adds the delay between data centres and is subject to injected
+// dialFrom returns the Dial with which the nodes of a data centre open connections,
+// around next. It adds the delay between data centres and is subject to injected
 // faults. The store is in the first data centre.
-func (m *Mesh) dialFrom(dataCentre string) link.Dial {
-	delayed := link.Delay(link.Direct, func(addr string) link.Path {
+func (m *Mesh) dialFrom(dataCentre string, next link.Dial) link.Dial {
+	delayed := link.Delay(next, func(addr string) link.Path {
 		target, known := m.centreByAddr[addr]
 		switch {
 		case known && target == dataCentre:
@@ -262,10 +262,10 @@
 // after Stop or Kill.
 func (m *Mesh) StartInstance(i int) error {
 	in := m.Instances[i]
-	dial := m.dialFrom(in.Spec.DataCentre)
+	wrapDial := func(next link.Dial) link.Dial { return m.dialFrom(in.Spec.DataCentre, next) }
 	n, err := node.New(node.Config{
-		Settings: in.Settings, Store: etcd.New(etcd.Config{Endpoints: []string{m.StoreURL}, Dial: dial}),
-		Log: m.cfg.Log, Dial: dial, OnCall: m.cfg.OnCall, OnEvent: m.cfg.OnEvent,
+		Settings: in.Settings, Store: etcd.New(etcd.Config{Endpoints: []string{m.StoreURL}, Dial: wrapDial(link.Direct)}),
+		Log: m.cfg.Log, WrapDial: wrapDial, OnCall: m.cfg.OnCall, OnEvent: m.cfg.OnEvent,
 		Policy: m.cfg.Policy, Mode: m.cfg.Mode,
 	})
 	if err != nil {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -52,8 +52,9 @@
 	// backend server, nil for native.Dialect.
 	Dialect tanagerchute.Dialect
 	Log     *zap.Logger
-	Dial    link.Dial            // nil for link.Direct
-	LogSink tanagerchute.LogSink // receives the lines of Log, nil for a sink that is never congested
+	// WrapDial is put around the opening of connections to other nodes, nil for none.
+	WrapDial func(link.Dial) link.Dial
+	LogSink  tanagerchute.LogSink // receives the lines of Log, nil for a sink that is never congested
 	// OnCall is called at the end of each call from a caller, if set.
 	OnCall func(proxy.CallResult)
 	// OnEvent is called with each journal event, if set.
@@ -115,8 +116,8 @@
 	s := cfg.Settings
 	now := time.Now()
 	n := &Node{cfg: cfg, id: s.Name + "." + idSuffix(now), metrics: metric.New(), drainRequested: make(chan struct{}), killed: make(chan struct{})}
-	if cfg.Dial == nil {
-		n.cfg.Dial = link.Direct
+	if cfg.WrapDial == nil {
+		n.cfg.WrapDial = func(d link.Dial) link.Dial { return d }
 	}
 	if cfg.Dialect == nil {
 		n.cfg.Dialect = native.Dialect{}
@@ -195,7 +196,7 @@
 	}
 	n.client = peer.NewClient(peer.Config{
 		Deployment: n.deploymentID(),
-		Dial:       n.byteMeters.control.Dial(n.cfg.Dial, n.isRemoteAddr),
+		Dial:       n.byteMeters.control.Dial(n.cfg.WrapDial(link.Direct), n.isRemoteAddr),
 	})
 	n.fleet = fleet.New(fleet.Config{
 		Self: self, QuorumAddrs: s.Seeds[s.Group()], Client: n.client, Journal: n.journal, Rand: n.newRand("fleet"),
@@ -216,8 +217,8 @@
 	n.proxy = proxy.New(proxy.Config{
 		Node: n.id, DataCentre: s.Group(), DataCentres: s.Groups(), Deployment: n.deploymentID(), Dialect: n.cfg.Dialect,
 		Fleet: n.fleet, Feed: n.feed, Gate: n.gate, Client: n.client, Journal: n.journal,
-		Dial:   n.byteMeters.calls.Dial(n.cfg.Dial, n.isRemoteAddr),
-		Tracer: n.tracer.Tracer(), Claims: n.newClaims(), Rand: n.newRand("proxy"),
+		WrapDial: func(d link.Dial) link.Dial { return n.byteMeters.calls.Dial(n.cfg.WrapDial(d), n.isRemoteAddr) },
+		Tracer:   n.tracer.Tracer(), Claims: n.newClaims(), Rand: n.newRand("proxy"),
 		MaxBodyBytes: s.Limits.RequestBytes, MaxAnswerBytes: s.Limits.AnswerBytes,
 		NestedCallsUntraced: s.LocalCallers, KeysUnused: s.KeysUnused, Retry: retryLimits(s),
 		Hedge: s.Hedge != nil && *s.Hedge, Policy: n.cfg.Policy, OnCall: n.recordCall, OnAttempt: n.recordAttempt,
--- a/io/proxy/ack_test.go
+++ b/io/proxy/ack_test.go
@@ -36,6 +36,14 @@
 }
 
 func (s slowPeer) start(t *testing.T) string {
+	ts := s.newServer()
+	ts.Start()
+	t.Cleanup(ts.Close)
+	return strings.TrimPrefix(ts.URL, "http://")
+}
+
+// newServer returns the server of the node, which is not started.
+func (s slowPeer) newServer() *httptest.Server {
 	srv := peer.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(headerCall) == "" {
 			http.Error(w, "no inquiries here", http.StatusServiceUnavailable)
@@ -57,16 +65,15 @@
 	}))
 	ts := httptest.NewUnstartedServer(nil)
 	ts.Config = srv
-	ts.Start()
-	t.Cleanup(ts.Close)
-	return strings.TrimPrefix(ts.URL, "http://")
+	return ts
 }
 
 // newSender returns a proxy whose fleet has only its own node.
-func newSender(t *testing.T) *Proxy { return newSenderWithDial(t, link.Direct) }
+func newSender(t *testing.T) *Proxy { return newSenderWithDial(t, nil) }
 
-// newSenderWithDial is like newSender, with calls on the connections that dial opens.
-func newSenderWithDial(t *testing.T, dial link.Dial) *Proxy {
+// newSenderWithDial is like newSender, with wrapDial around the opening of connections
+// for calls.
+func newSenderWithDial(t *testing.T, wrapDial func(link.Dial) link.Dial) *Proxy {
 	client := peer.NewClient(peer.Config{Deployment: "test", Dial: link.Direct})
 	journal := event.NewJournal(event.Config{Node: "sender", Capacity: 16})
 	fl := fleet.New(fleet.Config{
@@ -74,7 +81,7 @@
 		Stamp: func() vers.Stamp { return vers.Stamp{} }, OnPeerStamp: func(string, vers.Stamp) {},
 	})
 	p := New(Config{
-		Node: "sender", Deployment: "test", Fleet: fl, Feed: feed.New(feed.Config{Fleet: fl}), Client: client, Dial: dial,
+		Node: "sender", Deployment: "test", Fleet: fl, Feed: feed.New(feed.Config{Fleet: fl}), Client: client, WrapDial: wrapDial,
 		Journal: journal, Tracer: noop.NewTracerProvider().Tracer(""), Rand: rand.New(rand.NewPCG(1, 2)),
 	})
 	t.Cleanup(p.Close)
--- a/io/proxy/busy_test.go
+++ b/io/proxy/busy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -37,13 +38,25 @@
 	}
 }
 
-// dial is a link.Dial.
-func (h *holdback) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	c, err := link.Direct(ctx, network, addr)
-	if err != nil {
-		return nil, err
+// dial returns a Dial whose connections hold received data.
+func (h *holdback) dial(next link.Dial) link.Dial {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := next(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &heldConn{Conn: c, holdback: h}, nil
+	}
+}
+
+// waitWhileHeld waits until release is called, if data is held.
+func (h *holdback) waitWhileHeld() {
+	h.mu.Lock()
+	held := h.held
+	h.mu.Unlock()
+	if held != nil {
+		<-held
 	}
-	return &heldConn{Conn: c, holdback: h}, nil
 }
 
 // heldConn is a connection whose received data can be held.
@@ -55,15 +68,37 @@
 // Read implements net.Conn.
 func (c *heldConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.holdback.mu.Lock()
-	held := c.holdback.held
-	c.holdback.mu.Unlock()
-	if held != nil {
-		<-held
-	}
+	c.holdback.waitWhileHeld()
 	return n, err
 }
 
+// lateReader accepts connections from which nothing is read while data is held.
+type lateReader struct {
+	net.Listener
+	holdback *holdback
+}
+
+// Accept implements net.Listener.
+func (l lateReader) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &lateConn{Conn: c, holdback: l.holdback}, nil
+}
+
+// lateConn is a connection from which nothing is read while data is held.
+type lateConn struct {
+	net.Conn
+	holdback *holdback
+}
+
+// Read implements net.Conn.
+func (c *lateConn) Read(b []byte) (int, error) {
+	c.holdback.waitWhileHeld()
+	return c.Conn.Read(b)
+}
+
 // dispatchTo makes one attempt at the node at addr, without a second upstream.
 func dispatchTo(p *Proxy, addr string, c call.Call) call.Reply {
 	d := &dispatchState{p: p, call: c}
@@ -101,6 +136,37 @@
 	}
 }
 
+// TestNodeThatReadsLateKeepsCalls guards against ending the connection to a node that
+// does not read for 2.6 s, so that the uploads under way to it fill its receive buffer.
+func TestNodeThatReadsLateKeepsCalls(t *testing.T) {
+	h := &holdback{}
+	ts := slowPeer{answerAfter: 50 * time.Millisecond}.newServer()
+	ts.Listener = lateReader{ts.Listener, h}
+	ts.Start()
+	t.Cleanup(ts.Close)
+	addr := strings.TrimPrefix(ts.URL, "http://")
+	p := newSender(t)
+	is.New(t).Equal(dispatchTo(p, addr, testCall(http.MethodPut, time.Second)).Fate, call.Answered)
+	release := h.hold()
+	time.AfterFunc(2600*time.Millisecond, release)
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+			c := testCall(http.MethodPut, 6*time.Second)
+			c.MarkedIdempotent = true
+			if i < 4 {
+				c.Body = make([]byte, 600<<10)
+			}
+			sentAt := time.Now()
+			if r := dispatchTo(p, addr, c); r.Fate != call.Answered {
+				t.Errorf("call %d: %v %s after %v", i, r.Fate, r.Cause, time.Since(sentAt))
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // TestCallOnSilentConnectionIsHedged guards against waiting until the deadline on a
 // connection that went silent for good after the node had acknowledged the call.
 func TestCallOnSilentConnectionIsHedged(t *testing.T) {
@@ -108,7 +174,7 @@
 	silent := slowPeer{answerAfter: 300 * time.Millisecond}.start(t)
 	healthy := slowPeer{}.start(t)
 	b := link.NewBlackhole()
-	p := newSenderWithDial(t, b.Dial(link.Direct))
+	p := newSenderWithDial(t, b.Dial)
 	c := testCall(http.MethodGet, 6*time.Second)
 	d := &dispatchState{p: p, call: c}
 	d.tracker = resend.New(resend.Config{Idempotent: true, MaxUpstreams: 3, Deadline: c.Deadline, Spend: func() bool {
--- a/io/proxy/clients.go
+++ b/io/proxy/clients.go
@@ -17,8 +17,8 @@
 	// the other.
 	minReplaceInterval = time.Second
 	// callPingTimeout is when a connection is closed, with all calls on it, if a ping is
-	// not answered. That is long after linkWatch has found it silent, since the node may
-	// only be busy, and its answers still count.
+	// not answered, or if the node does not read. That is long after linkWatch has found
+	// it silent, since the node may only be busy, and its answers still count.
 	callPingTimeout = 10 * time.Second
 )
 
@@ -67,7 +67,12 @@
 	return a.estimator.Timeout()
 }
 
-func newClientPool(d link.Dial, onSilent func(linkSilence)) *clientPool {
+// newClientPool returns a pool without clients. wrapDial is that of Config.
+func newClientPool(wrapDial func(link.Dial) link.Dial, onSilent func(linkSilence)) *clientPool {
+	d := link.Dial(link.Dialer{UnansweredTimeout: callPingTimeout}.Dial)
+	if wrapDial != nil {
+		d = wrapDial(d)
+	}
 	return &clientPool{dial: d, onSilent: onSilent, clients: map[clientKey]*nodeClient{}}
 }
 
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -32,8 +32,8 @@
 	Fleet               *fleet.Fleet
 	Feed                *feed.Feed
 	Gate                *gate.Gate
-	Client              *peer.Client // for inquiries about attempts
-	Dial                link.Dial    // for calls to other nodes
+	Client              *peer.Client              // for inquiries about attempts
+	WrapDial            func(link.Dial) link.Dial // around the opening of connections for calls to other nodes, nil for none
 	Journal             *event.Journal
 	Tracer              trace.Tracer
 	Dialect             tanagerchute.Dialect
@@ -123,7 +123,7 @@
 		homeTable:  &homeTable{SyncTable: runner.NewSyncTable()},
 		notices:    newNotices(),
 	}
-	p.clients = newClientPool(cfg.Dial, p.recordLinkSilent)
+	p.clients = newClientPool(cfg.WrapDial, p.recordLinkSilent)
 	p.ended, p.endNow = context.WithCancel(context.Background())
 	return p
 }
--- a/io/upconn/pool.go
+++ b/io/upconn/pool.go
@@ -18,10 +18,14 @@
 	// AnswerID returns the id of the request that res answers, empty if it names none.
 	// An answer to another request is read and dropped. nil accepts all answers.
 	AnswerID func(res *http.Response) string
-	// Dial opens connections. The default is link.Direct.
+	// Dial opens connections. The default gives a server unreadTimeout to read.
 	Dial link.Dial
 }
 
+// unreadTimeout is when a connection fails because the server does not read what is
+// sent. A server that is busy may read late, and requests have deadlines of their own.
+const unreadTimeout = 10 * time.Second
+
 // Pool holds the connections to one backend server. It is safe for concurrent
 // use.
 type Pool struct {
@@ -39,7 +43,7 @@
 // New returns a pool without connections.
 func New(cfg Config) *Pool {
 	if cfg.Dial == nil {
-		cfg.Dial = link.Direct
+		cfg.Dial = link.Dialer{UnansweredTimeout: unreadTimeout}.Dial
 	}
 	if cfg.MaxConns == nil {
 		cfg.MaxConns = func() int { return 0 }
--- a/io/upconn/pool_test.go
+++ b/io/upconn/pool_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -210,3 +211,30 @@
 		is.Equal(string(a.BodyBytes), "to "+id)
 	}
 }
+
+// TestServerThatReadsLateAnswers guards against ending the connection to a server that
+// is busy, and reads a large request only after 2.8 s.
+func TestServerThatReadsLateAnswers(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		time.Sleep(2800 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, req.Body)
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}()
+	p := upconn.New(upconn.Config{MaxAnswerBytes: 1000})
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	_, err = p.Do(ctx, ln.Addr().String(), upconn.Request{Method: http.MethodPut, Path: "/", Host: "a", Header: http.Header{}, Body: make([]byte, 1<<20)})
+	is.NoErr(err)
+}
