acks, proxy: a sender that stood still looks again before it counts a node as silent

Cause: a process that got no processor time, or was stopped, finds its timers expired before it reads what was received meanwhile. So every node whose acknowledgement it awaited counted as silent at once: its calls were hedged, and the nodes ejected.

Change: acks.Wait decides, and repeats a check that comes more than 30 ms late once, 0.1 s later (recheckDelay, as for links). A timely check costs no delay.

--- a/core/acks/acks.go
+++ b/core/acks/acks.go
@@ -53,3 +53,35 @@
 func (e *Estimator) Timeout() time.Duration {
 	return min(max(e.mean+deviationFactor*e.deviation, MinTimeout), MaxTimeout)
 }
+
+// lateCheck is how late a check is at most of which nothing follows but that its
+// acknowledgement is overdue. The process did not run before a later one.
+const lateCheck = 30 * time.Millisecond
+
+// Wait decides whether the acknowledgement of one call is overdue.
+//
+// A process that did not run itself, for want of a processor or since it was stopped,
+// finds all its timers expired before it has read what was received meanwhile. So a
+// late check is repeated once after a short time. A Wait is not safe for concurrent use.
+type Wait struct {
+	dueAt     time.Time
+	recheckAt time.Time // zero if there was no late check
+}
+
+// NewWait returns a Wait for an acknowledgement that is due at dueAt.
+func NewWait(dueAt time.Time) Wait { return Wait{dueAt: dueAt} }
+
+// Check reports whether the acknowledgement is overdue, and if not, when to check
+// again.
+func (w *Wait) Check(now time.Time) (overdue bool, next time.Time) {
+	switch {
+	case now.Before(w.dueAt):
+		return false, w.dueAt
+	case now.Before(w.recheckAt):
+		return false, w.recheckAt
+	case w.recheckAt.IsZero() && now.Sub(w.dueAt) > lateCheck:
+		w.recheckAt = now.Add(recheckDelay)
+		return false, w.recheckAt
+	}
+	return true, time.Time{}
+}
--- a/core/acks/acks_test.go
+++ b/core/acks/acks_test.go
@@ -33,3 +33,41 @@
 	}
 	is.Equal(e.Timeout(), acks.MaxTimeout)
 }
+
+// TestWait checks when an acknowledgement is overdue. It guards against silence that is
+// found by a process which did not run itself.
+func TestWait(t *testing.T) {
+	const due = 300 * time.Millisecond
+	start := time.Unix(1000, 0)
+	type step struct {
+		at      time.Duration // since start
+		overdue bool
+		next    time.Duration // since start, if not overdue
+	}
+	for _, c := range []struct {
+		name  string
+		steps []step
+	}{
+		{"checked in time", []step{{at: due, overdue: true}}},
+		{"checked early", []step{{at: due - 1, next: due}, {at: due, overdue: true}}},
+		{"checked a little late", []step{{at: due + 30*time.Millisecond, overdue: true}}},
+		{"the process did not run", []step{
+			{at: due + 31*time.Millisecond, next: due + 131*time.Millisecond},
+			{at: due + 130*time.Millisecond, next: due + 131*time.Millisecond},
+			{at: due + 131*time.Millisecond, overdue: true},
+		}},
+		{"it did not run twice", []step{{at: time.Hour, next: time.Hour + 100*time.Millisecond}, {at: 2 * time.Hour, overdue: true}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := acks.NewWait(start.Add(due))
+			for _, s := range c.steps {
+				overdue, next := w.Check(start.Add(s.at))
+				is.Equal(overdue, s.overdue)
+				if !overdue {
+					is.Equal(next, start.Add(s.next))
+				}
+			}
+		})
+	}
+}
--- a/io/proxy/busy_test.go
+++ b/io/proxy/busy_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"net"
 	"net/http"
+	"os/exec"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -193,3 +195,28 @@
 	is.Equal(r.Fate, call.Answered)
 	is.True(time.Since(began) < 2500*time.Millisecond) // pinged after 1.2 s, no answer in 0.5 s
 }
+
+// TestStoppedSenderFindsNoSilence guards against taking nodes for silent because the
+// sender itself stood still: it must read the acknowledgements that came meanwhile.
+func TestStoppedSenderFindsNoSilence(t *testing.T) {
+	is := is.New(t)
+	addr := slowPeer{ackAfter: 150 * time.Millisecond, answerAfter: 600 * time.Millisecond}.start(t)
+	p := newSender(t)
+	is.Equal(dispatchTo(p, addr, testCall(http.MethodGet, 3*time.Second)).Fate, call.Answered)
+	var silent atomic.Int32
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			id, _ := newID()
+			c := testCall(http.MethodGet, 5*time.Second).WithAttempt(id, call.Entry)
+			r := p.send(context.Background(), addr, c, func() { silent.Add(1) })
+			if r.Fate != call.Answered {
+				t.Errorf("%v %s", r.Fate, r.Cause)
+			}
+		})
+	}
+	time.Sleep(50 * time.Millisecond) // the calls are sent
+	is.NoErr(exec.Command("sh", "-c", "kill -STOP $PPID; sleep 0.6; kill -CONT $PPID").Run())
+	wg.Wait()
+	is.Equal(silent.Load(), int32(0)) // calls whose node counted as silent
+}
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -18,6 +18,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"tanagerchute/core/acks"
 	"tanagerchute/core/call"
 	"tanagerchute/core/event"
 	"tanagerchute/core/vers"
@@ -163,7 +164,11 @@
 	onTimeout func() // called once at most
 	startedAt time.Time
 	once      sync.Once // for onTimeout
-	timer     *time.Timer
+
+	mu    sync.Mutex // guards wait and timer
+	wait  acks.Wait
+	timer *time.Timer // nil after stop
+
 	connected atomic.Bool // the attempt has a connection
 	expired   atomic.Bool
 	acked     atomic.Bool
@@ -173,8 +178,33 @@
 
 // start starts the wait for the acknowledgement.
 func (a *ackWatch) start() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.startedAt = time.Now()
-	a.timer = time.AfterFunc(a.times.timeout(), a.expire)
+	timeout := a.times.timeout()
+	a.wait = acks.NewWait(a.startedAt.Add(timeout))
+	a.timer = time.AfterFunc(timeout, a.check)
+}
+
+// check ends the wait if the acknowledgement is overdue.
+func (a *ackWatch) check() {
+	if a.overdue(time.Now()) {
+		a.expire()
+	}
+}
+
+// overdue reports whether the acknowledgement is overdue. If not, it is checked again.
+func (a *ackWatch) overdue(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.timer == nil {
+		return false
+	}
+	overdue, next := a.wait.Check(now)
+	if !overdue {
+		a.timer.Reset(next.Sub(now))
+	}
+	return overdue
 }
 
 // expire ends the wait: the node has not acknowledged the attempt in time, or has
@@ -185,7 +215,14 @@
 }
 
 // stop ends the wait.
-func (a *ackWatch) stop() { a.timer.Stop() }
+func (a *ackWatch) stop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.timer != nil {
+		a.timer.Stop()
+		a.timer = nil
+	}
+}
 
 // silent reports whether the acknowledgement did not come in time and has not come
 // since.
