proxy: a silent link starts the hedge that had no budget at the acknowledgement

Cause: an attempt signalled once that its node was silent. If the retry budget was empty when the acknowledgement was due, the silence of the link, found later, started no hedge, and the call waited until its deadline.

Change: a missing acknowledgement and a silent link are signalled separately. There is still one hedge a call at most, and one series of inquiries.

Failed before: TestSilentLinkIsHedgedWithLaterBudget, "unknown" at the deadline.

--- a/io/proxy/busy_test.go
+++ b/io/proxy/busy_test.go
@@ -196,6 +196,34 @@
 	is.True(time.Since(began) < 2500*time.Millisecond) // pinged after 1.2 s, no answer in 0.5 s
 }
 
+// TestSilentLinkIsHedgedWithLaterBudget guards against waiting until the deadline since
+// the retry budget was empty when the acknowledgement was due: the silence of the link
+// is found later, and must start a hedge then.
+func TestSilentLinkIsHedgedWithLaterBudget(t *testing.T) {
+	is := is.New(t)
+	silent := slowPeer{ackAfter: 3 * time.Second}.start(t)
+	healthy := slowPeer{}.start(t)
+	b := link.NewBlackhole()
+	p := newSenderWithDial(t, b.Dial)
+	c := testCall(http.MethodGet, 4*time.Second)
+	d := &dispatchState{p: p, call: c}
+	began := time.Now()
+	hedges := 0
+	d.tracker = resend.New(resend.Config{Idempotent: true, MaxUpstreams: 3, Deadline: c.Deadline, Spend: func() bool {
+		if time.Since(began) < time.Second {
+			return false
+		}
+		hedges++
+		d.paidResend = &choice{target: pick.Candidate{ID: healthy, Addr: healthy, Entry: true}}
+		return true
+	}})
+	time.AfterFunc(100*time.Millisecond, func() { b.DropOpen(func(addr string) bool { return addr == silent }) })
+	r := d.attempt(context.Background(), pick.Candidate{ID: silent, Addr: silent, Entry: true})
+	is.Equal(r.Fate, call.Answered)
+	is.True(time.Since(began) < 2500*time.Millisecond) // pinged after 1.2 s, no answer in 0.5 s
+	is.Equal(hedges, 1)
+}
+
 // TestStoppedSenderFindsNoSilence guards against taking nodes for silent because the
 // sender itself stood still: it must read the acknowledgements that came meanwhile.
 func TestStoppedSenderFindsNoSilence(t *testing.T) {
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -158,7 +158,7 @@
 }
 
 // tryCandidate makes one attempt at one candidate. It calls onSilent if the
-// candidate does not acknowledge the call in time.
+// candidate is silent, see send.
 func (p *Proxy) tryCandidate(ctx context.Context, target pick.Candidate, c call.Call, onSilent func()) call.Reply {
 	id, _ := newID()
 	mode := call.Upstream
--- a/io/proxy/hedge.go
+++ b/io/proxy/hedge.go
@@ -13,6 +13,10 @@
 // an unanswered call is hedged.
 const hedgeDelayShare = 0.3
 
+// maxSilenceSignals is how often an attempt signals that its node is silent: without an
+// acknowledgement in time, and when the link falls silent.
+const maxSilenceSignals = 2
+
 // attemptHedged sends the call to first. It hedges the call, that is, sends it to
 // a second upstream too, if first does not acknowledge it in time, or if the proxy
 // is configured to hedge and first has not answered within the hedge delay. It
@@ -22,7 +26,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	replies := make(chan call.Reply, 2)
-	silent := make(chan struct{}, 2)
+	silent := make(chan struct{}, 2*maxSilenceSignals)
 	start := func(target pick.Candidate) {
 		go func() { replies <- d.p.tryCandidate(ctx, target, d.call, func() { silent <- struct{}{} }) }()
 	}
--- a/io/proxy/inquire.go
+++ b/io/proxy/inquire.go
@@ -49,8 +49,10 @@
 	var silent atomic.Bool
 	outcome := make(chan call.Reply, 1)
 	r := p.send(sendCtx, target.Addr, c, func() {
-		silent.Store(true)
 		onSilent()
+		if silent.Swap(true) {
+			return // asked already
+		}
 		go func() {
 			outcome <- p.resolveOutcome(inquiryCtx, target, c, unresolved)
 			stopSend()
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -39,8 +39,8 @@
 var propagator = propagation.TraceContext{}
 
 // send makes one attempt at another node, in a span of its own. It calls onSilent
-// if the node does not acknowledge the call in time, and goes on waiting for the
-// answer until ctx or the deadline of the call ends.
+// if the node does not acknowledge the call in time, and again if the link to it falls
+// silent, and goes on waiting for the answer until ctx or the deadline of the call ends.
 func (p *Proxy) send(ctx context.Context, addr string, c call.Call, onSilent func()) call.Reply {
 	ctx, span := p.cfg.Tracer.Start(ctx, "attempt "+c.Service, trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
@@ -71,7 +71,7 @@
 	defer cancelAttempt(nil)
 	client := p.clients.get(clientKey{addr, c.LargeResponse})
 	a := newAckWatch(client.acks)
-	a.onTimeout = func() {
+	a.onSilent = func() {
 		if !a.connected.Load() {
 			cancelAttempt(errUnreachable)
 			return
@@ -161,9 +161,8 @@
 // same is assumed if its link falls silent later, see linkWatch.
 type ackWatch struct {
 	times     *ackTimes
-	onTimeout func() // called once at most
+	onSilent  func() // called at most once without an acknowledgement, and once for a silent link
 	startedAt time.Time
-	once      sync.Once // for onTimeout
 
 	mu    sync.Mutex // guards wait and timer
 	wait  acks.Wait
@@ -207,11 +206,12 @@
 	return overdue
 }
 
-// expire ends the wait: the node has not acknowledged the attempt in time, or has
-// fallen silent since.
+// expire is called if the node has not acknowledged the attempt in time, and if its link
+// has fallen silent. What the first signal could not start, for want of a retry budget,
+// the second may.
 func (a *ackWatch) expire() {
 	a.expired.Store(true)
-	a.once.Do(a.onTimeout)
+	a.onSilent()
 }
 
 // stop ends the wait.
