pick, proxy: one silence of a link counts as one failure of its node

Cause: a link that fell silent counted as a failure for each call in flight on it, so three calls on one link ejected the node, which may only have been busy for a moment.

Change: the picker counts a silent link once, by the time of the last data on it. It does not count if the node was found silent since that time, on another link or by a missing acknowledgement.

Failed before: TestSilentLinkIsOneFailure, one ejection with five calls on a link that was silent once.

--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -72,7 +72,7 @@
 	AmbiguousError        // the backend server failed, timed out or cut off its answer, perhaps because of load or of another service
 	UpstreamError         // the backend server failed, or its gatekeeper considers it failing
 	TransportError        // no answer, or a corrupt one
-	Unjudged              // the sender has given it up, or Silent has been called for it
+	Unjudged              // the sender has given it up, or Silent or LinkSilent has been called for it
 )
 
 // Outcome describes one completed attempt at a candidate.
@@ -124,9 +124,10 @@
 	inFlight            int     // calls sent by this node that have not ended
 	inFlightAtReport    int     // inFlight at the time of the last load report
 	failureRate         float64 // smoothed
-	consecutiveFailures int     // UpstreamError and TransportError since the last Success
+	consecutiveFailures int     // UpstreamError, TransportError and silence since the last Success
 	consecutiveRefusals int     // Refused since the last Success, at most maxRefusals
 	lastRefusal         time.Time
+	silentAt            time.Time // when it was last found silent
 	ejectedUntil        time.Time
 	ejectionPeriod      time.Duration // length of the last ejection
 	lastUsed            time.Time
@@ -296,7 +297,22 @@
 // call may still be answered. It reports whether this ejects the candidate.
 func (p *Picker) Silent(now time.Time, id string) bool {
 	s, ok := p.stats[id]
-	return ok && p.addFailure(now, s)
+	if !ok {
+		return false
+	}
+	s.silentAt = now
+	return p.addFailure(now, s)
+}
+
+// LinkSilent records that a connection to the candidate id is silent, on which data was
+// last received at heardAt. It is called for each call in flight on the connection, and
+// counts once, unless the candidate was found silent in that time before. It reports
+// whether this ejects the candidate.
+func (p *Picker) LinkSilent(now time.Time, id string, heardAt time.Time) bool {
+	if s, ok := p.stats[id]; ok && s.silentAt.After(heardAt) {
+		return false
+	}
+	return p.Silent(now, id)
 }
 
 // addFailure counts a failure toward the failure rate and the ejection of a
--- a/core/pick/picker_test.go
+++ b/core/pick/picker_test.go
@@ -86,6 +86,39 @@
 	is.True(p.Ejected(epoch.Add(3500*time.Millisecond), "l0")) // the second one is twice as long
 }
 
+// TestLinkSilence checks how often silence counts towards ejection. It guards against
+// ejecting a candidate for one silence of a link on which several calls were in flight.
+func TestLinkSilence(t *testing.T) {
+	const acknowledgement = -1 // in place of the time of the last data
+	second := func(n int) time.Time { return epoch.Add(time.Duration(n) * time.Second) }
+	type signal struct{ at, heardAt int } // seconds after epoch
+	for _, c := range []struct {
+		name    string
+		signals []signal
+		ejected bool
+	}{
+		{"three acknowledgements missing", []signal{{1, acknowledgement}, {1, acknowledgement}, {1, acknowledgement}}, true},
+		{"one link, many calls", []signal{{2, 0}, {2, 0}, {2, 0}, {3, 0}, {3, 0}}, false},
+		{"two links at the same time", []signal{{2, 0}, {2, 0}, {3, 1}, {3, 1}}, false},
+		{"acknowledgements missing on the link before", []signal{{1, acknowledgement}, {1, acknowledgement}, {2, 0}}, false},
+		{"silent once more each time", []signal{{2, 0}, {5, 3}, {8, 6}}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPicker(1)
+			p.Sent(epoch, "l0")
+			for _, s := range c.signals {
+				if s.heardAt == acknowledgement {
+					p.Silent(second(s.at), "l0")
+				} else {
+					p.LinkSilent(second(s.at), "l0", second(s.heardAt))
+				}
+			}
+			is.Equal(p.Ejected(second(c.signals[len(c.signals)-1].at), "l0"), c.ejected)
+		})
+	}
+}
+
 // TestRemoteOnlyWhenLocalFull checks that calls go to another data centre only
 // if the local upstreams have no free slot, or if there are none.
 func TestRemoteOnlyWhenLocalFull(t *testing.T) {
--- a/io/proxy/busy_test.go
+++ b/io/proxy/busy_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"tanagerchute/core/call"
+	"tanagerchute/core/event"
 	"tanagerchute/core/pick"
 	"tanagerchute/core/resend"
 	"tanagerchute/io/link"
@@ -237,7 +238,7 @@
 		wg.Go(func() {
 			id, _ := newID()
 			c := testCall(http.MethodGet, 5*time.Second).WithAttempt(id, call.Entry)
-			r := p.send(context.Background(), addr, c, func() { silent.Add(1) })
+			r := p.send(context.Background(), addr, c, func(silence) { silent.Add(1) })
 			if r.Fate != call.Answered {
 				t.Errorf("%v %s", r.Fate, r.Cause)
 			}
@@ -248,3 +249,35 @@
 	wg.Wait()
 	is.Equal(silent.Load(), int32(0)) // calls whose node counted as silent
 }
+
+// TestSilentLinkIsOneFailure guards against ejecting a node because several calls were
+// in flight on its link when that fell silent once.
+func TestSilentLinkIsOneFailure(t *testing.T) {
+	is := is.New(t)
+	addr := slowPeer{answerAfter: 300 * time.Millisecond}.start(t)
+	h := &holdback{}
+	p := newSenderWithDial(t, h.dial)
+	is.Equal(dispatchTo(p, addr, testCall(http.MethodGet, time.Second)).Fate, call.Answered)
+	time.AfterFunc(150*time.Millisecond, func() { time.AfterFunc(2200*time.Millisecond, h.hold()) }) // all are acknowledged
+	var wg sync.WaitGroup
+	for range 5 {
+		wg.Go(func() {
+			if r := dispatchTo(p, addr, testCall(http.MethodGet, 4*time.Second)); r.Fate != call.Answered {
+				t.Errorf("%v %s", r.Fate, r.Cause)
+			}
+		})
+	}
+	time.Sleep(2100 * time.Millisecond) // the link is silent after 1.8 s
+	silences, ejections := 0, 0
+	for _, e := range p.cfg.Journal.Find(addr) {
+		switch e.Kind {
+		case event.LinkSilent:
+			silences++
+		case event.UpstreamEjected:
+			ejections++
+		}
+	}
+	is.Equal(silences, 1)
+	is.Equal(ejections, 0)
+	wg.Wait()
+}
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -152,14 +152,14 @@
 	d.tried = append(d.tried, target.ID)
 	d.summary.SentTo = target.ID
 	if !d.call.Idempotent() {
-		return d.p.tryCandidate(ctx, target, d.call, func() {})
+		return d.p.tryCandidate(ctx, target, d.call, func(silence) {})
 	}
 	return d.attemptHedged(ctx, target)
 }
 
 // tryCandidate makes one attempt at one candidate. It calls onSilent if the
 // candidate is silent, see send.
-func (p *Proxy) tryCandidate(ctx context.Context, target pick.Candidate, c call.Call, onSilent func()) call.Reply {
+func (p *Proxy) tryCandidate(ctx context.Context, target pick.Candidate, c call.Call, onSilent func(silence)) call.Reply {
 	id, _ := newID()
 	mode := call.Upstream
 	if target.Entry {
@@ -170,9 +170,9 @@
 	c.Version = p.configVersion()
 	p.recordSent(target.ID)
 	start := time.Now()
-	r := p.sendTo(ctx, target, c, func() {
-		p.recordSilent(c, target)
-		onSilent()
+	r := p.sendTo(ctx, target, c, func(s silence) {
+		p.recordSilent(c, target, s)
+		onSilent(s)
 	})
 	p.recordOutcome(c, target, r, time.Since(start))
 	if r.Replied && !target.Entry {
@@ -185,7 +185,7 @@
 }
 
 // sendTo sends an attempt to its target, which may be this node.
-func (p *Proxy) sendTo(ctx context.Context, target pick.Candidate, c call.Call, onSilent func()) call.Reply {
+func (p *Proxy) sendTo(ctx context.Context, target pick.Candidate, c call.Call, onSilent func(silence)) call.Reply {
 	switch {
 	case target.ID == p.cfg.Node:
 		return p.serveLocally(ctx, c)
@@ -218,17 +218,23 @@
 	p.picker.Sent(time.Now(), id)
 }
 
-// recordSilent tells the picker that a candidate has not acknowledged a call in
-// time.
-func (p *Proxy) recordSilent(c call.Call, target pick.Candidate) {
-	p.mu.Lock()
-	ejected := p.picker.Silent(time.Now(), target.ID)
-	p.mu.Unlock()
-	if ejected {
+// recordSilent tells the picker that a candidate is silent.
+func (p *Proxy) recordSilent(c call.Call, target pick.Candidate, s silence) {
+	if p.recordSilence(target.ID, s) {
 		p.recordEjection(c, target, call.CauseSilent)
 	}
 }
 
+// recordSilence implements recordSilent. It reports whether the candidate is ejected.
+func (p *Proxy) recordSilence(id string, s silence) (ejected bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s.heardAt.IsZero() {
+		return p.picker.Silent(time.Now(), id)
+	}
+	return p.picker.LinkSilent(time.Now(), id, s.heardAt)
+}
+
 // recordOutcome tells the picker how an attempt ended.
 func (p *Proxy) recordOutcome(c call.Call, target pick.Candidate, r call.Reply, took time.Duration) {
 	o := pick.Outcome{Result: p.pickResult(r), Latency: took, Load: r.Load}
--- a/io/proxy/hedge.go
+++ b/io/proxy/hedge.go
@@ -28,7 +28,7 @@
 	replies := make(chan call.Reply, 2)
 	silent := make(chan struct{}, 2*maxSilenceSignals)
 	start := func(target pick.Candidate) {
-		go func() { replies <- d.p.tryCandidate(ctx, target, d.call, func() { silent <- struct{}{} }) }()
+		go func() { replies <- d.p.tryCandidate(ctx, target, d.call, func(silence) { silent <- struct{}{} }) }()
 	}
 	start(first)
 	hedgeDue, stop := d.hedgeTimer()
--- a/io/proxy/inquire.go
+++ b/io/proxy/inquire.go
@@ -37,7 +37,7 @@
 // sendAtMostOnce makes one attempt at an at-most-once call. If the target does not
 // acknowledge the call in time, or its answer is lost, the target is asked for the
 // outcome of the attempt. The answer counts if it comes before the outcome.
-func (p *Proxy) sendAtMostOnce(ctx context.Context, target pick.Candidate, c call.Call, onSilent func()) call.Reply {
+func (p *Proxy) sendAtMostOnce(ctx context.Context, target pick.Candidate, c call.Call, onSilent func(silence)) call.Reply {
 	// Inquire also if the caller disconnects, so that the outcome is known when the
 	// caller repeats the call.
 	inquiryCtx, stopInquiry := context.WithDeadline(context.WithoutCancel(ctx), c.Deadline)
@@ -48,8 +48,8 @@
 	unresolved := call.Reply{Fate: call.Unknown, Cause: call.CauseSilent}
 	var silent atomic.Bool
 	outcome := make(chan call.Reply, 1)
-	r := p.send(sendCtx, target.Addr, c, func() {
-		onSilent()
+	r := p.send(sendCtx, target.Addr, c, func(s silence) {
+		onSilent(s)
 		if silent.Swap(true) {
 			return // asked already
 		}
--- a/io/proxy/linkwatch.go
+++ b/io/proxy/linkwatch.go
@@ -114,13 +114,13 @@
 			told = append(told, a)
 		}
 	}
-	silence := linkSilence{addr: w.addr, heardAt: w.state.LastHeard(), inFlight: len(w.attempts)}
+	link := linkSilence{addr: w.addr, heardAt: w.state.LastHeard(), inFlight: len(w.attempts)}
 	w.mu.Unlock()
 	if len(told) > 0 {
-		w.onSilent(silence)
+		w.onSilent(link)
 	}
 	for _, a := range told {
-		a.expire()
+		a.expire(silence{heardAt: link.heardAt})
 	}
 }
 
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -41,7 +41,7 @@
 // send makes one attempt at another node, in a span of its own. It calls onSilent
 // if the node does not acknowledge the call in time, and again if the link to it falls
 // silent, and goes on waiting for the answer until ctx or the deadline of the call ends.
-func (p *Proxy) send(ctx context.Context, addr string, c call.Call, onSilent func()) call.Reply {
+func (p *Proxy) send(ctx context.Context, addr string, c call.Call, onSilent func(silence)) call.Reply {
 	ctx, span := p.cfg.Tracer.Start(ctx, "attempt "+c.Service, trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	r := p.exchange(ctx, addr, c, onSilent)
@@ -60,24 +60,24 @@
 func (p *Proxy) sendUntilSilent(ctx context.Context, addr string, c call.Call) call.Reply {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	return p.send(ctx, addr, c, cancel)
+	return p.send(ctx, addr, c, func(silence) { cancel() })
 }
 
 // exchange sends a call to the node at addr and reads its reply.
-func (p *Proxy) exchange(ctx context.Context, addr string, c call.Call, onSilent func()) call.Reply {
+func (p *Proxy) exchange(ctx context.Context, addr string, c call.Call, onSilent func(silence)) call.Reply {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	ctx, cancelAttempt := context.WithCancelCause(ctx)
 	defer cancelAttempt(nil)
 	client := p.clients.get(clientKey{addr, c.LargeResponse})
 	a := newAckWatch(client.acks)
-	a.onSilent = func() {
+	a.onSilent = func(s silence) {
 		if !a.connected.Load() {
 			cancelAttempt(errUnreachable)
 			return
 		}
 		p.clients.replace(client)
-		onSilent()
+		onSilent(s)
 	}
 	a.start()
 	defer a.stop()
@@ -155,13 +155,20 @@
 	return r
 }
 
+// silence tells why the node of an attempt counts as silent.
+type silence struct {
+	// heardAt is when data was last received on a link that is silent. It is zero if the
+	// node has not acknowledged the attempt in time.
+	heardAt time.Time
+}
+
 // ackWatch watches one attempt for the acknowledgement of its node, which is
 // status 102 (Processing). A node that takes longer than acks.Estimator expects is
 // partitioned or frozen, or a middlebox has dropped the state of the connection. The
 // same is assumed if its link falls silent later, see linkWatch.
 type ackWatch struct {
 	times     *ackTimes
-	onSilent  func() // called at most once without an acknowledgement, and once for a silent link
+	onSilent  func(silence) // called at most once without an acknowledgement, and once for a silent link
 	startedAt time.Time
 
 	mu    sync.Mutex // guards wait and timer
@@ -188,7 +195,7 @@
 // check ends the wait if the acknowledgement is overdue.
 func (a *ackWatch) check() {
 	if a.overdue(time.Now()) {
-		a.expire()
+		a.expire(silence{})
 	}
 }
 
@@ -209,9 +216,9 @@
 // expire is called if the node has not acknowledged the attempt in time, and if its link
 // has fallen silent. What the first signal could not start, for want of a retry budget,
 // the second may.
-func (a *ackWatch) expire() {
+func (a *ackWatch) expire(s silence) {
 	a.expired.Store(true)
-	a.onSilent()
+	a.onSilent(s)
 }
 
 // stop ends the wait.
