proxy: a connection that goes dead while it is idle is replaced before the next call

Cause: links were watched only while calls were in flight. An idle connection that was pinged in vain was used for the next call, which learned it 0.1 s later and needed a second attempt.

Change: linkWatch checks while a connection is open.

Failed before: TestIdleDeadConnectionIsReplaced, "unknown" 2.5 s after the connection went dead.

--- a/core/acks/link.go
+++ b/core/acks/link.go
@@ -30,8 +30,11 @@
 	l.Heard(now)
 }
 
-// Closed records that a connection was closed.
-func (l *Link) Closed() { l.open-- }
+// Closed records that a connection was closed. It returns how many are open.
+func (l *Link) Closed() int {
+	l.open--
+	return l.open
+}
 
 // Heard records that data was received.
 func (l *Link) Heard(now time.Time) { l.heardAt, l.doubtedAt = now, time.Time{} }
--- a/io/proxy/busy_test.go
+++ b/io/proxy/busy_test.go
@@ -281,3 +281,16 @@
 	is.Equal(ejections, 0)
 	wg.Wait()
 }
+
+// TestIdleDeadConnectionIsReplaced guards against sending a call on a connection that
+// went dead while no call was in flight on it, and was pinged in vain.
+func TestIdleDeadConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	addr := slowPeer{}.start(t)
+	b := link.NewBlackhole()
+	p := newSenderWithDial(t, b.Dial)
+	is.Equal(dispatchTo(p, addr, testCall(http.MethodGet, time.Second)).Fate, call.Answered)
+	b.DropOpen(func(string) bool { return true })
+	time.Sleep(2500 * time.Millisecond) // pinged after 1.2 s, no answer in 0.5 s
+	is.Equal(dispatchTo(p, addr, testCall(http.MethodGet, time.Second)).Fate, call.Answered)
+}
--- a/io/proxy/linkwatch.go
+++ b/io/proxy/linkwatch.go
@@ -16,7 +16,7 @@
 	mu       sync.Mutex
 	state    acks.Link
 	attempts map[*ackWatch]bool // in flight, the value is set once an attempt was told
-	timer    *time.Timer        // for the next check, nil while nothing is in flight
+	timer    *time.Timer        // for the next check, nil while no connection is open
 
 	addr     string // of the node
 	onSilent func(linkSilence)
@@ -40,13 +40,23 @@
 		if err != nil {
 			return nil, err
 		}
-		w.mu.Lock()
-		w.state.Opened(time.Now())
-		w.mu.Unlock()
+		w.opened(time.Now())
 		return &watchedConn{Conn: c, watch: w}, nil
 	}
 }
 
+// opened records a new connection. It is checked also while no attempt is in flight, so
+// that the next one does not use a dead connection.
+func (w *linkWatch) opened(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.state.Opened(now)
+	if w.timer == nil {
+		_, next := w.state.Check(now)
+		w.timer = time.AfterFunc(next.Sub(now), w.check)
+	}
+}
+
 // watchedConn is a connection that reports to a linkWatch.
 type watchedConn struct {
 	net.Conn
@@ -68,22 +78,26 @@
 // Close implements net.Conn.
 func (c *watchedConn) Close() error {
 	c.closeOnce.Do(func() {
-		c.watch.mu.Lock()
-		defer c.watch.mu.Unlock()
-		c.watch.state.Closed()
+		c.watch.closed()
 	})
 	return c.Conn.Close()
 }
 
+// closed records the end of a connection.
+func (w *linkWatch) closed() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.state.Closed() == 0 && w.timer != nil {
+		w.timer.Stop()
+		w.timer = nil
+	}
+}
+
 // add adds an attempt in flight.
 func (w *linkWatch) add(a *ackWatch) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.attempts[a] = false
-	if w.timer == nil {
-		_, next := w.state.Check(time.Now())
-		w.timer = time.AfterFunc(time.Until(next), w.check)
-	}
 }
 
 // remove removes an attempt that has ended.
@@ -91,10 +105,6 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.attempts, a)
-	if len(w.attempts) == 0 && w.timer != nil {
-		w.timer.Stop()
-		w.timer = nil
-	}
 }
 
 // check tells the attempts in flight if the link is silent.
