Events name the calls under which a backend server ended

Cause: when a backend server ends, nothing says which requests were running there, and their ids are new at each repeat.

Change: ingress computes a digest of caller, method, host, path and body (core/crash), CallMeta carries it, and the gatekeeper records upstream_ended with the number of calls and their digests. A server counts as ended if calls got no answer there and it refuses a connection, or another server takes its place without a leave. No probe is added.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"time"
 
+	"tanagerchute/core/crash"
 	"tanagerchute/core/pick"
 	"tanagerchute/core/routes"
 )
@@ -54,7 +55,8 @@
 	Path             string // with the query, as sent by the caller
 	Header           http.Header
 	Body             []byte
-	Depth            int // number of calls above it in its call chain
+	Work             crash.Work // identity of the work, 0 if the sender did not compute it
+	Depth            int        // number of calls above it in its call chain
 	Mode             Mode
 	From             string       // id of the node that sent it
 	Version          uint64       // configuration version by which it was routed
--- /dev/null
+++ b/core/crash/doc.go
@@ -0,0 +1,19 @@
+// Package crash decides which requests end the backend servers that run them.
+//
+// A request may end each backend server that begins to run it, for example because of
+// a fault in the server's code. Its caller repeats it under new request ids. The same
+// work is recognized by its Work, a digest of caller, method, host, path and body.
+//
+// A Watch at a gatekeeper finds the ends of its backend server, and the works of the
+// calls that were running there. A lost or garbled answer is not an end: the server must
+// also refuse a connection, or another one must take its place without the first having
+// announced that it leaves.
+//
+// # Usage
+//
+//	w := crash.Identify(crash.Request{Caller: "bokun", Method: "GET", Host: "skraning", Path: "/places"})
+//	watch.Start(now, attempt, w)
+//	if end, ok := watch.Refused(now); ok {
+//		// the server has ended while the calls of end.Works ran
+//	}
+package crash
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -57,6 +57,7 @@
 	HeartbeatMalformed Kind = "heartbeat_malformed"
 	UpstreamFailing    Kind = "upstream_failing"
 	UpstreamBack       Kind = "upstream_back"
+	UpstreamEnded      Kind = "upstream_ended"   // the own backend server ended while calls were running there
 	UpstreamEjected    Kind = "upstream_ejected" // this node sends it no calls for a while
 	RequestRefused     Kind = "request_refused"  // by the gatekeeper, it has not run
 	RequestRejected    Kind = "request_rejected" // by the ingress, before it was routed
--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -35,6 +36,9 @@
 	dialer  net.Dialer
 	// maxConns returns the maximum number of connections to the server.
 	maxConns func() int
+	// onRefusedConn is called with the address of the server when it refuses a
+	// connection.
+	onRefusedConn func(addr string)
 }
 
 func newClient(cfg Config) *client {
@@ -70,6 +74,7 @@
 	defer cancel()
 	c, err := cl.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
+		cl.reportRefusedConn(addr, err)
 		return err
 	}
 	return c.Close()
@@ -97,6 +102,7 @@
 	r.AllowResend = allowResend
 	a, err := cl.pool.Do(ctx, server.Address, r)
 	if err != nil {
+		cl.reportRefusedConn(server.Address, err)
 		return replyForError(ctx, err), nil
 	}
 	info := cl.dialect.ParseResponse(a.Response)
@@ -112,6 +118,14 @@
 	return call.Reply{Fate: call.Answered, Status: a.StatusCode, Header: a.Header, Body: a.BodyBytes}, &info.Server
 }
 
+// reportRefusedConn calls onRefusedConn if err says that the server at addr refused a
+// connection.
+func (cl *client) reportRefusedConn(addr string, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		cl.onRefusedConn(addr)
+	}
+}
+
 // newRequest returns the request that sends c to the server.
 func (cl *client) newRequest(server Backend, c call.Call) upconn.Request {
 	h := c.Header.Clone()
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -10,6 +10,7 @@
 	"tanagerchute/core/admit"
 	"tanagerchute/core/beat"
 	"tanagerchute/core/call"
+	"tanagerchute/core/crash"
 	"tanagerchute/core/dedup"
 	"tanagerchute/core/event"
 	"tanagerchute/core/health"
@@ -94,6 +95,7 @@
 	health         *health.Monitor
 	waiters        map[string]chan admissionResult // by attempt id
 	callTracker    *nested.Tracker                 // calls in flight and their nested calls
+	watch          *crash.Watch                    // finds the ends of the backend server
 	drained        chan struct{}                   // closed when the gate drains and no call is in flight
 	tickRequested  chan struct{}                   // requests an immediate tick
 	published      member.Upstream                 // last state passed to OnUpstreamChange
@@ -107,7 +109,7 @@
 
 // New returns a gate without a backend server.
 func New(cfg Config) *Gate {
-	return &Gate{
+	g := &Gate{
 		cfg:           cfg,
 		client:        newClient(cfg),
 		admission:     admit.New(admit.Config{Slots: 1}),
@@ -116,9 +118,12 @@
 		waiters:       map[string]chan admissionResult{},
 		statementsAt:  map[event.Kind]time.Time{},
 		callTracker:   nested.New(),
+		watch:         crash.NewWatch(),
 		drained:       make(chan struct{}),
 		tickRequested: make(chan struct{}, 1),
 	}
+	g.client.onRefusedConn = g.observeRefusedConn
+	return g
 }
 
 // newHealthMonitor returns the health monitor of a new backend server. With
@@ -154,6 +159,7 @@
 	if b.isOther(g.backend) || g.backendLeaving {
 		// A new server starts without the state of the previous one. The calls that
 		// are queued for that one have not started, so other upstreams can run them.
+		g.watchReplacement(g.announcedAt, b.logName()+" has taken its place")
 		g.notifyWaiters(g.admission.Drain())
 		g.admission = g.newAdmission(b)
 		g.health = newHealthMonitor(g.cfg)
@@ -254,6 +260,7 @@
 	if !g.backendLeaving {
 		g.recordEvent(event.UpstreamLeaving, name, cause)
 	}
+	g.watch.Leaving()
 	g.backendLeaving = true
 	g.notifyWaiters(g.admission.Drain())
 	g.requestTick()
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -181,8 +181,9 @@
 	g.mu.Lock()
 	server := g.backend
 	g.callTracker.Start(c.Trace, c.Depth, c.Deadline)
-	g.mu.Unlock()
 	began := time.Now()
+	g.watch.Start(began, c.Attempt, workOf(c))
+	g.mu.Unlock()
 	var r call.Reply
 	if ctx.Err() != nil {
 		r = call.Refuse(call.NotRun, call.CauseDeadline, 0)
@@ -227,6 +228,7 @@
 	now := time.Now()
 	g.inFlight--
 	nestedCalls := g.callTracker.End(now, c.Trace, c.Depth)
+	g.watchCallEnd(now, c, r)
 	r.NestedFailure = nestedCalls.Failed && r.Fate == call.Answered && r.Status >= 500
 	result, countsForHealth := classify(r)
 	if g.cfg.NestedCallsUntraced && r.Fate == call.Answered {
@@ -248,6 +250,7 @@
 		g.recordRefusedDial(now, fmt.Errorf("call %s", c.ID))
 		return
 	case call.CauseMoved:
+		g.watchReplacement(now, "another server answers at its address")
 		g.markLeaving(g.backend.logName(), "another server answers at its address")
 		return
 	}
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -18,6 +18,7 @@
 
 	"tanagerchute"
 	"tanagerchute/core/call"
+	"tanagerchute/core/crash"
 	"tanagerchute/core/dedup"
 	"tanagerchute/core/event"
 	"tanagerchute/core/routes"
@@ -260,6 +261,7 @@
 	c.Header.Del(headerCall)
 	c.Header.Del(headerAnswer)
 	p.cfg.Dialect.PrepareRequest(c.Header, in.origin.Service)
+	c.Work = crash.Identify(crash.Request{Caller: in.origin.Service, Method: c.Method, Host: c.Host, Path: c.Path, Body: c.Body})
 	return c, nil
 }
 
