Failing tests: a request that ends each server it runs at goes to server after server

The stand-ins can end when they begin to run a certain request, and start again some seconds later, with a new id on the users' platform.

--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -66,6 +66,7 @@
 	NoHedge         bool                   // disables hedging, which sends an unanswered idempotent call to a second upstream
 	NoSeeds         bool                   // leaves seeds out of the settings, so that nodes find each other through the store only
 	NoBackends      bool                   // runs nodes without backend servers
+	CrashDowntime   time.Duration          // time until a backend server that has crashed starts again, see server.Faults.Crash
 }
 
 // Instance is an instance of a Mesh. Its node and its backend server are replaced
@@ -76,6 +77,7 @@
 	Node           *node.Node
 	Backend        *server.Server
 	backendHTTP    *http.Server
+	backendAddr    string // host:port of the backend server
 	stopAnnouncing context.CancelFunc
 	nodeDone       chan struct{} // closed when the node has stopped
 }
@@ -94,10 +96,17 @@
 	seeds        map[string][]string        // by data centre, for the settings
 	centreByAddr map[string]string          // data centre of each peer address
 	blackholes   map[string]*link.Blackhole // for the connections that nodes of a data centre dial
+	crashes      []Crash
 	ctx          context.Context
 	cancel       context.CancelFunc
 }
 
+// Crash is the end of a backend server by server.Faults.Crash.
+type Crash struct {
+	Instance string
+	At       time.Time
+}
+
 // InstanceSpecs returns the given number of instances for each service,
 // distributed over the data centres in round-robin order.
 func InstanceSpecs(dataCentres []string, services map[string]int) []InstanceSpec {
@@ -289,15 +298,23 @@
 }
 
 // StartBackend starts the backend server of instance i.
-func (m *Mesh) StartBackend(i int) error {
+func (m *Mesh) StartBackend(i int) error { return m.startBackend(i, "127.0.0.1:0", server.Faults{}) }
+
+// startBackend is like StartBackend, at an address and with faults.
+func (m *Mesh) startBackend(i int, addr string, faults server.Faults) error {
 	in := m.Instances[i]
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return errors.Wrap(err, "listen for the backend server")
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	crash := sync.OnceFunc(func() { m.crashBackend(i) })
 	in.Backend = server.New(server.Config{
-		Service: in.Spec.Service, Slots: m.cfg.Slots, Work: m.cfg.Work, Egress: in.Settings.Listen.Egress,
+		Service: in.Spec.Service, Slots: m.cfg.Slots, Work: m.cfg.Work, Egress: in.Settings.Listen.Egress, OnCrash: crash,
 	})
+	in.Backend.SetFaults(faults)
+	in.backendAddr = l.Addr().String()
 	in.backendHTTP = &http.Server{Handler: in.Backend}
 	go func() { _ = in.backendHTTP.Serve(l) }() // ends with KillBackend or Close
 	ctx, cancel := context.WithCancel(m.ctx)
@@ -306,8 +323,36 @@
 	return nil
 }
 
+// crashBackend stops the backend server of instance i immediately, and starts it again
+// with the same faults at the same address after Config.CrashDowntime.
+func (m *Mesh) crashBackend(i int) {
+	in := m.Instances[i]
+	m.mu.Lock()
+	m.crashes = append(m.crashes, Crash{in.Spec.Name, time.Now()})
+	faults, addr := in.Backend.Faults(), in.backendAddr
+	m.mu.Unlock()
+	m.KillBackend(i)
+	time.AfterFunc(m.cfg.CrashDowntime, func() {
+		if m.ctx.Err() != nil {
+			return
+		}
+		if err := m.startBackend(i, addr, faults); err != nil {
+			m.cfg.Log.Error("backend_failed", zap.String("node", in.Spec.Name), zap.Error(err))
+		}
+	})
+}
+
+// Crashes returns the crashes of backend servers so far, oldest first.
+func (m *Mesh) Crashes() []Crash {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.crashes)
+}
+
 // KillBackend stops the backend server of instance i immediately.
 func (m *Mesh) KillBackend(i int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	in := m.Instances[i]
 	if in.stopAnnouncing != nil {
 		in.stopAnnouncing()
@@ -411,17 +456,19 @@
 
 // Close stops everything immediately.
 func (m *Mesh) Close() {
+	m.cancel()
 	for _, in := range m.Instances {
 		if in.Node == nil {
 			continue
 		}
 		in.Node.Kill()
 		<-in.nodeDone
+		m.mu.Lock()
 		if in.backendHTTP != nil {
 			_ = in.backendHTTP.Close()
 		}
+		m.mu.Unlock()
 	}
-	m.cancel()
 	if m.platformHTTP != nil {
 		_ = m.platformHTTP.Close()
 	}
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -26,6 +26,20 @@
 	Egress   string        // egress address of the server's node
 	WarmUp   time.Duration // time after the start in which calls take several times as long
 	Protocol Protocol      // headers, nil for the Tanager headers
+	// OnCrash ends the server. It is called when a call begins to run that Faults.Crash
+	// describes.
+	OnCrash func()
+}
+
+// CrashingCall describes the calls that end a server when it begins to run them.
+type CrashingCall struct {
+	Path string `json:"path"` // without the query, empty for none
+	Body string `json:"body"`
+}
+
+// matches reports whether r with the given body is such a call.
+func (c CrashingCall) matches(r *http.Request, body []byte) bool {
+	return c.Path != "" && c.Path == r.URL.Path && c.Body == string(body)
 }
 
 // Faults selects the faults to inject. They can be changed while a Server runs.
@@ -50,6 +64,8 @@
 	LateCopy bool `json:"late_copy"`
 	// Cut makes it run, and then end the response at this place.
 	Cut Cut `json:"cut"`
+	// Crash makes it end when it begins to run such a call.
+	Crash CrashingCall `json:"crash"`
 }
 
 // Entry records one execution of a call.
@@ -178,7 +194,12 @@
 	if f.RateLimit != "" {
 		w.Header().Set(native.HeaderRateLimit, f.RateLimit)
 	}
-	if _, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes)); err != nil || f.DropBefore {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil || f.DropBefore {
+		panic(http.ErrAbortHandler)
+	}
+	if f.Crash.matches(r, body) && s.cfg.OnCrash != nil {
+		s.cfg.OnCrash()
 		panic(http.ErrAbortHandler)
 	}
 	switch {
