A request that ends backend servers is held back everywhere

Cause: nothing connected the ends of servers with the request.

Change: a gatekeeper adds the end of its server, with the work of the calls that ran there, to a table that the nodes share (core/crash, io/fleet). It is flooded like other changes, compared by a digest in probe replies, and exchanged at a join and between data centres. A completion after an end clears it; each node remembers its last completions, for ends that are found later. From the first end on a work is not resent or hedged. After three it is refused as not_run with the cause crashes_servers, at ingress and by the gatekeeper, also if it was queued. After a minute one trial runs, at one node of all; a further end makes the next hold four times as long, an hour without an end forgets it.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -137,6 +137,7 @@
 	CauseAnswerTooLarge    = "answer_too_large"     // the answer exceeds the size limit
 	CauseUnreachable       = "unreachable"          // no connection to the node or to the backend server
 	CauseUpstreamShed      = "upstream_shed"        // the backend server refused the call for load
+	CauseCrashesServers    = "crashes_servers"      // backend servers end when they run it, see package crash
 	CauseSilent            = "silent"               // the node did not acknowledge the call in time
 )
 
--- a/core/crash/doc.go
+++ b/core/crash/doc.go
@@ -9,11 +9,18 @@
 // also refuse a connection, or another one must take its place without the first having
 // announced that it leaves.
 //
+// A Table holds the works under which servers ended, as all nodes know them together. A
+// work that some server completes since then has not ended the others. One under which
+// three servers have ended is held back: it is refused everywhere, before it runs. After a
+// minute it may run once as a trial, at one node of all. If that ends a server as well, the
+// next hold is four times as long, and after an hour without an end the work is forgotten.
+//
 // # Usage
 //
 //	w := crash.Identify(crash.Request{Caller: "bokun", Method: "GET", Host: "skraning", Path: "/places"})
 //	watch.Start(now, attempt, w)
 //	if end, ok := watch.Refused(now); ok {
-//		// the server has ended while the calls of end.Works ran
+//		changed := table.AddEnd(now, crash.NewEndID(now, hash), end.Works) // to be sent to other nodes
 //	}
+//	j := table.Judge(now, w)
 package crash
--- a/core/crash/watch.go
+++ b/core/crash/watch.go
@@ -18,6 +18,7 @@
 type End struct {
 	Works []Work // of these calls, without duplicates, in no particular order
 	Calls int    // number of these calls
+	At    time.Time
 }
 
 // Watch finds the ends of one node's backend server. It is not safe for concurrent use.
@@ -117,7 +118,10 @@
 // those that are still running there. What is sent from now on goes to another server.
 func (w *Watch) end(now time.Time, window time.Duration) (End, bool) {
 	w.dropBrokenBefore(now.Add(-window))
-	var e End
+	e := End{At: now}
+	if len(w.broken) > 0 {
+		e.At = w.broken[0].at
+	}
 	seen := map[Work]bool{}
 	add := func(work Work) {
 		e.Calls++
--- a/core/crash/work.go
+++ b/core/crash/work.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"encoding/binary"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,3 +34,14 @@
 	_, _ = d.Write(r.Body)
 	return Work(max(d.Sum64(), 1))
 }
+
+// hashEnd returns a hash of an end under a work, without its time.
+func hashEnd(w Work, e KnownEnd) uint64 {
+	var b [17]byte
+	binary.LittleEndian.PutUint64(b[:8], uint64(w))
+	binary.LittleEndian.PutUint64(b[8:16], uint64(e.ID))
+	if e.Cleared {
+		b[16] = 1
+	}
+	return xxhash.Sum64(b[:])
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -61,6 +61,8 @@
 	UpstreamEjected    Kind = "upstream_ejected" // this node sends it no calls for a while
 	RequestRefused     Kind = "request_refused"  // by the gatekeeper, it has not run
 	RequestRejected    Kind = "request_rejected" // by the ingress, before it was routed
+	RequestHeld        Kind = "request_held"     // backend servers end when they run it, so that it is refused everywhere
+	RequestReleased    Kind = "request_released" // it is no longer refused everywhere
 	RequestMoved       Kind = "request_moved"    // sent again, or not to a local upstream
 	RequestUnknown     Kind = "request_unknown"  // it may have run
 	RequestFenced      Kind = "request_fenced"   // an attempt that had not started may no longer start
--- a/core/resend/tracker.go
+++ b/core/resend/tracker.go
@@ -54,6 +54,8 @@
 		return false
 	}
 	switch {
+	case r.Cause == call.CauseCrashesServers:
+		return false // every node refuses it, or soon will
 	case r.ResendIsFree():
 		t.freeResends++
 		return t.freeResends <= maxFreeResends && t.arrived < t.cfg.MaxUpstreams
--- a/io/fleet/actions.go
+++ b/io/fleet/actions.go
@@ -91,6 +91,7 @@
 	f.post(ctx, func(now time.Time) {
 		f.perform(ctx, f.table.ProbeAnswered(now, target.ID, records, reply.GetDigest()))
 	})
+	f.crashes.compareDigest(ctx, target.Addr, reply.GetCrashDigest())
 }
 
 // probeIndirectly asks the relays to probe target. It returns how many relays
@@ -130,10 +131,12 @@
 		Members: peer.ToMembers(req.Records),
 		Digests: req.Digests,
 		Version: peer.ToStamp(f.cfg.Stamp()),
+		Crashes: f.crashes.Encode(),
 	})
 	if err != nil {
 		return err
 	}
+	f.crashes.Merge(reply.GetCrashes())
 	f.recordContact()
 	f.cfg.OnPeerStamp(addr, peer.FromStamp(reply.GetVersion()))
 	var missing []member.Record
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -34,6 +34,7 @@
 // Config configures a Fleet.
 type Config struct {
 	Self        member.Record
+	Groups      []string // all data centres or regions of the deployment
 	QuorumAddrs []string // addresses in the data centre that always count toward the quorum
 	Client      *peer.Client
 	Journal     *event.Journal
@@ -65,6 +66,8 @@
 	viewOutdated bool
 	viewAt       time.Time // when view was last replaced
 
+	crashes *Crashes
+
 	homesMu sync.Mutex // guards homes
 	homes   *homes.Tracker
 }
@@ -87,6 +90,7 @@
 	mc.QuorumAddrs = cfg.QuorumAddrs
 	mc.NotifyChange = f.onMemberChange
 	f.table = member.NewTable(mc)
+	f.crashes = newCrashes(f, cfg.Groups)
 	f.view.Store(newView(f.table, f.remotes))
 	return f
 }
@@ -139,6 +143,8 @@
 			fn(time.Now())
 		case now := <-t.C:
 			f.tick(ctx, now)
+		case <-f.crashes.changed:
+			f.crashes.send(ctx)
 		}
 		f.publishView(time.Now())
 	}
@@ -147,6 +153,7 @@
 func (f *Fleet) tick(ctx context.Context, now time.Time) {
 	f.perform(ctx, f.table.Tick(now))
 	f.updateQuorum(now)
+	f.crashes.tick(now)
 }
 
 // updateQuorum copies the time until which the node has a quorum for HasQuorum,
--- a/io/fleet/serve.go
+++ b/io/fleet/serve.go
@@ -25,7 +25,7 @@
 		// answer would make it look alive.
 		return nil, twirp.NewError(twirp.NotFound, "this address belongs to another node now")
 	}
-	reply := &wire.ProbeReply{Version: peer.ToStamp(f.cfg.Stamp())}
+	reply := &wire.ProbeReply{Version: peer.ToStamp(f.cfg.Stamp()), CrashDigest: f.crashes.Digest()}
 	ok := f.do(ctx, func(time.Time) {
 		reply.Digest = f.table.Digest()
 		if m, known := f.table.Get(req.GetFrom()); known && m.State != member.Alive {
@@ -53,6 +53,10 @@
 func (f *Fleet) Gossip(ctx context.Context, req *wire.GossipRequest) (*wire.GossipReply, error) {
 	records := f.dropInvalid(req.GetFrom(), req.GetMembers())
 	updates := peer.FromUpdates(req.GetRemotes())
+	f.crashes.Merge(req.GetCrashes())
+	if len(records) == 0 && len(updates) == 0 {
+		return &wire.GossipReply{}, nil
+	}
 	detached := context.WithoutCancel(ctx)
 	ok := f.do(ctx, func(now time.Time) {
 		f.perform(detached, f.table.Merge(now, records))
@@ -69,7 +73,8 @@
 func (f *Fleet) Sync(ctx context.Context, req *wire.SyncRequest) (*wire.SyncReply, error) {
 	request := member.SyncMessage{Records: f.dropInvalid(req.GetFrom(), req.GetMembers()), Digests: req.GetDigests()}
 	detached := context.WithoutCancel(ctx)
-	reply := &wire.SyncReply{Version: peer.ToStamp(f.cfg.Stamp())}
+	f.crashes.Merge(req.GetCrashes())
+	reply := &wire.SyncReply{Version: peer.ToStamp(f.cfg.Stamp()), Crashes: f.crashes.Encode()}
 	ok := f.do(ctx, func(now time.Time) {
 		answer, acts := f.table.AnswerSync(now, request)
 		f.perform(detached, acts)
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -71,6 +71,9 @@
 	// NoProbe disables the connection probes of an idle backend server, for
 	// servers whose heartbeats are sufficient.
 	NoProbe bool
+	// Crashes is what the nodes know together of the calls under which backend servers
+	// ended. If it is nil, no call is held back.
+	Crashes CrashRegistry
 }
 
 // Gate controls access to the backend server of a node. Its methods are safe for
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -85,6 +85,9 @@
 		r := call.Refuse(call.NotRun, call.CauseMoved, 0)
 		return admission, nil, &r
 	}
+	if r := g.refuseHeld(c); r != nil {
+		return admission, nil, r
+	}
 	if g.backend.Address == "" {
 		r := call.Refuse(call.NotRun, call.CauseUpstreamFailing, time.Second)
 		return admission, nil, &r
@@ -187,6 +190,9 @@
 	var r call.Reply
 	if ctx.Err() != nil {
 		r = call.Refuse(call.NotRun, call.CauseDeadline, 0)
+	} else if held := g.refuseUnlessTrial(c); held != nil {
+		r = *held
+		g.recordRefusal(c, r)
 	} else {
 		var s *tanagerchute.ServerStatement
 		r, s = g.client.do(ctx, server, c, func() bool { return g.allowResend(admission, c) })
@@ -282,7 +288,7 @@
 		return admit.Failed, false
 	case r.Cause == call.CauseDeadline:
 		return admit.TimedOut, true
-	case r.Cause == call.CauseCanceled:
+	case r.Cause == call.CauseCanceled, r.Cause == call.CauseCrashesServers:
 		return admit.Failed, false
 	}
 	return admit.Failed, true
--- a/io/mesh/crash_test.go
+++ b/io/mesh/crash_test.go
@@ -46,13 +46,19 @@
 // sendLookup sends a lookup at addr and returns the status, and the cause if it was not
 // run.
 func sendLookup(t *testing.T, ctx context.Context, addr, path, body string) (status int, notRun string) {
+	t.Helper()
+	return sendTo(t, ctx, addr, "skraning", path, body)
+}
+
+// sendTo is like sendLookup, to a service.
+func sendTo(t *testing.T, ctx context.Context, addr, service, path, body string) (status int, notRun string) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+addr+path, strings.NewReader(body))
 	if err != nil {
 		t.Error(err)
 		return 0, ""
 	}
-	req.Host = "skraning"
+	req.Host = service
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, err.Error()
@@ -127,6 +133,34 @@
 	is.True(failed.Load()*100 < sent.Load()*3)
 }
 
+// TestCrashingCallHoldsBackOtherCaller guards against a call that is refused because the
+// same call of another caller ends servers.
+func TestCrashingCallHoldsBackOtherCaller(t *testing.T) {
+	is := is.New(t)
+	m, ctx := startCrashing(t)
+	var skraning *mesh.Instance
+	for _, in := range m.Instances {
+		if in.Spec.Service == "skraning" {
+			skraning = in
+		} else {
+			in.Backend.SetFaults(server.Faults{Crash: server.CrashingCall{Path: crashPath, Body: crashBody}})
+		}
+	}
+	send := func(addr string) string {
+		_, cause := sendTo(t, ctx, addr, "budir", crashPath, crashBody)
+		time.Sleep(time.Second)
+		return cause
+	}
+	for i := 0; send(skraning.Settings.Listen.Callers) != "crashes_servers"; i++ {
+		is.True(i < 10) // it is held back in time
+	}
+	time.Sleep(2 * time.Second) // the servers are back
+	is.Equal(send(skraning.Settings.Listen.Callers), "crashes_servers")
+	ended := len(m.Crashes())
+	is.True(send(skraning.Settings.Listen.Egress) != "crashes_servers") // the server of skraning calls
+	is.True(len(m.Crashes()) > ended)
+}
+
 // TestCrashingCallEndsServersBehindCut guards against a call that is held back in two data
 // centres, and ends servers of the third when the cut between them has healed.
 func TestCrashingCallEndsServersBehindCut(t *testing.T) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -198,7 +198,7 @@
 		Dial:       n.byteMeters.control.Dial(n.cfg.Dial, n.isRemoteAddr),
 	})
 	n.fleet = fleet.New(fleet.Config{
-		Self: self, QuorumAddrs: s.Seeds[s.Group()], Client: n.client, Journal: n.journal, Rand: n.newRand("fleet"),
+		Self: self, Groups: s.Groups(), QuorumAddrs: s.Seeds[s.Group()], Client: n.client, Journal: n.journal, Rand: n.newRand("fleet"),
 		Stamp:       func() vers.Stamp { return n.feed.Stamp() },
 		OnPeerStamp: func(addr string, s vers.Stamp) { n.feed.ObserveStamp(addr, s) },
 	})
@@ -207,6 +207,7 @@
 		Node: n.id, Journal: n.journal, MaxAnswerBytes: s.Limits.AnswerBytes, MaxConns: n.maxConns,
 		SpendRetry: func() bool { return n.proxy.SpendRetry(s.Service) },
 		Service:    s.Service, Dialect: n.cfg.Dialect, NoProbe: s.TrustHeartbeats, NestedCallsUntraced: s.LocalCallers,
+		Crashes:          n.fleet.Crashes(),
 		OnUpstreamChange: func(u member.Upstream) { n.fleet.SetUpstream(context.Background(), u) },
 	})
 	n.relay = relay.New(relay.Config{
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-faster/errors"
 
+	"tanagerchute/core/crash"
 	"tanagerchute/core/dedup"
 	"tanagerchute/core/delta"
 	"tanagerchute/core/event"
@@ -199,3 +200,35 @@
 		}
 	})
 }
+
+// ToCrashes converts what is known of works to its wire format. Times are sent as ages,
+// since the clocks of nodes differ.
+func ToCrashes(rs []crash.Record, now time.Time) []*wire.Crash {
+	return convertAll(rs, func(r crash.Record) *wire.Crash {
+		return &wire.Crash{Work: uint64(r.Work), Ends: convertAll(r.Ends, func(e crash.KnownEnd) *wire.CrashEnd {
+			return &wire.CrashEnd{Id: uint64(e.ID), AgeMs: max(now.Sub(e.At).Milliseconds(), 0), Cleared: e.Cleared}
+		})}
+	})
+}
+
+// FromCrashes converts what is known of works from its wire format. It leaves out works
+// without an identity, and ends that lie in the future.
+func FromCrashes(ws []*wire.Crash, now time.Time) []crash.Record {
+	var out []crash.Record
+	for _, w := range ws {
+		r := crash.Record{Work: crash.Work(w.GetWork())}
+		for _, e := range w.GetEnds() {
+			if e.GetAgeMs() >= 0 && e.GetAgeMs() < maxCrashAge.Milliseconds() {
+				at := now.Add(-time.Duration(e.GetAgeMs()) * time.Millisecond)
+				r.Ends = append(r.Ends, crash.KnownEnd{ID: crash.EndID(e.GetId()), At: at, Cleared: e.GetCleared()})
+			}
+		}
+		if r.Work != 0 && len(r.Ends) > 0 {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// maxCrashAge bounds the age of an end in a message. Older ends matter to nobody.
+const maxCrashAge = 24 * time.Hour
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -18,8 +18,12 @@
 // dispatch sends a call to an upstream and, where that is safe, resends it to
 // others. If local is set, it does not use the entry nodes of other data centres.
 func (p *Proxy) dispatch(ctx context.Context, c call.Call, local bool) (call.Reply, AttemptSummary) {
+	judgement := p.cfg.Fleet.Crashes().Judge(c.Work, c.Service)
+	if judgement.Held {
+		return p.refuseHeld(c, judgement), AttemptSummary{}
+	}
 	p.budgets.forService(c.Service).Earn()
-	d := &dispatchState{p: p, call: c, local: local}
+	d := &dispatchState{p: p, call: c, local: local, trialNode: judgement.TrialNode}
 	d.tracker = resend.New(resend.Config{Idempotent: c.Idempotent(), MaxUpstreams: d.maxUpstreams(), Deadline: c.Deadline, Spend: d.spendRetryBudget})
 	r := d.run(ctx)
 	d.summary.Attempts, d.summary.Arrived = d.tracker.Attempts()
@@ -31,6 +35,8 @@
 	p          *Proxy
 	call       call.Call
 	local      bool     // use no entry nodes of other data centres
+	trialNode  string   // id of the only node that may run it, empty if any may
+	broken     int      // attempts that got no complete answer
 	tried      []string // ids of the candidates that it was sent to
 	tracker    *resend.Tracker
 	summary    AttemptSummary
@@ -63,6 +69,9 @@
 			d.p.recordEvent(event.RequestMoved, d.call, "to "+c.target.Addr+": "+string(c.cause))
 		}
 		r := d.attempt(ctx, c.target)
+		if r.Cause == call.CauseBrokenAnswer {
+			d.broken++
+		}
 		if !d.tracker.Next(time.Now(), r) || ctx.Err() != nil || d.p.cfg.Policy == RoundRobin && !r.ResendIsFree() {
 			return d.tracker.Final()
 		}
@@ -92,6 +101,9 @@
 	case RetryAlways:
 		return true
 	}
+	if d.mayCrashServers() {
+		return false
+	}
 	c, ok := d.pickUpstream()
 	if !ok || d.p.avoidResend(c.target.ID) || !d.p.SpendRetry(d.call.Service) {
 		return false
@@ -125,6 +137,10 @@
 	}
 	criteria := pick.Criteria{Exclude: d.tried, LargeResponse: d.call.LargeResponse, Target: d.call.Target}
 	cs := d.p.candidates.get(d.p.cfg.Fleet.View(), d.call.Service)
+	if d.trialNode != "" {
+		target, cause, ok := d.p.chooseCandidate(onlyNode(cs.all(d.local), d.trialNode), criteria)
+		return choice{target, cause}, ok
+	}
 	target, cause, ok := d.p.chooseCandidate(cs.used(d.local), criteria)
 	if cs.isSubset && (!ok || cause == pick.CausePanic) {
 		target, cause, ok = d.p.chooseCandidate(cs.all(d.local), criteria)
--- a/io/proxy/hedge.go
+++ b/io/proxy/hedge.go
@@ -66,7 +66,7 @@
 // pickHedge picks the upstream for a hedged attempt, if the retry budget allows
 // one.
 func (d *dispatchState) pickHedge() (pick.Candidate, bool) {
-	if !d.tracker.Hedge() {
+	if d.p.cfg.Fleet.Crashes().Judge(d.call.Work, d.call.Service).Suspect || !d.tracker.Hedge() {
 		return pick.Candidate{}, false
 	}
 	c, ok := d.pickUpstream()
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -72,6 +72,7 @@
 	inFlight        bool
 	remoteStoreLost bool
 	remoteStamp     vers.Stamp
+	remoteCrashes   uint64 // digest of the table of crashes of the other side
 }
 
 // New returns a relay.
@@ -123,10 +124,11 @@
 func (r *Relay) startDueExchanges(ctx context.Context, now time.Time, wg *sync.WaitGroup) {
 	digest := r.cfg.Fleet.Summary().Digest()
 	stamp := r.cfg.Feed.Stamp()
+	crashes := r.cfg.Fleet.Crashes().Digest()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for centre, l := range r.links {
-		if l.inFlight || !r.isDue(centre, l, now, digest, stamp) {
+		if l.inFlight || !r.isDue(centre, l, now, digest, stamp) && !crashesDue(l, now, crashes) {
 			continue
 		}
 		l.inFlight = true
@@ -156,6 +158,12 @@
 	return now.Sub(l.lastContact) >= passiveTimeout && sinceSent >= exchangeInterval
 }
 
+// crashesDue reports whether an exchange is due because the tables of crashes differ,
+// this one with the given digest not being empty.
+func crashesDue(l *link, now time.Time, digest uint64) bool {
+	return digest != 0 && digest != l.remoteCrashes && now.Sub(l.lastSent) >= exchangeInterval/8
+}
+
 // addrs returns the addresses to try in a data centre, the most likely first: the
 // relay and those next in rank from its last summary, then the seeds from the
 // store, then those from the settings.
@@ -209,13 +217,17 @@
 		KnownDigest:   r.cfg.Fleet.SummaryDigest(ctx, centre),
 		Pushed:        pushed,
 		StoreLost:     r.cfg.Feed.StoreLost(),
+		CrashDigest:   r.cfg.Fleet.Crashes().Digest(),
 	}
 	r.mu.Lock()
-	ackedDigest := r.links[centre].ackedDigest
+	ackedDigest, remoteCrashes := r.links[centre].ackedDigest, r.links[centre].remoteCrashes
 	r.mu.Unlock()
 	if ackedDigest != req.SummaryDigest {
 		req.Summary = peer.ToSummary(summary)
 	}
+	if remoteCrashes != req.CrashDigest {
+		req.Crashes = r.cfg.Fleet.Crashes().Encode()
+	}
 	return r.cfg.Client.To(addr).Exchange(ctx, req)
 }
 
@@ -223,6 +235,7 @@
 // force if it differs between the data centres.
 func (r *Relay) handleReply(ctx context.Context, centre, addr string, reply *wire.ExchangeReply) {
 	r.recordExchange(centre, reply.GetKnownDigest(), peer.FromStamp(reply.GetVersion()), reply.GetStoreLost())
+	r.mergeCrashes(centre, reply.GetCrashDigest(), reply.GetCrashes())
 	if !r.applySummary(ctx, centre, reply.GetSummary()) {
 		return
 	}
@@ -245,6 +258,15 @@
 	l.ackedDigest, l.remoteStamp, l.remoteStoreLost = ackedDigest, remoteStamp, remoteStoreLost
 }
 
+// mergeCrashes adds what another data centre knows of crashes, whose table has the given
+// digest.
+func (r *Relay) mergeCrashes(centre string, digest uint64, crashes []*wire.Crash) {
+	r.cfg.Fleet.Crashes().Merge(crashes)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.links[centre].remoteCrashes = digest
+}
+
 // applySummary passes the summary of a data centre to the fleet. A nil w means that
 // it has not changed. It returns false if the summary is not valid.
 func (r *Relay) applySummary(ctx context.Context, centre string, w *wire.Summary) bool {
@@ -310,8 +332,10 @@
 			r.cfg.Feed.Distribute(context.WithoutCancel(ctx), r.cfg.Feed.Snapshot().Version)
 		}
 	}
+	r.mergeCrashes(centre, req.GetCrashDigest(), req.GetCrashes())
 	summary := r.cfg.Fleet.Summary()
 	reply := &wire.ExchangeReply{
+		CrashDigest: r.cfg.Fleet.Crashes().Digest(),
 		Centre:      r.cfg.DataCentre,
 		Version:     peer.ToStamp(r.cfg.Feed.Stamp()),
 		KnownDigest: r.cfg.Fleet.SummaryDigest(ctx, centre),
@@ -320,6 +344,9 @@
 	if req.GetKnownDigest() != summary.Digest() {
 		reply.Summary = peer.ToSummary(summary)
 	}
+	if req.GetCrashDigest() != reply.CrashDigest {
+		reply.Crashes = r.cfg.Fleet.Crashes().Encode()
+	}
 	r.recordExchange(centre, req.GetKnownDigest(), peer.FromStamp(req.GetVersion()), req.GetStoreLost())
 	return reply, nil
 }
