--- a/core/event/event.go
+++ b/core/event/event.go
@@ -5,6 +5,8 @@
 // it has dropped, so that a reader can tell whether few events happened or older
 // ones are missing.
 //
+// A Pacer bounds the rate of events that an outside system causes.
+//
 // # Usage
 //
 //	j := event.NewJournal(event.Config{Node: "hafnar-1", Capacity: 4096})
@@ -65,6 +67,8 @@
 	RequestReleased    Kind = "request_released" // it is no longer refused everywhere
 	RequestMoved       Kind = "request_moved"    // sent again, or not to a local upstream
 	RequestUnknown     Kind = "request_unknown"  // it may have run
+	AnswerMissing      Kind = "answer_missing"   // the connection to the node that a call was sent to ended before its answer
+	LinkSilent         Kind = "link_silent"      // nothing is received from a node that calls are in flight to
 	RequestFenced      Kind = "request_fenced"   // an attempt that had not started may no longer start
 	RequestReplayed    Kind = "request_replayed" // it got the answer recorded for its key
 	StandingLost       Kind = "standing_lost"    // the node has lost the quorum
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +32,8 @@
 // its node in the time in which the node should have acknowledged it.
 var errUnreachable = errors.New("no connection to the node in time")
 
+var errAnswerTooLarge = errors.New("the answer exceeds the size limit")
+
 // propagator injects and extracts the traceparent header.
 var propagator = propagation.TraceContext{}
 
@@ -76,6 +80,8 @@
 	}
 	a.start()
 	defer a.stop()
+	client.link.add(a)
+	defer client.link.remove(a)
 	req, err := http.NewRequestWithContext(a.trace(ctx), c.Method, "http://"+addr+callPath, bytes.NewReader(c.Body))
 	if err != nil {
 		return call.Refuse(call.NotRun, err.Error(), 0)
@@ -87,12 +93,17 @@
 	req.Header.Set(peer.HeaderDeployment, p.cfg.Deployment)
 	res, err := client.http.Do(req)
 	if err != nil {
+		p.recordMissingAnswer(ctx, addr, c, a, err)
 		return failedReply(ctx, a)
 	}
 	a.stop()
 	defer res.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(res.Body, p.cfg.MaxAnswerBytes+1))
-	if err != nil || int64(len(body)) > p.cfg.MaxAnswerBytes {
+	if err == nil && int64(len(body)) > p.cfg.MaxAnswerBytes {
+		err = errAnswerTooLarge
+	}
+	if err != nil {
+		p.recordMissingAnswer(ctx, addr, c, a, err)
 		return failedReply(ctx, a)
 	}
 	r, err := decodeReply(c, res, body)
@@ -103,6 +114,26 @@
 	return r
 }
 
+// recordMissingAnswer records why the answer of a node did not arrive, if its call had
+// a connection and neither its sender nor its deadline has ended it.
+func (p *Proxy) recordMissingAnswer(ctx context.Context, addr string, c call.Call, a *ackWatch, err error) {
+	if !a.connected.Load() || ctx.Err() != nil {
+		return
+	}
+	acknowledged := "not acknowledged"
+	if a.acked.Load() {
+		acknowledged = "acknowledged"
+	}
+	p.recordEvent(event.AnswerMissing, c, fmt.Sprintf("%s: %v, %v after the call was sent, %s",
+		addr, err, time.Since(a.startedAt).Round(time.Millisecond), acknowledged))
+}
+
+// recordLinkSilent records that nothing is received from a node for too long.
+func (p *Proxy) recordLinkSilent(s linkSilence) {
+	p.cfg.Journal.Add(event.Event{At: time.Now(), Kind: event.LinkSilent, Subject: s.addr, Cause: fmt.Sprintf(
+		"nothing received for %v, %d calls in flight are sent elsewhere or asked for, and still awaited", time.Since(s.heardAt).Round(time.Millisecond), s.inFlight)})
+}
+
 // failedReply returns the reply for an attempt that got no valid answer. Without a
 // connection the call can't have run, otherwise its fate is unknown.
 func failedReply(ctx context.Context, a *ackWatch) call.Reply {
@@ -125,11 +156,13 @@
 
 // ackWatch watches one attempt for the acknowledgement of its node, which is
 // status 102 (Processing). A node that takes longer than acks.Estimator expects is
-// partitioned or frozen, or a middlebox has dropped the state of the connection.
+// partitioned or frozen, or a middlebox has dropped the state of the connection. The
+// same is assumed if its link falls silent later, see linkWatch.
 type ackWatch struct {
 	times     *ackTimes
-	onTimeout func()
+	onTimeout func() // called once at most
 	startedAt time.Time
+	once      sync.Once // for onTimeout
 	timer     *time.Timer
 	connected atomic.Bool // the attempt has a connection
 	expired   atomic.Bool
@@ -141,10 +174,14 @@
 // start starts the wait for the acknowledgement.
 func (a *ackWatch) start() {
 	a.startedAt = time.Now()
-	a.timer = time.AfterFunc(a.times.timeout(), func() {
-		a.expired.Store(true)
-		a.onTimeout()
-	})
+	a.timer = time.AfterFunc(a.times.timeout(), a.expire)
+}
+
+// expire ends the wait: the node has not acknowledged the attempt in time, or has
+// fallen silent since.
+func (a *ackWatch) expire() {
+	a.expired.Store(true)
+	a.once.Do(a.onTimeout)
 }
 
 // stop ends the wait.
