Tests: one trial of a held request at one node of all, which ends or extends the hold

Attempts that a node lost on the way to another one no longer count towards the two attempts after which a call is not sent again: no backend server broke those off.

--- a/io/mesh/crash_test.go
+++ b/io/mesh/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -11,8 +12,12 @@
 
 	"github.com/matryer/is"
 
+	"tanagerchute/core/crash"
+	"tanagerchute/io/link"
 	"tanagerchute/io/mesh"
+	"tanagerchute/io/peer"
 	"tanagerchute/io/server"
+	"tanagerchute/io/wire"
 )
 
 // The call that ends each backend server which begins to run it.
@@ -195,3 +200,70 @@
 	}
 	checkCrashes(t, m)
 }
+
+// holdBack makes all nodes hold back lookups with the given path and body, for long enough
+// that a trial is due.
+func holdBack(t *testing.T, ctx context.Context, m *mesh.Mesh, path, body string) {
+	t.Helper()
+	w := crash.Identify(crash.Request{Method: "GET", Host: "skraning", Path: path, Body: []byte(body)})
+	record := &wire.Crash{Work: uint64(w)}
+	for i := range crashesAllowed {
+		record.Ends = append(record.Ends, &wire.CrashEnd{Id: uint64(100 + i), AgeMs: 70_000})
+	}
+	s := m.Instances[0].Settings
+	centres := slices.Sorted(slices.Values(s.Groups()))
+	client := peer.NewClient(peer.Config{Deployment: s.Deployment + "/" + strings.Join(centres, ","), Dial: link.Direct})
+	_, err := client.To(s.Listen.PeerAddr()).Gossip(ctx, &wire.GossipRequest{From: "test", Crashes: []*wire.Crash{record}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second) // until all data centres know it
+}
+
+// sendEverywhere sends a lookup at all nodes at once, and returns the number of the
+// responses by their cause.
+func sendEverywhere(t *testing.T, ctx context.Context, m *mesh.Mesh, path, body string) map[string]int {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	causes := map[string]int{}
+	for _, in := range m.Instances {
+		wg.Go(func() {
+			_, cause := sendTo(t, ctx, in.Settings.Listen.Callers, "skraning", path, body)
+			mu.Lock()
+			defer mu.Unlock()
+			causes[cause]++
+		})
+	}
+	wg.Wait()
+	return causes
+}
+
+// TestTrialsRunAtManyNodes guards against a request that many nodes try again at the same
+// time when it has been held back for a while.
+func TestTrialsRunAtManyNodes(t *testing.T) {
+	is := is.New(t)
+	m, ctx := startCrashing(t)
+	holdBack(t, ctx, m, crashPath, crashBody)
+	for range 5 {
+		causes := sendEverywhere(t, ctx, m, crashPath, crashBody)
+		t.Logf("causes: %v", causes)
+		is.True(causes["crashes_servers"] >= len(m.Instances)-1)
+		time.Sleep(time.Second)
+	}
+	is.Equal(len(m.Crashes()), 1)
+}
+
+// TestHarmlessCallIsHeldBackForever guards against a call that is refused on and on although
+// a trial of it is completed.
+func TestHarmlessCallIsHeldBackForever(t *testing.T) {
+	is := is.New(t)
+	m, ctx := startCrashing(t)
+	const path = "/places/harmless"
+	holdBack(t, ctx, m, path, "")
+	first := sendEverywhere(t, ctx, m, path, "")
+	t.Logf("causes: %v", first)
+	is.True(first["crashes_servers"] > 0)
+	is.True(first[""] > 0) // the trial
+	time.Sleep(time.Second)
+	is.Equal(sendEverywhere(t, ctx, m, path, "")[""], len(m.Instances))
+}
--- a/io/proxy/crash.go
+++ b/io/proxy/crash.go
@@ -10,8 +10,8 @@
 	"tanagerchute/core/pick"
 )
 
-// maxBrokenAttempts is the number of attempts without a complete answer after which a call
-// is not sent again, even though no end of a server under it is known: each of these
+// maxBrokenAttempts is the number of attempts without a complete answer of a backend server
+// after which a call is not sent again, even though no end of a server under it is known: each of these
 // servers may have ended because of it.
 const maxBrokenAttempts = 2
 
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -36,7 +36,7 @@
 	call       call.Call
 	local      bool     // use no entry nodes of other data centres
 	trialNode  string   // id of the only node that may run it, empty if any may
-	broken     int      // attempts that got no complete answer
+	broken     int      // attempts that got no complete answer of the backend server
 	tried      []string // ids of the candidates that it was sent to
 	tracker    *resend.Tracker
 	summary    AttemptSummary
@@ -69,7 +69,7 @@
 			d.p.recordEvent(event.RequestMoved, d.call, "to "+c.target.Addr+": "+string(c.cause))
 		}
 		r := d.attempt(ctx, c.target)
-		if r.Cause == call.CauseBrokenAnswer {
+		if r.Replied && r.Cause == call.CauseBrokenAnswer {
 			d.broken++
 		}
 		if !d.tracker.Next(time.Now(), r) || ctx.Err() != nil || d.p.cfg.Policy == RoundRobin && !r.ResendIsFree() {
