Servers that end at the same moment hold no request back

Cause: the first rule counted three ends however close together. When all servers of a service lose their power at once, whatever is often asked for was running at all of them, and would have been refused for a minute after they were back.

Change: half a second must lie between the first and the last of the ends. A request that ends three servers in a shorter time gets to one more. Seen in core/crash TestEndsAtOnceHoldNothingBack, which fails without the change.

--- a/core/crash/doc.go
+++ b/core/crash/doc.go
@@ -11,9 +11,10 @@
 //
 // A Table holds the works under which servers ended, as all nodes know them together. A
 // work that some server completes since then has not ended the others. One under which
-// three servers have ended is held back: it is refused everywhere, before it runs. After a
-// minute it may run once as a trial, at one node of all. If that ends a server as well, the
-// next hold is four times as long, and after an hour without an end the work is forgotten.
+// three servers have ended, not all at the same moment, is held back: it is refused
+// everywhere, before it runs. After a minute it may run once as a trial, at one node of all.
+// If that ends a server as well, the next hold is four times as long, and after an hour
+// without an end the work is forgotten.
 //
 // # Usage
 //
--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -23,6 +23,11 @@
 // endsUntilHeld is the number of servers that end under a work before it is held back.
 const endsUntilHeld = 3
 
+// minSpread is the time that must lie between the first and the last of these ends. Servers
+// that end at the same moment have a common cause, such as a loss of power, and whatever
+// was often asked for was running at all of them.
+const minSpread = 500 * time.Millisecond
+
 // Times of a hold.
 const (
 	firstHold  = time.Minute
@@ -207,10 +212,10 @@
 
 // ttl returns the time after its last end after which r is forgotten.
 func (r Record) ttl() time.Duration {
-	switch n := r.active(); {
-	case n == 0:
+	switch {
+	case r.active() == 0:
 		return clearedTTL
-	case n < endsUntilHeld:
+	case r.HeldUntil().IsZero():
 		return suspectTTL
 	}
 	return heldTTL
@@ -235,7 +240,7 @@
 // heldUntil returns when a work under which servers ended at the given times, oldest
 // first, may run again as a trial. It is zero if the work is not held back.
 func heldUntil(ends []time.Time) time.Time {
-	if len(ends) < endsUntilHeld {
+	if len(ends) < endsUntilHeld || ends[len(ends)-1].Sub(ends[0]) < minSpread {
 		return time.Time{}
 	}
 	settled := ends[endsUntilHeld-1].Add(settleTime)
--- a/core/crash/table_test.go
+++ b/core/crash/table_test.go
@@ -207,3 +207,16 @@
 	is.Equal(len(tab.Complete(at, 1)), 0)
 	is.Equal(tab.Judge(after(6*time.Second), 1).Ends, 1)
 }
+
+// TestEndsAtOnceHoldNothingBack guards against holding back what was running at all servers
+// when they lost their power. A later end counts, with all of them.
+func TestEndsAtOnceHoldNothingBack(t *testing.T) {
+	is := is.New(t)
+	tab := crash.NewTable()
+	for i := range 5 {
+		endAt(tab, time.Duration(i)*50*time.Millisecond, 1)
+	}
+	is.True(!tab.Judge(after(time.Second), 1).Held)
+	endAt(tab, 2*time.Second, 1)
+	is.True(tab.Judge(after(3*time.Second), 1).Held)
+}
