A restarted node refuses a held request at once

Cause: a node waits 0.3 s after it has heard of the third end, so that others can say what they have completed. A node that restarts hears of all ends at its join and waited as well; a held request that came in this time ran. Seen in platform TestCrashingRequestRunsAfterRestart, 502 in place of 503 in 2 of 3 runs on a busy machine and once in a run of all tests.

Change: the age since an end was heard of travels with it. core/crash TestRestartedNodeHoldsAtOnce failed before.

--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -32,8 +32,8 @@
 const (
 	firstHold  = time.Minute
 	holdFactor = 4 // by which each failed trial extends the next hold
-	// clearTime is the time after a node has learned of an end before it holds a work
-	// back. Other nodes that have completed the work since the end say so by then.
+	// clearTime is the time after an end was found, or heard of, before a node holds a
+	// work back. Other nodes that have completed the work since the end say so by then.
 	clearTime = 300 * time.Millisecond
 	// settleTime is the time in which all nodes learn that a work is held back. Ends
 	// within it are due to calls that had been sent before, and not to a trial.
@@ -65,7 +65,8 @@
 type KnownEnd struct {
 	ID EndID
 	At time.Time // by the clock of this node
-	// HeardAt is when this node learned of it. It is not sent to other nodes.
+	// HeardAt is when the node from which this one learned of it had found it or learned
+	// of it, by the clock of this node.
 	HeardAt time.Time
 	// Cleared is set if the work was completed by a server since then, so that it was
 	// not what ended this one.
@@ -110,7 +111,7 @@
 	changes := make([]Record, 0, len(end.Works))
 	for _, w := range end.Works {
 		delete(t.trials, w)
-		changes = append(changes, Record{Work: w, Ends: []KnownEnd{{ID: id, At: end.At}}})
+		changes = append(changes, Record{Work: w, Ends: []KnownEnd{{ID: id, At: end.At, HeardAt: now}}})
 	}
 	return t.Merge(now, changes)
 }
@@ -141,7 +142,7 @@
 func (t *Table) Merge(now time.Time, records []Record) []Record {
 	var changed []Record
 	for _, r := range records[:min(len(records), maxWorks)] {
-		merged, differs := t.records[r.Work].merge(now, r)
+		merged, differs := t.records[r.Work].merge(r)
 		if !differs || merged.expired(now) {
 			continue
 		}
@@ -152,14 +153,12 @@
 	return slices.DeleteFunc(changed, func(r Record) bool { _, kept := t.records[r.Work]; return !kept })
 }
 
-// merge returns the union of the ends of r and o, which were heard at now, and whether it
-// differs from r.
-func (r Record) merge(now time.Time, o Record) (merged Record, differs bool) {
+// merge returns the union of the ends of r and o, and whether it differs from r.
+func (r Record) merge(o Record) (merged Record, differs bool) {
 	ends := slices.Clone(r.Ends)
 	for _, e := range o.Ends {
 		at := slices.IndexFunc(ends, func(k KnownEnd) bool { return k.ID == e.ID })
 		if at < 0 {
-			e.HeardAt = now
 			ends = append(ends, e)
 			continue
 		}
@@ -182,8 +181,8 @@
 	return n
 }
 
-// activeTimes returns the times of the ends that have not been cleared, and when this node
-// heard of them, each oldest first.
+// activeTimes returns the times of the ends that have not been cleared, and when they
+// were heard of, each oldest first.
 func (r Record) activeTimes() (at, heard []time.Time) {
 	for _, e := range r.Ends {
 		if !e.Cleared {
--- a/core/crash/table_test.go
+++ b/core/crash/table_test.go
@@ -220,3 +220,15 @@
 	endAt(tab, 2*time.Second, 1)
 	is.True(tab.Judge(after(3*time.Second), 1).Held)
 }
+
+// TestRestartedNodeHoldsAtOnce guards against a node that lets a held request run in the
+// first moments after it has learned of it from a node that has known it for longer.
+func TestRestartedNodeHoldsAtOnce(t *testing.T) {
+	is := is.New(t)
+	old, restarted := crash.NewTable(), crash.NewTable()
+	for i := range 3 {
+		endAt(old, time.Duration(i)*time.Second, 1)
+	}
+	restarted.Merge(after(10*time.Second), old.Records())
+	is.True(restarted.Judge(after(10*time.Second), 1).Held)
+}
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -206,7 +206,7 @@
 func ToCrashes(rs []crash.Record, now time.Time) []*wire.Crash {
 	return convertAll(rs, func(r crash.Record) *wire.Crash {
 		return &wire.Crash{Work: uint64(r.Work), Ends: convertAll(r.Ends, func(e crash.KnownEnd) *wire.CrashEnd {
-			return &wire.CrashEnd{Id: uint64(e.ID), AgeMs: max(now.Sub(e.At).Milliseconds(), 0), Cleared: e.Cleared}
+			return &wire.CrashEnd{Id: uint64(e.ID), AgeMs: max(now.Sub(e.At).Milliseconds(), 0), Cleared: e.Cleared, HeardAgeMs: max(now.Sub(e.HeardAt).Milliseconds(), 0)}
 		})}
 	})
 }
@@ -218,10 +218,14 @@
 	for _, w := range ws {
 		r := crash.Record{Work: crash.Work(w.GetWork())}
 		for _, e := range w.GetEnds() {
-			if e.GetAgeMs() >= 0 && e.GetAgeMs() < maxCrashAge.Milliseconds() {
-				at := now.Add(-time.Duration(e.GetAgeMs()) * time.Millisecond)
-				r.Ends = append(r.Ends, crash.KnownEnd{ID: crash.EndID(e.GetId()), At: at, Cleared: e.GetCleared()})
+			if !isCrashAge(e.GetAgeMs()) || !isCrashAge(e.GetHeardAgeMs()) {
+				continue
 			}
+			r.Ends = append(r.Ends, crash.KnownEnd{
+				ID: crash.EndID(e.GetId()), Cleared: e.GetCleared(),
+				At:      now.Add(-time.Duration(e.GetAgeMs()) * time.Millisecond),
+				HeardAt: now.Add(-time.Duration(e.GetHeardAgeMs()) * time.Millisecond),
+			})
 		}
 		if r.Work != 0 && len(r.Ends) > 0 {
 			out = append(out, r)
@@ -230,5 +234,8 @@
 	return out
 }
 
+// isCrashAge reports whether an end in a message may have that age, in milliseconds.
+func isCrashAge(ms int64) bool { return ms >= 0 && ms < maxCrashAge.Milliseconds() }
+
 // maxCrashAge bounds the age of an end in a message. Older ends matter to nobody.
 const maxCrashAge = 24 * time.Hour
