--- a/io/fleet/crash.go
+++ b/io/fleet/crash.go
@@ -231,7 +231,7 @@
 		return
 	}
 	req := &wire.GossipRequest{From: c.fleet.cfg.Self.ID, Crashes: peer.ToCrashes(records, time.Now())}
-	c.fleet.broadcast(ctx, c.fleet.table.Neighbours(), req)
+	c.fleet.broadcast(ctx, c.fleet.table.Neighbours(), req, nil)
 }
 
 // compareDigest exchanges tables with the node at addr if its digest differs from that of
