--- a/io/gate/announce.go
+++ b/io/gate/announce.go
@@ -52,6 +52,7 @@
 	if b.isOther(g.backend) || g.backendLeaving {
 		// A new server starts without the state of the previous one. The calls that
 		// are queued for that one have not started, so other upstreams can run them.
+		g.watchReplacement(g.announcedAt, b.logName()+" has taken its place")
 		g.notifyWaiters(g.admission.Drain())
 		g.admission = g.newAdmission(b)
 		g.health = newHealthMonitor(g.cfg)
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -8,6 +8,7 @@
 	"tanagerchute/core/admit"
 	"tanagerchute/core/beat"
 	"tanagerchute/core/call"
+	"tanagerchute/core/crash"
 	"tanagerchute/core/event"
 	"tanagerchute/core/health"
 	"tanagerchute/core/member"
@@ -47,6 +48,9 @@
 	// NoProbe disables the connection probes of an idle backend server, for
 	// servers whose heartbeats are sufficient.
 	NoProbe bool
+	// Crashes is what the nodes know together of the calls under which backend servers
+	// ended. If it is nil, no call is held back.
+	Crashes CrashRegistry
 }
 
 // Gate controls access to the backend server of a node. Its methods are safe for
@@ -71,6 +75,7 @@
 	health         *health.Monitor
 	waiters        map[string]chan admissionResult // by attempt id
 	callTracker    *nested.Tracker                 // calls in flight and their nested calls
+	watch          *crash.Watch                    // finds the ends of the backend server
 	drained        chan struct{}                   // closed when the gate drains and no call is in flight
 	tickRequested  chan struct{}                   // requests an immediate tick
 	published      member.Upstream                 // last state passed to OnUpstreamChange
@@ -78,7 +83,7 @@
 
 // New returns a gate without a backend server.
 func New(cfg Config) *Gate {
-	return &Gate{
+	g := &Gate{
 		cfg:           cfg,
 		client:        newClient(cfg),
 		admission:     admit.New(admit.Config{Slots: 1}),
@@ -87,9 +92,12 @@
 		waiters:       map[string]chan admissionResult{},
 		statements:    event.NewPacer(statementInterval),
 		callTracker:   nested.New(),
+		watch:         crash.NewWatch(),
 		drained:       make(chan struct{}),
 		tickRequested: make(chan struct{}, 1),
 	}
+	g.client.onRefusedConn = g.observeRefusedConn
+	return g
 }
 
 // newHealthMonitor returns the health monitor of a new backend server. With
--- a/io/gate/leave.go
+++ b/io/gate/leave.go
@@ -46,6 +46,7 @@
 		g.recordEvent(event.UpstreamLeaving, name, cause)
 	}
 	g.backendLeaving = true
+	g.watch.Leaving()
 	g.notifyWaiters(g.admission.Drain())
 	g.requestTick()
 }
