proxy: a stopping node takes no call that may outlast it after its linger time

Cause: callers should be gone after the linger time (2.5 s). One that still sends was served if its work could start 1.2 s before the end of the stop, and work that takes longer, at a slow server, was given up.

Change: what arrives after the linger time, with a deadline after the end of the stop, is told not_run at once, to come back in 0.1 s elsewhere. Calls with a nearer deadline, such as those that a server makes itself, are taken as before.

--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -8,6 +8,7 @@
 
 	"tanagerchute/core/event"
 	"tanagerchute/io/proxy"
+	"tanagerchute/io/setup"
 	"tanagerchute/io/timer"
 )
 
@@ -52,7 +53,7 @@
 	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(drain.Timeout.Std()+drain.Linger.Std()))
 	defer cancel()
 	lingerEnd := startedAt.Add(drain.Linger.Std())
-	n.proxy.PrepareStop(callsDuringStop(startedAt, drain.Timeout.Std()))
+	n.proxy.PrepareStop(callsDuringStop(startedAt, drain))
 	if drain.ServeOn {
 		timer.Sleep(ctx, time.Until(lingerEnd))
 		requestsCtx, cancel := context.WithDeadline(ctx, startedAt.Add(drain.Timeout.Std()-backendDrainReserve))
@@ -84,10 +85,12 @@
 }
 
 // callsDuringStop returns the course of a planned stop that began at startedAt.
-func callsDuringStop(startedAt time.Time, drainTimeout time.Duration) proxy.Stop {
+func callsDuringStop(startedAt time.Time, drain setup.Drain) proxy.Stop {
+	timeout := drain.Timeout.Std()
 	return proxy.Stop{
-		LastStart: startedAt.Add(max(drainTimeout-startReserve, drainTimeout/2)),
-		End:       startedAt.Add(drainTimeout),
+		LastArrival: startedAt.Add(drain.Linger.Std()),
+		LastStart:   startedAt.Add(max(timeout-startReserve, timeout/2)),
+		End:         startedAt.Add(timeout),
 	}
 }
 
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -103,7 +103,7 @@
 		if span.IsRecording() {
 			span.SetAttributes(attribute.String("service", c.Service), attribute.String("class", c.Class))
 		}
-		reply, summary, rej := p.handleCall(ctx, c)
+		reply, summary, rej := p.handleCall(ctx, c, in.arrivedAt)
 		endNested(rej != nil || !reply.Succeeded())
 		if rej != nil {
 			p.reject(w, c, rej)
@@ -150,7 +150,10 @@
 
 // handleCall dispatches a call and returns its reply. An at-most-once call with an
 // idempotency key goes to the home of the key.
-func (p *Proxy) handleCall(ctx context.Context, c call.Call) (call.Reply, AttemptSummary, *rejection) {
+func (p *Proxy) handleCall(ctx context.Context, c call.Call, arrivedAt time.Time) (call.Reply, AttemptSummary, *rejection) {
+	if p.arrivesTooLate(c, arrivedAt) {
+		return call.Refuse(call.NotRun, call.CauseDraining, stoppingRetryAfter), AttemptSummary{}, nil
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	header := c.Header.Get(HeaderIdempotencyKey)
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -139,6 +139,10 @@
 
 // Stop is the course of a planned stop of the node.
 type Stop struct {
+	// LastArrival is when the last call of a caller is taken. Callers should be gone by
+	// then; one that is not is told to come back elsewhere. Calls whose deadline comes
+	// before End are not concerned.
+	LastArrival time.Time
 	// LastStart is when the last call is started at a backend server. One that has
 	// not started by then ends as not run, so that none is given up while a backend
 	// server works on it. Calls whose deadline comes before End are not concerned.
@@ -162,6 +166,12 @@
 	}
 }
 
+// arrivesTooLate reports whether c arrives when a planned stop takes no more calls.
+func (p *Proxy) arrivesTooLate(c call.Call, arrivedAt time.Time) bool {
+	s := p.stop.Load()
+	return s != nil && c.Deadline.After(s.End) && arrivedAt.After(s.LastArrival)
+}
+
 // latestStart returns when c may be started at the latest, zero if there is no bound.
 func (p *Proxy) latestStart(c call.Call) time.Time {
 	s := p.stop.Load()
