--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -8,6 +8,7 @@
 
 	"tanagerchute/core/event"
 	"tanagerchute/io/proxy"
+	"tanagerchute/io/setup"
 	"tanagerchute/io/timer"
 )
 
@@ -21,8 +22,8 @@
 	// pendingAcceptTimeout bounds the wait at a stop until the listener for callers
 	// has returned the connections that were pending when it was closed.
 	pendingAcceptTimeout = 2 * time.Second
-	// closeTimeout bounds the last steps of a planned stop, when no call is in
-	// flight.
+	// closeTimeout bounds all the last steps of a planned stop together, when no call
+	// is in flight.
 	closeTimeout = 400 * time.Millisecond
 	// finalAnswerTimeout bounds the wait for the answers to calls that a planned
 	// stop has canceled.
@@ -33,7 +34,8 @@
 //
 //  1. It tells all peers that this node accepts no new work. Calls that still
 //     arrive are refused as not run.
-//  2. It waits for the calls in flight.
+//  2. It waits for the calls in flight, those included that it passes on for other
+//     nodes.
 //  3. It keeps answering inquiries about the keys that this node was the home of,
 //     until the linger time has passed.
 //  4. It tells the peers that this node has stopped.
@@ -41,7 +43,9 @@
 // If the backend server keeps running (Drain.ServeOn), the node first serves it
 // for the linger time, so that callers can move to other nodes, and waits for the
 // requests in progress.
-func (n *Node) drainAndStop(ctx context.Context, s *servers) {
+//
+// It returns the deadline of what is left to do.
+func (n *Node) drainAndStop(ctx context.Context, s *servers) time.Time {
 	startedAt := time.Now()
 	n.recordEvent(event.NodeDraining, "planned stop")
 	n.stopping.Store(true)
@@ -49,7 +53,7 @@
 	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(drain.Timeout.Std()+drain.Linger.Std()))
 	defer cancel()
 	lingerEnd := startedAt.Add(drain.Linger.Std())
-	n.proxy.PrepareStop(callsDuringStop(startedAt, drain.Timeout.Std()))
+	n.proxy.PrepareStop(callsDuringStop(startedAt, drain))
 	if drain.ServeOn {
 		timer.Sleep(ctx, time.Until(lingerEnd))
 		requestsCtx, cancel := context.WithDeadline(ctx, startedAt.Add(drain.Timeout.Std()-backendDrainReserve))
@@ -70,18 +74,23 @@
 	// Since the stop began, answers have carried "Connection: close", so that no
 	// caller sends a request on a connection that is about to be closed.
 	s.closeCallers(drainCtx)
-	closeCtx, cancelClose := context.WithTimeout(ctx, closeTimeout)
+	n.proxy.WaitIdle(drainCtx) // calls that pass through this node, answers on their way
+	closeBy := time.Now().Add(closeTimeout)
+	closeCtx, cancelClose := context.WithDeadline(ctx, closeBy)
 	defer cancelClose()
 	n.fleet.Stop(closeCtx)
 	s.closeOtherServers(closeCtx)
 	<-seedRemoved
+	return closeBy
 }
 
 // callsDuringStop returns the course of a planned stop that began at startedAt.
-func callsDuringStop(startedAt time.Time, drainTimeout time.Duration) proxy.Stop {
+func callsDuringStop(startedAt time.Time, drain setup.Drain) proxy.Stop {
+	timeout := drain.Timeout.Std()
 	return proxy.Stop{
-		LastStart: startedAt.Add(max(drainTimeout-startReserve, drainTimeout/2)),
-		End:       startedAt.Add(drainTimeout),
+		LastArrival: startedAt.Add(drain.Linger.Std()),
+		LastStart:   startedAt.Add(max(timeout-startReserve, timeout/2)),
+		End:         startedAt.Add(timeout),
 	}
 }
 
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -18,6 +18,7 @@
 
 	"tanagerchute"
 	"tanagerchute/core/call"
+	"tanagerchute/core/crash"
 	"tanagerchute/core/dedup"
 	"tanagerchute/core/event"
 	"tanagerchute/core/routes"
@@ -79,6 +80,8 @@
 // backend server.
 func (p *Proxy) Ingress(origin Origin) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.inProgress.Add(1)
+		defer p.inProgress.Add(-1)
 		in := ingressRequest{arrivedAt: time.Now(), origin: origin, snapshot: p.cfg.Feed.Snapshot()}
 		in.limits = p.limits(in.snapshot)
 		if rej := validateHeaders(r, in.limits.MaxHeaderBytes); rej != nil {
@@ -100,7 +103,7 @@
 		if span.IsRecording() {
 			span.SetAttributes(attribute.String("service", c.Service), attribute.String("class", c.Class))
 		}
-		reply, summary, rej := p.handleCall(ctx, c)
+		reply, summary, rej := p.handleCall(ctx, c, in.arrivedAt)
 		endNested(rej != nil || !reply.Succeeded())
 		if rej != nil {
 			p.reject(w, c, rej)
@@ -147,7 +150,10 @@
 
 // handleCall dispatches a call and returns its reply. An at-most-once call with an
 // idempotency key goes to the home of the key.
-func (p *Proxy) handleCall(ctx context.Context, c call.Call) (call.Reply, AttemptSummary, *rejection) {
+func (p *Proxy) handleCall(ctx context.Context, c call.Call, arrivedAt time.Time) (call.Reply, AttemptSummary, *rejection) {
+	if p.arrivesTooLate(c, arrivedAt) {
+		return call.Refuse(call.NotRun, call.CauseDraining, stoppingRetryAfter), AttemptSummary{}, nil
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	header := c.Header.Get(HeaderIdempotencyKey)
@@ -260,6 +266,7 @@
 	c.Header.Del(headerCall)
 	c.Header.Del(headerAnswer)
 	p.cfg.Dialect.PrepareRequest(c.Header, in.origin.Service)
+	c.Work = crash.Identify(crash.Request{Caller: in.origin.Service, Method: c.Method, Host: c.Host, Path: c.Path, Body: c.Body})
 	return c, nil
 }
 
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +18,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"tanagerchute/core/acks"
 	"tanagerchute/core/call"
 	"tanagerchute/core/event"
 	"tanagerchute/core/vers"
@@ -30,13 +33,15 @@
 // its node in the time in which the node should have acknowledged it.
 var errUnreachable = errors.New("no connection to the node in time")
 
+var errAnswerTooLarge = errors.New("the answer exceeds the size limit")
+
 // propagator injects and extracts the traceparent header.
 var propagator = propagation.TraceContext{}
 
 // send makes one attempt at another node, in a span of its own. It calls onSilent
-// if the node does not acknowledge the call in time, and goes on waiting for the
-// answer until ctx or the deadline of the call ends.
-func (p *Proxy) send(ctx context.Context, addr string, c call.Call, onSilent func()) call.Reply {
+// if the node does not acknowledge the call in time, and again if the link to it falls
+// silent, and goes on waiting for the answer until ctx or the deadline of the call ends.
+func (p *Proxy) send(ctx context.Context, addr string, c call.Call, onSilent func(silence)) call.Reply {
 	ctx, span := p.cfg.Tracer.Start(ctx, "attempt "+c.Service, trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	r := p.exchange(ctx, addr, c, onSilent)
@@ -55,27 +60,29 @@
 func (p *Proxy) sendUntilSilent(ctx context.Context, addr string, c call.Call) call.Reply {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	return p.send(ctx, addr, c, cancel)
+	return p.send(ctx, addr, c, func(silence) { cancel() })
 }
 
 // exchange sends a call to the node at addr and reads its reply.
-func (p *Proxy) exchange(ctx context.Context, addr string, c call.Call, onSilent func()) call.Reply {
+func (p *Proxy) exchange(ctx context.Context, addr string, c call.Call, onSilent func(silence)) call.Reply {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	ctx, cancelAttempt := context.WithCancelCause(ctx)
 	defer cancelAttempt(nil)
 	client := p.clients.get(clientKey{addr, c.LargeResponse})
 	a := newAckWatch(client.acks)
-	a.onTimeout = func() {
+	a.onSilent = func(s silence) {
 		if !a.connected.Load() {
 			cancelAttempt(errUnreachable)
 			return
 		}
 		p.clients.replace(client)
-		onSilent()
+		onSilent(s)
 	}
 	a.start()
 	defer a.stop()
+	client.link.add(a)
+	defer client.link.remove(a)
 	req, err := http.NewRequestWithContext(a.trace(ctx), c.Method, "http://"+addr+callPath, bytes.NewReader(c.Body))
 	if err != nil {
 		return call.Refuse(call.NotRun, err.Error(), 0)
@@ -87,12 +94,17 @@
 	req.Header.Set(peer.HeaderDeployment, p.cfg.Deployment)
 	res, err := client.http.Do(req)
 	if err != nil {
+		p.recordMissingAnswer(ctx, addr, c, a, err)
 		return failedReply(ctx, a)
 	}
 	a.stop()
 	defer res.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(res.Body, p.cfg.MaxAnswerBytes+1))
-	if err != nil || int64(len(body)) > p.cfg.MaxAnswerBytes {
+	if err == nil && int64(len(body)) > p.cfg.MaxAnswerBytes {
+		err = errAnswerTooLarge
+	}
+	if err != nil {
+		p.recordMissingAnswer(ctx, addr, c, a, err)
 		return failedReply(ctx, a)
 	}
 	r, err := decodeReply(c, res, body)
@@ -103,6 +115,26 @@
 	return r
 }
 
+// recordMissingAnswer records why the answer of a node did not arrive, if its call had
+// a connection and neither its sender nor its deadline has ended it.
+func (p *Proxy) recordMissingAnswer(ctx context.Context, addr string, c call.Call, a *ackWatch, err error) {
+	if !a.connected.Load() || ctx.Err() != nil {
+		return
+	}
+	acknowledged := "not acknowledged"
+	if a.acked.Load() {
+		acknowledged = "acknowledged"
+	}
+	p.recordEvent(event.AnswerMissing, c, fmt.Sprintf("%s: %v, %v after the call was sent, %s",
+		addr, err, time.Since(a.startedAt).Round(time.Millisecond), acknowledged))
+}
+
+// recordLinkSilent records that nothing is received from a node for too long.
+func (p *Proxy) recordLinkSilent(s linkSilence) {
+	p.cfg.Journal.Add(event.Event{At: time.Now(), Kind: event.LinkSilent, Subject: s.addr, Cause: fmt.Sprintf(
+		"nothing received for %v, %d calls in flight are sent elsewhere or asked for, and still awaited", time.Since(s.heardAt).Round(time.Millisecond), s.inFlight)})
+}
+
 // failedReply returns the reply for an attempt that got no valid answer. Without a
 // connection the call can't have run, otherwise its fate is unknown.
 func failedReply(ctx context.Context, a *ackWatch) call.Reply {
@@ -123,14 +155,26 @@
 	return r
 }
 
+// silence tells why the node of an attempt counts as silent.
+type silence struct {
+	// heardAt is when data was last received on a link that is silent. It is zero if the
+	// node has not acknowledged the attempt in time.
+	heardAt time.Time
+}
+
 // ackWatch watches one attempt for the acknowledgement of its node, which is
 // status 102 (Processing). A node that takes longer than acks.Estimator expects is
-// partitioned or frozen, or a middlebox has dropped the state of the connection.
+// partitioned or frozen, or a middlebox has dropped the state of the connection. The
+// same is assumed if its link falls silent later, see linkWatch.
 type ackWatch struct {
 	times     *ackTimes
-	onTimeout func()
+	onSilent  func(silence) // called at most once without an acknowledgement, and once for a silent link
 	startedAt time.Time
-	timer     *time.Timer
+
+	mu    sync.Mutex // guards wait and timer
+	wait  acks.Wait
+	timer *time.Timer // nil after stop
+
 	connected atomic.Bool // the attempt has a connection
 	expired   atomic.Bool
 	acked     atomic.Bool
@@ -140,15 +184,52 @@
 
 // start starts the wait for the acknowledgement.
 func (a *ackWatch) start() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.startedAt = time.Now()
-	a.timer = time.AfterFunc(a.times.timeout(), func() {
-		a.expired.Store(true)
-		a.onTimeout()
-	})
+	timeout := a.times.timeout()
+	a.wait = acks.NewWait(a.startedAt.Add(timeout))
+	a.timer = time.AfterFunc(timeout, a.check)
+}
+
+// check ends the wait if the acknowledgement is overdue.
+func (a *ackWatch) check() {
+	if a.overdue(time.Now()) {
+		a.expire(silence{})
+	}
+}
+
+// overdue reports whether the acknowledgement is overdue. If not, it is checked again.
+func (a *ackWatch) overdue(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.timer == nil {
+		return false
+	}
+	overdue, next := a.wait.Check(now)
+	if !overdue {
+		a.timer.Reset(next.Sub(now))
+	}
+	return overdue
+}
+
+// expire is called if the node has not acknowledged the attempt in time, and if its link
+// has fallen silent. What the first signal could not start, for want of a retry budget,
+// the second may.
+func (a *ackWatch) expire(s silence) {
+	a.expired.Store(true)
+	a.onSilent(s)
 }
 
 // stop ends the wait.
-func (a *ackWatch) stop() { a.timer.Stop() }
+func (a *ackWatch) stop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.timer != nil {
+		a.timer.Stop()
+		a.timer = nil
+	}
+}
 
 // silent reports whether the acknowledgement did not come in time and has not come
 // since.
