--- a/core/event/event.go
+++ b/core/event/event.go
@@ -5,6 +5,8 @@
 // it has dropped, so that a reader can tell whether few events happened or older
 // ones are missing.
 //
+// A Pacer bounds the rate of events that an outside system causes.
+//
 // # Usage
 //
 //	j := event.NewJournal(event.Config{Node: "hafnar-1", Capacity: 4096})
@@ -37,7 +39,9 @@
 	StoreRepaired      Kind = "store_repaired" // a version that the store had lost was written back
 	StoreLost          Kind = "store_lost"     // the store can't be reached
 	StoreBack          Kind = "store_back"
-	ReaderStarted      Kind = "reader_started" // the node watches the store for new versions
+	StoreEraChanged    Kind = "store_era_changed" // the store has restarted from an older copy
+	StoreEraIgnored    Kind = "store_era_ignored" // an answer of the store named no era, or one that is not credible
+	ReaderStarted      Kind = "reader_started"    // the node watches the store for new versions
 	ReaderStopped      Kind = "reader_stopped"
 	PeerJoined         Kind = "peer_joined"
 	PeerSuspected      Kind = "peer_suspected"
@@ -57,11 +61,16 @@
 	HeartbeatMalformed Kind = "heartbeat_malformed"
 	UpstreamFailing    Kind = "upstream_failing"
 	UpstreamBack       Kind = "upstream_back"
+	UpstreamEnded      Kind = "upstream_ended"   // the own backend server ended while calls were running there
 	UpstreamEjected    Kind = "upstream_ejected" // this node sends it no calls for a while
 	RequestRefused     Kind = "request_refused"  // by the gatekeeper, it has not run
 	RequestRejected    Kind = "request_rejected" // by the ingress, before it was routed
+	RequestHeld        Kind = "request_held"     // backend servers end when they run it, so that it is refused everywhere
+	RequestReleased    Kind = "request_released" // it is no longer refused everywhere
 	RequestMoved       Kind = "request_moved"    // sent again, or not to a local upstream
 	RequestUnknown     Kind = "request_unknown"  // it may have run
+	AnswerMissing      Kind = "answer_missing"   // the connection to the node that a call was sent to ended before its answer
+	LinkSilent         Kind = "link_silent"      // nothing is received from a node that calls are in flight to
 	RequestFenced      Kind = "request_fenced"   // an attempt that had not started may no longer start
 	RequestReplayed    Kind = "request_replayed" // it got the answer recorded for its key
 	StandingLost       Kind = "standing_lost"    // the node has lost the quorum
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -25,7 +25,7 @@
 
 const (
 	slots        = 12
-	startTimeout = 20 * time.Second
+	startTimeout = 60 * time.Second
 	// keyWarmup is longer than the time after a common start of all nodes in which
 	// calls with an idempotency key end as unknown.
 	keyWarmup = 6 * time.Second
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -13,7 +13,7 @@
 	"tanagerchute/core/remote"
 	"tanagerchute/core/vers"
 	"tanagerchute/io/peer"
-	"tanagerchute/io/timer"
+	"tanagerchute/io/wire"
 )
 
 // Intervals and timeouts.
@@ -34,6 +34,7 @@
 // Config configures a Fleet.
 type Config struct {
 	Self        member.Record
+	Groups      []string // all data centres or regions of the deployment
 	QuorumAddrs []string // addresses in the data centre that always count toward the quorum
 	Client      *peer.Client
 	Journal     *event.Journal
@@ -57,7 +58,6 @@
 	stopped     chan struct{} // closed when Run no longer reads inbox
 	sendSlots   chan struct{} // limits the broadcast messages in flight
 	wg          sync.WaitGroup
-	inFlight    atomic.Int64 // goroutines started by spawn that have not ended
 
 	// The following fields are accessed only by the goroutine of Run.
 	table        *member.Table
@@ -65,6 +65,8 @@
 	viewOutdated bool
 	viewAt       time.Time // when view was last replaced
 
+	crashes *Crashes
+
 	homesMu sync.Mutex // guards homes
 	homes   *homes.Tracker
 }
@@ -87,6 +89,7 @@
 	mc.QuorumAddrs = cfg.QuorumAddrs
 	mc.NotifyChange = f.onMemberChange
 	f.table = member.NewTable(mc)
+	f.crashes = newCrashes(f, cfg.Groups)
 	f.view.Store(newView(f.table, f.remotes))
 	return f
 }
@@ -139,6 +142,8 @@
 			fn(time.Now())
 		case now := <-t.C:
 			f.tick(ctx, now)
+		case <-f.crashes.changed:
+			f.crashes.send(ctx)
 		}
 		f.publishView(time.Now())
 	}
@@ -147,6 +152,7 @@
 func (f *Fleet) tick(ctx context.Context, now time.Time) {
 	f.perform(ctx, f.table.Tick(now))
 	f.updateQuorum(now)
+	f.crashes.tick(now)
 }
 
 // updateQuorum copies the time until which the node has a quorum for HasQuorum,
@@ -296,18 +302,26 @@
 	f.do(ctx, func(now time.Time) { f.perform(ctx, f.table.Leave(now)) })
 }
 
-// Stop announces to all members that this node has stopped, and waits until the
-// messages have been sent or ctx ends.
+// Stop announces to all members that this node has stopped, and waits until half of its
+// neighbours have confirmed it, or ctx ends. They flood it to the others. It does not
+// wait for those that are busy.
 func (f *Fleet) Stop(ctx context.Context) {
-	f.do(ctx, func(now time.Time) { f.perform(ctx, f.table.Stop(now)) })
-	f.awaitSends(ctx)
-}
-
-// sendCheckInterval is how often awaitSends checks for messages in flight.
-const sendCheckInterval = 5 * time.Millisecond
-
-// awaitSends waits until no message is in flight or ctx ends.
-func (f *Fleet) awaitSends(ctx context.Context) {
-	for f.inFlight.Load() > 0 && timer.Sleep(ctx, sendCheckInterval) {
+	var messages []member.Action
+	f.do(ctx, func(now time.Time) { messages = f.table.Stop(now) })
+	targets := 0
+	for _, m := range messages {
+		targets += len(m.Targets)
+	}
+	confirmed := make(chan struct{}, targets)
+	for _, m := range messages {
+		req := &wire.GossipRequest{From: f.cfg.Self.ID, Members: peer.ToMembers(m.Records)}
+		f.broadcast(ctx, m.Targets, req, func() { confirmed <- struct{}{} })
+	}
+	for range (targets + 1) / 2 {
+		select {
+		case <-confirmed:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -85,6 +85,9 @@
 		r := call.Refuse(call.NotRun, call.CauseMoved, 0)
 		return admission, nil, &r
 	}
+	if r := g.refuseHeld(c); r != nil {
+		return admission, nil, r
+	}
 	if g.backend.Address == "" {
 		r := call.Refuse(call.NotRun, call.CauseUpstreamFailing, time.Second)
 		return admission, nil, &r
@@ -153,9 +156,6 @@
 		a = <-ch
 	}
 	if a.started {
-		g.mu.Lock()
-		g.inFlight++
-		g.mu.Unlock()
 		return nil
 	}
 	r := refusalReply(a.refusal)
@@ -181,11 +181,15 @@
 	g.mu.Lock()
 	server := g.backend
 	g.callTracker.Start(c.Trace, c.Depth, c.Deadline)
-	g.mu.Unlock()
 	began := time.Now()
+	g.watch.Start(began, c.Attempt, workOf(c))
+	g.mu.Unlock()
 	var r call.Reply
 	if ctx.Err() != nil {
 		r = call.Refuse(call.NotRun, call.CauseDeadline, 0)
+	} else if held := g.refuseUnlessTrial(c); held != nil {
+		r = *held
+		g.recordRefusal(c, r)
 	} else {
 		var s *tanagerchute.ServerStatement
 		r, s = g.client.do(ctx, server, c, func() bool { return g.allowResend(admission, c) })
@@ -227,6 +231,7 @@
 	now := time.Now()
 	g.inFlight--
 	nestedCalls := g.callTracker.End(now, c.Trace, c.Depth)
+	g.watchCallEnd(now, c, r)
 	r.NestedFailure = nestedCalls.Failed && r.Fate == call.Answered && r.Status >= 500
 	result, countsForHealth := classify(r)
 	if g.cfg.NestedCallsUntraced && r.Fate == call.Answered {
@@ -248,6 +253,7 @@
 		g.recordRefusedDial(now, fmt.Errorf("call %s", c.ID))
 		return
 	case call.CauseMoved:
+		g.watchReplacement(now, "another server answers at its address")
 		g.markLeaving(g.backend.logName(), "another server answers at its address")
 		return
 	}
@@ -279,7 +285,7 @@
 		return admit.Failed, false
 	case r.Cause == call.CauseDeadline:
 		return admit.TimedOut, true
-	case r.Cause == call.CauseCanceled:
+	case r.Cause == call.CauseCanceled, r.Cause == call.CauseCrashesServers:
 		return admit.Failed, false
 	}
 	return admit.Failed, true
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -52,8 +52,9 @@
 	// backend server, nil for native.Dialect.
 	Dialect tanagerchute.Dialect
 	Log     *zap.Logger
-	Dial    link.Dial            // nil for link.Direct
-	LogSink tanagerchute.LogSink // receives the lines of Log, nil for a sink that is never congested
+	// WrapDial is put around the opening of connections to other nodes, nil for none.
+	WrapDial func(link.Dial) link.Dial
+	LogSink  tanagerchute.LogSink // receives the lines of Log, nil for a sink that is never congested
 	// OnCall is called at the end of each call from a caller, if set.
 	OnCall func(proxy.CallResult)
 	// OnEvent is called with each journal event, if set.
@@ -74,7 +75,9 @@
 	gate             *gate.Gate
 	proxy            *proxy.Proxy
 	relay            *relay.Relay
-	seeds            *seeds.Registry
+	seeds            *seeds.Registry // nil without a store
+	claims           *ledger.Claims  // nil without a store
+	eras             *storeEras
 	byteMeters       byteMeters
 	vars             *expvar.Map
 	attached         []attachedHandler
@@ -114,9 +117,9 @@
 func New(cfg Config) (*Node, error) {
 	s := cfg.Settings
 	now := time.Now()
-	n := &Node{cfg: cfg, id: s.Name + "." + idSuffix(now), metrics: metric.New(), drainRequested: make(chan struct{}), killed: make(chan struct{})}
-	if cfg.Dial == nil {
-		n.cfg.Dial = link.Direct
+	n := &Node{cfg: cfg, id: s.Name + "." + idSuffix(now), metrics: metric.New(), eras: newStoreEras(), drainRequested: make(chan struct{}), killed: make(chan struct{})}
+	if cfg.WrapDial == nil {
+		n.cfg.WrapDial = func(d link.Dial) link.Dial { return d }
 	}
 	if cfg.Dialect == nil {
 		n.cfg.Dialect = native.Dialect{}
@@ -195,10 +198,10 @@
 	}
 	n.client = peer.NewClient(peer.Config{
 		Deployment: n.deploymentID(),
-		Dial:       n.byteMeters.control.Dial(n.cfg.Dial, n.isRemoteAddr),
+		Dial:       n.byteMeters.control.Dial(n.cfg.WrapDial(link.Direct), n.isRemoteAddr),
 	})
 	n.fleet = fleet.New(fleet.Config{
-		Self: self, QuorumAddrs: s.Seeds[s.Group()], Client: n.client, Journal: n.journal, Rand: n.newRand("fleet"),
+		Self: self, Groups: s.Groups(), QuorumAddrs: s.Seeds[s.Group()], Client: n.client, Journal: n.journal, Rand: n.newRand("fleet"),
 		Stamp:       func() vers.Stamp { return n.feed.Stamp() },
 		OnPeerStamp: func(addr string, s vers.Stamp) { n.feed.ObserveStamp(addr, s) },
 	})
@@ -207,6 +210,7 @@
 		Node: n.id, Journal: n.journal, MaxAnswerBytes: s.Limits.AnswerBytes, MaxConns: n.maxConns,
 		SpendRetry: func() bool { return n.proxy.SpendRetry(s.Service) },
 		Service:    s.Service, Dialect: n.cfg.Dialect, NoProbe: s.TrustHeartbeats, NestedCallsUntraced: s.LocalCallers,
+		Crashes:          n.fleet.Crashes(),
 		OnUpstreamChange: func(u member.Upstream) { n.fleet.SetUpstream(context.Background(), u) },
 	})
 	n.relay = relay.New(relay.Config{
@@ -216,8 +220,8 @@
 	n.proxy = proxy.New(proxy.Config{
 		Node: n.id, DataCentre: s.Group(), DataCentres: s.Groups(), Deployment: n.deploymentID(), Dialect: n.cfg.Dialect,
 		Fleet: n.fleet, Feed: n.feed, Gate: n.gate, Client: n.client, Journal: n.journal,
-		Dial:   n.byteMeters.calls.Dial(n.cfg.Dial, n.isRemoteAddr),
-		Tracer: n.tracer.Tracer(), Claims: n.newClaims(), Rand: n.newRand("proxy"),
+		WrapDial: func(d link.Dial) link.Dial { return n.byteMeters.calls.Dial(n.cfg.WrapDial(d), n.isRemoteAddr) },
+		Tracer:   n.tracer.Tracer(), Claims: n.proxyClaims(), Rand: n.newRand("proxy"),
 		MaxBodyBytes: s.Limits.RequestBytes, MaxAnswerBytes: s.Limits.AnswerBytes,
 		NestedCallsUntraced: s.LocalCallers, KeysUnused: s.KeysUnused, Retry: retryLimits(s),
 		Hedge: s.Hedge != nil && *s.Hedge, Policy: n.cfg.Policy, OnCall: n.recordCall, OnAttempt: n.recordAttempt,
@@ -245,13 +249,15 @@
 		trackerConfig = vers.DocumentConfig(s.Deployment)
 	}
 	if n.cfg.Store != nil {
+		n.cfg.Store.OnEraVerdict(n.observeEra)
 		ledgerConfig := ledger.Config{Store: n.cfg.Store, Deployment: s.Deployment}
 		if source == nil {
 			source = ledger.New(ledgerConfig)
 		}
+		n.claims = ledger.NewClaims(ledgerConfig)
 		n.seeds = seeds.New(seeds.Config{
-			Store: n.cfg.Store, Deployment: s.Deployment, Fleet: n.fleet, Claims: ledger.NewClaims(ledgerConfig),
-			OnSeeds: n.setSeeds,
+			Store: n.cfg.Store, Deployment: s.Deployment, Fleet: n.fleet, Claims: n.claims,
+			OnSeeds: n.setSeeds, Watching: func() bool { return n.feed.IsReader() && !n.feed.StoreLost() },
 		})
 	}
 	n.feed = feed.New(feed.Config{
@@ -260,13 +266,13 @@
 	})
 }
 
-// newClaims returns the claims for opaque idempotency keys, or a nil interface
+// proxyClaims returns the claims for opaque idempotency keys, or a nil interface
 // if there is no store.
-func (n *Node) newClaims() proxy.Claims {
-	if n.cfg.Store == nil {
+func (n *Node) proxyClaims() proxy.Claims {
+	if n.claims == nil {
 		return nil
 	}
-	return ledger.NewClaims(ledger.Config{Store: n.cfg.Store, Deployment: n.cfg.Settings.Deployment})
+	return n.claims
 }
 
 // setSeeds passes the seed addresses by data centre, as read from the store, to
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -18,8 +18,12 @@
 // dispatch sends a call to an upstream and, where that is safe, resends it to
 // others. If local is set, it does not use the entry nodes of other data centres.
 func (p *Proxy) dispatch(ctx context.Context, c call.Call, local bool) (call.Reply, AttemptSummary) {
+	judgement := p.cfg.Fleet.Crashes().Judge(c.Work, c.Service)
+	if judgement.Held {
+		return p.refuseHeld(c, judgement), AttemptSummary{}
+	}
 	p.budgets.forService(c.Service).Earn()
-	d := &dispatchState{p: p, call: c, local: local}
+	d := &dispatchState{p: p, call: c, local: local, trialNode: judgement.TrialNode}
 	d.tracker = resend.New(resend.Config{Idempotent: c.Idempotent(), MaxUpstreams: d.maxUpstreams(), Deadline: c.Deadline, Spend: d.spendRetryBudget})
 	r := d.run(ctx)
 	d.summary.Attempts, d.summary.Arrived = d.tracker.Attempts()
@@ -31,6 +35,8 @@
 	p          *Proxy
 	call       call.Call
 	local      bool     // use no entry nodes of other data centres
+	trialNode  string   // id of the only node that may run it, empty if any may
+	broken     int      // attempts that got no complete answer of the backend server
 	tried      []string // ids of the candidates that it was sent to
 	tracker    *resend.Tracker
 	summary    AttemptSummary
@@ -63,6 +69,9 @@
 			d.p.recordEvent(event.RequestMoved, d.call, "to "+c.target.Addr+": "+string(c.cause))
 		}
 		r := d.attempt(ctx, c.target)
+		if r.Replied && r.Cause == call.CauseBrokenAnswer {
+			d.broken++
+		}
 		if !d.tracker.Next(time.Now(), r) || ctx.Err() != nil || d.p.cfg.Policy == RoundRobin && !r.ResendIsFree() {
 			return d.tracker.Final()
 		}
@@ -92,6 +101,9 @@
 	case RetryAlways:
 		return true
 	}
+	if d.mayCrashServers() {
+		return false
+	}
 	c, ok := d.pickUpstream()
 	if !ok || d.p.avoidResend(c.target.ID) || !d.p.SpendRetry(d.call.Service) {
 		return false
@@ -125,6 +137,10 @@
 	}
 	criteria := pick.Criteria{Exclude: d.tried, LargeResponse: d.call.LargeResponse, Target: d.call.Target}
 	cs := d.p.candidates.get(d.p.cfg.Fleet.View(), d.call.Service)
+	if d.trialNode != "" {
+		target, cause, ok := d.p.chooseCandidate(onlyNode(cs.all(d.local), d.trialNode), criteria)
+		return choice{target, cause}, ok
+	}
 	target, cause, ok := d.p.chooseCandidate(cs.used(d.local), criteria)
 	if cs.isSubset && (!ok || cause == pick.CausePanic) {
 		target, cause, ok = d.p.chooseCandidate(cs.all(d.local), criteria)
@@ -152,14 +168,14 @@
 	d.tried = append(d.tried, target.ID)
 	d.summary.SentTo = target.ID
 	if !d.call.Idempotent() {
-		return d.p.tryCandidate(ctx, target, d.call, func() {})
+		return d.p.tryCandidate(ctx, target, d.call, func(silence) {})
 	}
 	return d.attemptHedged(ctx, target)
 }
 
 // tryCandidate makes one attempt at one candidate. It calls onSilent if the
-// candidate does not acknowledge the call in time.
-func (p *Proxy) tryCandidate(ctx context.Context, target pick.Candidate, c call.Call, onSilent func()) call.Reply {
+// candidate is silent, see send.
+func (p *Proxy) tryCandidate(ctx context.Context, target pick.Candidate, c call.Call, onSilent func(silence)) call.Reply {
 	id, _ := newID()
 	mode := call.Upstream
 	if target.Entry {
@@ -170,9 +186,9 @@
 	c.Version = p.configVersion()
 	p.recordSent(target.ID)
 	start := time.Now()
-	r := p.sendTo(ctx, target, c, func() {
-		p.recordSilent(c, target)
-		onSilent()
+	r := p.sendTo(ctx, target, c, func(s silence) {
+		p.recordSilent(c, target, s)
+		onSilent(s)
 	})
 	p.recordOutcome(c, target, r, time.Since(start))
 	if r.Replied && !target.Entry {
@@ -185,19 +201,19 @@
 }
 
 // sendTo sends an attempt to its target, which may be this node.
-func (p *Proxy) sendTo(ctx context.Context, target pick.Candidate, c call.Call, onSilent func()) call.Reply {
+func (p *Proxy) sendTo(ctx context.Context, target pick.Candidate, c call.Call, onSilent func(silence)) call.Reply {
 	switch {
 	case target.ID == p.cfg.Node:
-		return p.serveOwn(ctx, c)
+		return p.serveLocally(ctx, c)
 	case c.AtMostOnce:
 		return p.sendAtMostOnce(ctx, target, c, onSilent)
 	}
 	return p.send(ctx, target.Addr, c, onSilent)
 }
 
-// serveOwn sends an attempt to the own backend server. An at-most-once call goes on
-// there when its caller has left, but not its caller when a planned stop ends.
-func (p *Proxy) serveOwn(ctx context.Context, c call.Call) call.Reply {
+// serveLocally sends an attempt to the own backend server. An at-most-once call goes
+// on there when its caller has left, but not its caller when a planned stop ends.
+func (p *Proxy) serveLocally(ctx context.Context, c call.Call) call.Reply {
 	if !c.AtMostOnce {
 		return p.cfg.Gate.Serve(ctx, c)
 	}
@@ -218,17 +234,23 @@
 	p.picker.Sent(time.Now(), id)
 }
 
-// recordSilent tells the picker that a candidate has not acknowledged a call in
-// time.
-func (p *Proxy) recordSilent(c call.Call, target pick.Candidate) {
-	p.mu.Lock()
-	ejected := p.picker.Silent(time.Now(), target.ID)
-	p.mu.Unlock()
-	if ejected {
+// recordSilent tells the picker that a candidate is silent.
+func (p *Proxy) recordSilent(c call.Call, target pick.Candidate, s silence) {
+	if p.recordSilence(target.ID, s) {
 		p.recordEjection(c, target, call.CauseSilent)
 	}
 }
 
+// recordSilence implements recordSilent. It reports whether the candidate is ejected.
+func (p *Proxy) recordSilence(id string, s silence) (ejected bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s.heardAt.IsZero() {
+		return p.picker.Silent(time.Now(), id)
+	}
+	return p.picker.LinkSilent(time.Now(), id, s.heardAt)
+}
+
 // recordOutcome tells the picker how an attempt ended.
 func (p *Proxy) recordOutcome(c call.Call, target pick.Candidate, r call.Reply, took time.Duration) {
 	o := pick.Outcome{Result: p.pickResult(r), Latency: took, Load: r.Load}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"tanagerchute/io/link"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/runner"
+	"tanagerchute/io/timer"
 )
 
 // Config configures a Proxy.
@@ -32,8 +33,8 @@
 	Fleet               *fleet.Fleet
 	Feed                *feed.Feed
 	Gate                *gate.Gate
-	Client              *peer.Client // for inquiries about attempts
-	Dial                link.Dial    // for calls to other nodes
+	Client              *peer.Client              // for inquiries about attempts
+	WrapDial            func(link.Dial) link.Dial // around the opening of connections for calls to other nodes, nil for none
 	Journal             *event.Journal
 	Tracer              trace.Tracer
 	Dialect             tanagerchute.Dialect
@@ -96,9 +97,10 @@
 	homeTable  *homeTable
 	notices    *notices
 
-	stop   atomic.Pointer[Stop] // nil before a planned stop
-	ended  context.Context      // ends at Stop.End
-	endNow context.CancelFunc
+	inProgress atomic.Int64         // requests whose answers are not written yet
+	stop       atomic.Pointer[Stop] // nil before a planned stop
+	ended      context.Context      // ends at Stop.End
+	endNow     context.CancelFunc
 
 	mu              sync.Mutex // protects the fields below and Config.Rand
 	picker          *pick.Picker
@@ -116,7 +118,6 @@
 	}
 	p := &Proxy{
 		cfg:        cfg,
-		clients:    newClientPool(cfg.Dial),
 		candidates: newCandidateCache(cfg.Node),
 		budgets:    newRetryBudgets(cfg.Retry, func() int { return len(cfg.Fleet.View().ActiveIDs()) }),
 		picker:     pick.New(pick.DefaultConfig(cfg.Rand)),
@@ -124,6 +125,7 @@
 		homeTable:  &homeTable{SyncTable: runner.NewSyncTable()},
 		notices:    newNotices(),
 	}
+	p.clients = newClientPool(cfg.WrapDial, p.recordLinkSilent)
 	p.ended, p.endNow = context.WithCancel(context.Background())
 	return p
 }
@@ -137,6 +139,10 @@
 
 // Stop is the course of a planned stop of the node.
 type Stop struct {
+	// LastArrival is when the last call of a caller is taken. Callers should be gone by
+	// then; one that is not is told to come back elsewhere. Calls whose deadline comes
+	// before End are not concerned.
+	LastArrival time.Time
 	// LastStart is when the last call is started at a backend server. One that has
 	// not started by then ends as not run, so that none is given up while a backend
 	// server works on it. Calls whose deadline comes before End are not concerned.
@@ -150,6 +156,22 @@
 	time.AfterFunc(time.Until(s.End), p.endNow)
 }
 
+// idleCheckInterval is how often WaitIdle checks for requests in progress.
+const idleCheckInterval = 5 * time.Millisecond
+
+// WaitIdle waits until no request of a caller or of another node is in progress, or ctx
+// ends. Those of other nodes include the calls that this node passes on for them.
+func (p *Proxy) WaitIdle(ctx context.Context) {
+	for p.inProgress.Load() > 0 && timer.Sleep(ctx, idleCheckInterval) {
+	}
+}
+
+// arrivesTooLate reports whether c arrives when a planned stop takes no more calls.
+func (p *Proxy) arrivesTooLate(c call.Call, arrivedAt time.Time) bool {
+	s := p.stop.Load()
+	return s != nil && c.Deadline.After(s.End) && arrivedAt.After(s.LastArrival)
+}
+
 // latestStart returns when c may be started at the latest, zero if there is no bound.
 func (p *Proxy) latestStart(c call.Call) time.Time {
 	s := p.stop.Load()
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -29,6 +29,20 @@
 	// LedgerOut, if it is set, gets each entry of the ledger as a line of JSON when
 	// the call begins, and again when its work is completed or canceled.
 	LedgerOut io.Writer
+	// OnCrash ends the server. It is called when a call begins to run that Faults.Crash
+	// describes.
+	OnCrash func()
+}
+
+// CrashingCall describes the calls that end a server when it begins to run them.
+type CrashingCall struct {
+	Path string `json:"path"` // without the query, empty for none
+	Body string `json:"body"`
+}
+
+// matches reports whether r with the given body is such a call.
+func (c CrashingCall) matches(r *http.Request, body []byte) bool {
+	return c.Path != "" && c.Path == r.URL.Path && c.Body == string(body)
 }
 
 // Faults selects the faults to inject. They can be changed while a Server runs.
@@ -56,6 +70,8 @@
 	// Leave makes it tell its node that it leaves, and announce itself no more. It
 	// still runs the calls that it gets.
 	Leave bool `json:"leave"`
+	// Crash makes it end when it begins to run such a call.
+	Crash CrashingCall `json:"crash"`
 }
 
 // Entry records one execution of a call.
@@ -202,7 +218,12 @@
 	if f.RateLimit != "" {
 		w.Header().Set(native.HeaderRateLimit, f.RateLimit)
 	}
-	if _, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes)); err != nil || f.DropBefore {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil || f.DropBefore {
+		panic(http.ErrAbortHandler)
+	}
+	if f.Crash.matches(r, body) && s.cfg.OnCrash != nil {
+		s.cfg.OnCrash()
 		panic(http.ErrAbortHandler)
 	}
 	switch {
