--- a/core/call/call.go
+++ b/core/call/call.go
@@ -46,6 +46,7 @@
 	AtMostOnce       bool
 	MarkedIdempotent bool      // the route allows more than one run, whatever the method
 	LargeResponse    bool      // the answer is expected to be large
+	Account          string    // client account whose key the caller sent, empty if none
 	MaxUpstreams     int       // number of upstreams that may receive the call, 0 for the default
 	Target           time.Time // time by which it should be answered, zero if only the deadline counts
 	Deadline         time.Time
--- a/core/drift/settings.go
+++ b/core/drift/settings.go
@@ -10,7 +10,7 @@
 
 // instanceKeys are the keys, or prefixes of keys up to a dot, of the settings that
 // differ from instance to instance.
-var instanceKeys = []string{"name", "data_centre", "region", "service", "listen", "backend", "first_start"}
+var instanceKeys = []string{"name", "data_centre", "region", "service", "listen", "backend", "first_start", "link"}
 
 // digestBytes is the number of bytes of a digest, which is written in hexadecimal.
 const digestBytes = 6
--- a/core/routes/table.go
+++ b/core/routes/table.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"tanagerchute/core/acct"
 )
 
 // Priority ranks requests for admission under overload. A lower value is more
@@ -50,6 +52,8 @@
 	// MaxUpstreams is the number of upstreams that may receive a request, 0 for
 	// the default.
 	MaxUpstreams int
+	// Anonymous marks requests that need no key, in a configuration with accounts.
+	Anonymous bool
 }
 
 // Pick returns the service of the destination that a random number selects.
@@ -106,6 +110,7 @@
 	hosts         map[string]map[string][]Rule // by host and prefix
 	services      map[string]Service
 	limits        Limits
+	accounts      *acct.Directory // nil if there are none
 	allowAllCalls bool
 	numRules      int
 }
@@ -163,6 +168,9 @@
 // Limits returns the limits for callers' requests.
 func (t *Table) Limits() Limits { return t.limits }
 
+// Accounts returns the client accounts, or nil if the configuration has none.
+func (t *Table) Accounts() *acct.Directory { return t.accounts }
+
 // Len returns the number of rules.
 func (t *Table) Len() int { return t.numRules }
 
@@ -182,6 +190,9 @@
 // SetLimits sets the limits for callers' requests.
 func (b *Builder) SetLimits(l Limits) { b.t.limits = l }
 
+// SetAccounts sets the client accounts.
+func (b *Builder) SetAccounts(d *acct.Directory) { b.t.accounts = d }
+
 // AddService adds a service.
 func (b *Builder) AddService(s Service) { b.t.services[s.Name] = s }
 
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -59,6 +59,48 @@
 	// TrustHeartbeats means that the heartbeats of an idle backend server are
 	// sufficient, so that the node does not probe it.
 	TrustHeartbeats bool `json:"trust_heartbeats,omitempty"`
+	// PipelineDepth is the number of requests on one connection of a caller that may
+	// run at once, 0 or 1 to run them one after the other.
+	PipelineDepth int     `json:"pipeline_depth,omitempty"`
+	Link          Link    `json:"link,omitempty"`
+	Keys          Keys    `json:"keys,omitempty"`
+	Quota         Quota   `json:"quota,omitempty"`
+	Rollout       Rollout `json:"rollout,omitempty"`
+}
+
+// Link describes the network link of the instance.
+type Link struct {
+	// MbitPerSecond is what it carries in each direction, 0 if it does not bound the
+	// node.
+	MbitPerSecond float64 `json:"mbit_per_s,omitempty"`
+}
+
+// Keys holds the settings of the keys of client accounts.
+type Keys struct {
+	// RevokeWithin bounds how long a withdrawn key may still be served, also by a node
+	// without contact to the store. Zero means that a node without contact goes on with
+	// the keys that it knows.
+	RevokeWithin jsonc.Duration `json:"revoke_within,omitempty"`
+}
+
+// Quota holds how far all nodes together may exceed the quota of a client account.
+type Quota struct {
+	Window    jsonc.Duration `json:"window,omitempty"`    // span of time in which requests are counted, 0 for no quotas
+	Overshoot float64        `json:"overshoot,omitempty"` // share of the quota that may be exceeded in a window
+	Slack     float64        `json:"slack,omitempty"`     // requests in a window beyond that
+}
+
+// Rollout holds the bounds on the traffic of a server version that is being rolled
+// out.
+type Rollout struct {
+	// CanaryShare is the share of the requests of a service that a version may get until
+	// it is known to be good, and CanarySlack the number of requests beyond that.
+	// Without a share, no roll-out is performed.
+	CanaryShare float64 `json:"canary_share,omitempty"`
+	CanarySlack float64 `json:"canary_slack,omitempty"`
+	// RollbackWithin bounds the time from the evidence that a version is bad to its last
+	// request.
+	RollbackWithin jsonc.Duration `json:"rollback_within,omitempty"`
 }
 
 // Listen holds the addresses on which a node listens, each an IP address with a
@@ -289,6 +331,28 @@
 	if n.Drain.Timeout < 0 || n.Drain.Linger < 0 {
 		c.Add("drain", "must not be negative")
 	}
+	c.checkLoad(n)
+}
+
+// checkLoad checks the settings of the load that a node takes.
+func (c *validator) checkLoad(n Node) {
+	if n.PipelineDepth < 0 {
+		c.Add("pipeline_depth", "must not be negative")
+	}
+	if n.Link.MbitPerSecond < 0 {
+		c.Add("link.mbit_per_s", "must not be negative")
+	}
+	if n.Keys.RevokeWithin < 0 {
+		c.Add("keys.revoke_within", "must not be negative")
+	}
+	if n.Quota.Window < 0 || n.Quota.Overshoot < 0 || n.Quota.Slack < 0 {
+		c.Add("quota", "must not be negative")
+	}
+	if r := n.Rollout; r.CanaryShare < 0 || r.CanaryShare > 1 {
+		c.Add("rollout.canary_share", "must be between 0 and 1")
+	} else if r.CanarySlack < 0 || r.RollbackWithin < 0 {
+		c.Add("rollout", "must not be negative")
+	}
 }
 
 func (c *validator) checkDataCentres(n Node) {
