Client accounts: keys are checked at the ingress and never passed on

Cause: the configuration can name client accounts with keys, and nodes passed every key through to the backend server and served requests under keys that no configuration holds. Change: core/acct compiles the accounts of successive versions; the ingress finds the account of a request by the digest of its key and answers 401 otherwise (event request_unauthorized); the account travels as CallMeta.account, its priority replaces that of the route, and the gatekeeper names it to the backend server. Findings about a document are now reported all at once. Without accounts, headers pass as before. Each account has idempotency keys of its own.

--- a/core/acct/acct.go
+++ b/core/acct/acct.go
@@ -2,7 +2,9 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 	"math"
+	"strings"
 
 	"github.com/go-faster/errors"
 )
@@ -13,6 +15,21 @@
 // DigestOf returns the digest of a key.
 func DigestOf(key string) Digest { return sha256.Sum256([]byte(key)) }
 
+// ParseDigest parses a digest in hex. The error does not repeat the text, which may
+// be a key that is in the wrong place.
+func ParseDigest(text string) (Digest, error) {
+	var d Digest
+	b, err := hex.DecodeString(text)
+	if err != nil || len(b) != len(d) {
+		return d, errors.Errorf("is not a SHA-256 digest of %d hex digits", 2*len(d))
+	}
+	copy(d[:], b)
+	return d, nil
+}
+
+// maxRate bounds the rate and the burst of a quota.
+const maxRate = 1e9
+
 // Quota bounds the requests of an account that all nodes together serve. The zero
 // Quota is no bound.
 type Quota struct {
@@ -26,16 +43,19 @@
 // Validate returns an error if q is not a possible quota.
 func (q Quota) Validate() error {
 	switch {
-	case !(q.Rate >= 0) || math.IsInf(q.Rate, 0):
-		return errors.Errorf("rate %v is not a finite number of at least 0", q.Rate)
-	case !(q.Burst >= 0) || math.IsInf(q.Burst, 0):
-		return errors.Errorf("burst %v is not a finite number of at least 0", q.Burst)
+	case !validRate(q.Rate):
+		return errors.Errorf("rate %v is not between 0 and %v", q.Rate, maxRate)
+	case !validRate(q.Burst):
+		return errors.Errorf("burst %v is not between 0 and %v", q.Burst, maxRate)
 	case q.Burst > 0 && q.Rate == 0:
 		return errors.Errorf("burst %v has no rate", q.Burst)
 	}
 	return nil
 }
 
+// validRate reports whether r is between 0 and maxRate. It is false for NaN.
+func validRate(r float64) bool { return r >= 0 && r <= maxRate && !math.IsNaN(r) }
+
 // Account is a client account. It is immutable.
 type Account struct {
 	Name string
@@ -46,62 +66,61 @@
 	Quota       Quota
 }
 
-// Directory is the set of the accounts of one configuration version. It is
-// immutable.
-type Directory struct {
-	byName   map[string]*Account
-	byDigest map[Digest]*Account
-}
+// maxNameBytes bounds the name of an account.
+const maxNameBytes = 256
 
-// Find returns the account that holds the key with the given digest. The time that it
-// takes does not depend on the key, since only digests are compared.
-func (d *Directory) Find(key Digest) (*Account, bool) {
-	a, ok := d.byDigest[key]
-	return a, ok
+// validateName returns an error if name can't be sent in a header.
+func validateName(name string) error {
+	if name == "" {
+		return errors.New("is empty")
+	}
+	if len(name) > maxNameBytes {
+		return errors.Errorf("has more than %d bytes", maxNameBytes)
+	}
+	if name != strings.TrimSpace(name) || strings.ContainsFunc(name, isControl) {
+		return errors.Errorf("%q begins or ends with a space, or has a control character", name)
+	}
+	return nil
 }
 
-// Account returns the account with the given name.
-func (d *Directory) Account(name string) (*Account, bool) {
-	a, ok := d.byName[name]
-	return a, ok
+func isControl(r rune) bool { return r < ' ' || r == 0x7f }
+
+// MaxKeyBytes bounds the length of a key.
+const MaxKeyBytes = 4096
+
+// Credential is what a request says about its account. It holds no key.
+type Credential struct {
+	State CredentialState
+	Key   Digest // of the key, if State is Presented
 }
 
-// Len returns the number of accounts.
-func (d *Directory) Len() int { return len(d.byName) }
+// CredentialState says whether a request carries a key.
+type CredentialState int
 
-// Builder builds a Directory.
-type Builder struct{ d *Directory }
+// States of a credential.
+const (
+	Absent    CredentialState = iota // the request carries no credential
+	Malformed                        // more than one credential, or one that is not a key
+	Presented                        // one key, which may be unknown
+)
 
-// NewBuilder returns an empty builder.
-func NewBuilder() *Builder {
-	return &Builder{&Directory{byName: map[string]*Account{}, byDigest: map[Digest]*Account{}}}
+// NewCredential returns the credential of a request that carries key.
+func NewCredential(key string) Credential {
+	if key == "" || len(key) > MaxKeyBytes {
+		return Credential{State: Malformed}
+	}
+	return Credential{State: Presented, Key: DigestOf(key)}
 }
 
-// Add adds an account with its keys. It returns an error, which holds no key, if the
-// account is not valid, or if another one has the same name or one of the keys.
-func (b *Builder) Add(a Account, keys []string) error {
-	if a.Name == "" {
-		return errors.New("account has no name")
+// ParseCredential returns the credential in the values of an Authorization header
+// whose scheme has the given name, such as Bearer.
+func ParseCredential(scheme string, values []string) Credential {
+	if len(values) == 0 {
+		return Credential{}
 	}
-	if _, ok := b.d.byName[a.Name]; ok {
-		return errors.Errorf("account %q is defined twice", a.Name)
+	name, key, ok := strings.Cut(values[0], " ")
+	if len(values) > 1 || !ok || !strings.EqualFold(name, scheme) {
+		return Credential{State: Malformed}
 	}
-	if err := a.Quota.Validate(); err != nil {
-		return errors.Wrapf(err, "account %q", a.Name)
-	}
-	b.d.byName[a.Name] = &a
-	for i, k := range keys {
-		if k == "" {
-			return errors.Errorf("key %d of account %q is empty", i+1, a.Name)
-		}
-		digest := DigestOf(k)
-		if other, ok := b.d.byDigest[digest]; ok && other.Name != a.Name {
-			return errors.Errorf("key %d of account %q is also a key of account %q", i+1, a.Name, other.Name)
-		}
-		b.d.byDigest[digest] = &a
-	}
-	return nil
+	return NewCredential(strings.TrimSpace(key))
 }
-
-// Build returns the directory. The builder must not be used after that.
-func (b *Builder) Build() *Directory { return b.d }
--- /dev/null
+++ b/core/acct/compile.go
@@ -0,0 +1,177 @@
+package acct
+
+import (
+	"strconv"
+	"sync"
+)
+
+// Spec is the definition of an account in a configuration. It must not be changed.
+type Spec struct {
+	Account Account
+	Keys    []Digest
+}
+
+// Field is a part of the definition of an account.
+type Field int
+
+// Fields of a definition.
+const (
+	FieldAccount Field = iota // the definition as a whole
+	FieldName
+	FieldPriority
+	FieldRate
+	FieldBurst
+	FieldKey
+	FieldKeyDigest
+)
+
+// Problem says what is wrong with a field of a definition. It holds no key.
+type Problem struct {
+	Field Field
+	Key   int // index of the key, if Field is FieldKey or FieldKeyDigest
+	Msg   string
+}
+
+// Finding is a problem of one of the accounts of a configuration.
+type Finding struct {
+	Index int // of the account
+	Problem
+}
+
+// Source is the definition of an account as it is written in a configuration.
+type Source struct {
+	// Content is different for different definitions. It is used to recognise a
+	// definition of the version before.
+	Content string
+	// Decode returns the definition, with what is wrong with its form. The definition
+	// is nil if it can't be read.
+	Decode func() (*Spec, []Problem)
+}
+
+// Compiler builds the directories of successive configuration versions. Its zero
+// value is ready to use. It is safe for concurrent use.
+type Compiler struct {
+	mu    sync.Mutex
+	dir   *Directory       // of the version before, nil if there is none
+	specs map[string]*Spec // definitions of dir by their content
+	// decoded counts the definitions that were decoded.
+	decoded int
+}
+
+// Compile returns the directory of a configuration with the given accounts, or what
+// is wrong with them. What does not differ from the version compiled before is taken
+// from there.
+func (c *Compiler) Compile(sources []Source) (*Directory, []Finding) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	specs, order, findings := c.decode(sources)
+	if len(findings) == 0 && c.dir != nil && c.sameAs(specs) {
+		return c.dir, nil
+	}
+	e := c.base().edit()
+	for content, s := range c.specs {
+		if specs[content] != s {
+			e.remove(s)
+		}
+	}
+	for i, s := range order {
+		if s == nil || c.specs[sources[i].Content] == s {
+			continue
+		}
+		for _, p := range e.add(s) {
+			findings = append(findings, Finding{i, p})
+		}
+	}
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	c.dir, c.specs = e.d, specs
+	return e.d, nil
+}
+
+// base returns the directory of the version before, or an empty one.
+func (c *Compiler) base() *Directory {
+	if c.dir == nil {
+		return &Directory{byName: map[string]*Account{}}
+	}
+	return c.dir
+}
+
+// sameAs reports whether specs are the definitions of the version before.
+func (c *Compiler) sameAs(specs map[string]*Spec) bool {
+	if len(specs) != len(c.specs) {
+		return false
+	}
+	for content, s := range specs {
+		if c.specs[content] != s {
+			return false
+		}
+	}
+	return true
+}
+
+// decode returns the definitions of the given sources, by their content and in their
+// order. Those that are not valid are missing.
+func (c *Compiler) decode(sources []Source) (specs map[string]*Spec, order []*Spec, findings []Finding) {
+	specs = make(map[string]*Spec, len(sources))
+	order = make([]*Spec, len(sources))
+	for i, src := range sources {
+		if s, ok := specs[src.Content]; ok {
+			findings = append(findings, Finding{i, Problem{Field: FieldName, Msg: "account " + quote(s.Account.Name) + " is defined twice"}})
+			continue
+		}
+		s, ok := c.specs[src.Content]
+		if !ok {
+			c.decoded++
+			var problems []Problem
+			s, problems = src.Decode()
+			if s != nil {
+				problems = append(problems, s.validate()...)
+			}
+			for _, p := range problems {
+				findings = append(findings, Finding{i, p})
+			}
+			if len(problems) > 0 {
+				continue
+			}
+		}
+		specs[src.Content] = s
+		order[i] = s
+	}
+	return specs, order, findings
+}
+
+// validate returns what is wrong with the definition by itself.
+func (s *Spec) validate() []Problem {
+	var out []Problem
+	if err := validateName(s.Account.Name); err != nil {
+		out = append(out, Problem{Field: FieldName, Msg: err.Error()})
+	}
+	if err := s.Account.Quota.Validate(); err != nil {
+		field := FieldRate
+		if validRate(s.Account.Quota.Rate) {
+			field = FieldBurst
+		}
+		out = append(out, Problem{Field: field, Msg: err.Error()})
+	}
+	return out
+}
+
+// DigestKeys returns the digests of keys, with what is wrong with them.
+func DigestKeys(keys []string) ([]Digest, []Problem) {
+	var out []Digest
+	var problems []Problem
+	for i, k := range keys {
+		switch {
+		case k == "":
+			problems = append(problems, Problem{Field: FieldKey, Key: i, Msg: "is empty"})
+		case len(k) > MaxKeyBytes:
+			problems = append(problems, Problem{Field: FieldKey, Key: i, Msg: "has more than " + strconv.Itoa(MaxKeyBytes) + " bytes"})
+		}
+		out = append(out, DigestOf(k))
+	}
+	return out, problems
+}
+
+// quote returns a name in quotation marks.
+func quote(name string) string { return strconv.Quote(name) }
--- a/core/acct/doc.go
+++ b/core/acct/doc.go
@@ -5,10 +5,13 @@
 // one configuration version. It keeps no key, only the digest of each, so that no
 // key can reach a log, a report or an error from here.
 //
+// A Compiler builds the directories of successive versions. It decodes only the
+// accounts that a version changes and hashes only their keys, since a version can
+// hold tens of thousands of keys and most versions change none.
+//
 // # Usage
 //
-//	b := acct.NewBuilder()
-//	err := b.Add(acct.Account{Name: "hafnar-ehf", Quota: acct.Quota{Rate: 40, Burst: 40}}, keys)
-//	d := b.Build()
+//	var c acct.Compiler
+//	d, findings := c.Compile([]acct.Source{{Content: text, Decode: decode}, …})
 //	a, ok := d.Find(acct.DigestOf(key))
 package acct
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"time"
 
+	"tanagerchute/core/acct"
 	"tanagerchute/core/crash"
 	"tanagerchute/core/pick"
 	"tanagerchute/core/routes"
@@ -91,6 +92,16 @@
 	return c
 }
 
+// WithAccount returns c as a call of the client account a. The priority of the account
+// takes precedence over that of the route.
+func (c Call) WithAccount(a *acct.Account) Call {
+	c.Account = a.Name
+	if a.HasPriority {
+		c.Priority = routes.Priority(a.Priority).Clamp()
+	}
+	return c
+}
+
 // WithID returns c as a call without an idempotency key, under an id issued at the
 // given time.
 func (c Call) WithID(id string, issued time.Time) Call {
--- a/dialect.go
+++ b/dialect.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"tanagerchute/core/acct"
 	"tanagerchute/core/call"
 )
 
@@ -12,6 +13,16 @@
 	ID       string        // request id, empty if the caller gave none
 	TimeLeft time.Duration // time until the caller's deadline, 0 if it gave none
 	Depth    int           // number of calls that this one is nested in
+	// Credential identifies the client account. It does not hold the key.
+	Credential acct.Credential
+}
+
+// RequestOrigin is what a node knows about where a caller's request comes from.
+type RequestOrigin struct {
+	Service string // of the instance that it comes from, empty if it is not known
+	// Accounts reports that the configuration has client accounts, so that the key in
+	// the request is meant for the node.
+	Accounts bool
 }
 
 // ForwardInfo is what a node tells its backend server about a request.
@@ -20,6 +31,7 @@
 	TimeLeft time.Duration // time until the deadline
 	Depth    int           // depth of the calls that the backend server makes for it
 	Instance string        // id of the only backend server that may run it, empty for any
+	Account  string        // client account that it belongs to, empty if none
 }
 
 // ResponseInfo is what the headers and status of a backend server's answer say
@@ -56,9 +68,9 @@
 	// which header is malformed.
 	ParseRequest(h http.Header) (RequestInfo, error)
 	// PrepareRequest removes and sets headers of a caller's request before it
-	// is forwarded. fromService is the service of the instance that the request
-	// comes from, empty if it is not known.
-	PrepareRequest(h http.Header, fromService string)
+	// is forwarded. If the configuration has client accounts, it removes the
+	// credential, and what the caller may have set in place of the account.
+	PrepareRequest(h http.Header, from RequestOrigin)
 	// PrepareResponse removes headers of a backend server's answer that the
 	// caller must not see.
 	PrepareResponse(h http.Header)
--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -133,7 +133,7 @@
 	if left > 2*answerReserve {
 		left -= answerReserve
 	}
-	cl.dialect.SetForwardHeaders(h, tanagerchute.ForwardInfo{ID: c.ID, TimeLeft: left, Depth: c.Depth + 1, Instance: server.ID})
+	cl.dialect.SetForwardHeaders(h, tanagerchute.ForwardInfo{ID: c.ID, TimeLeft: left, Depth: c.Depth + 1, Instance: server.ID, Account: c.Account})
 	r := upconn.Request{Method: c.Method, Path: c.Path, Host: c.Host, Header: h, Body: c.Body, ID: c.ID}
 	if c.AtMostOnce {
 		r.MaxIdle = atMostOnceMaxIdle
--- a/io/native/native.go
+++ b/io/native/native.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"tanagerchute"
+	"tanagerchute/core/acct"
 	"tanagerchute/core/call"
 	"tanagerchute/core/quota"
 )
@@ -23,10 +24,21 @@
 	// HeaderRateLimit is the number of requests a second that the backend server
 	// takes from all nodes together, in each answer for as long as it applies.
 	HeaderRateLimit = "Tanager-Rate-Limit"
+	// HeaderAccount is the name of the client account to which the call belongs, for
+	// the backend server.
+	HeaderAccount = "Tanager-Account"
+	// HeaderCredential carries the key of a client account, with CredentialScheme.
+	HeaderCredential = "Authorization"
 )
 
-// causeBadRequest is the cause of a request that is rejected before dispatch.
-const causeBadRequest = "bad_request"
+// CredentialScheme is the scheme of HeaderCredential.
+const CredentialScheme = "Bearer"
+
+// Causes of requests that are rejected before dispatch.
+const (
+	causeBadRequest   = "bad_request"
+	causeUnauthorized = "unauthorized" // without the key of a client account
+)
 
 // Dialect is the tanagerchute.Dialect with the Tanager-* headers. The zero value
 // is ready to use.
@@ -36,7 +48,7 @@
 
 // ParseRequest implements tanagerchute.Dialect.
 func (Dialect) ParseRequest(h http.Header) (tanagerchute.RequestInfo, error) {
-	var info tanagerchute.RequestInfo
+	info := tanagerchute.RequestInfo{Credential: acct.ParseCredential(CredentialScheme, h.Values(HeaderCredential))}
 	if v := h.Get(HeaderTimeLeft); v != "" {
 		left, err := time.ParseDuration(v)
 		if err != nil || left <= 0 {
@@ -55,10 +67,14 @@
 }
 
 // PrepareRequest implements tanagerchute.Dialect.
-func (Dialect) PrepareRequest(h http.Header, _ string) {
+func (Dialect) PrepareRequest(h http.Header, from tanagerchute.RequestOrigin) {
 	for _, name := range []string{HeaderRequest, HeaderTimeLeft, HeaderDepth} {
 		h.Del(name)
 	}
+	if from.Accounts {
+		h.Del(HeaderCredential)
+		h.Del(HeaderAccount)
+	}
 }
 
 // PrepareResponse implements tanagerchute.Dialect.
@@ -84,9 +100,13 @@
 	h := w.Header()
 	h.Set(HeaderOutcome, call.NotRun.String())
 	h.Set(HeaderCause, causeBadRequest)
-	if status == http.StatusServiceUnavailable {
+	switch status {
+	case http.StatusServiceUnavailable:
 		h.Set(HeaderCause, call.CauseNodeNotReady)
 		h.Set("Retry-After", "1")
+	case http.StatusUnauthorized:
+		h.Set(HeaderCause, causeUnauthorized)
+		h.Set("WWW-Authenticate", CredentialScheme)
 	}
 	http.Error(w, reason, status)
 }
@@ -117,6 +137,9 @@
 	h.Set(HeaderRequest, info.ID)
 	h.Set(HeaderTimeLeft, info.TimeLeft.Round(time.Microsecond).String())
 	h.Set(HeaderDepth, strconv.Itoa(info.Depth))
+	if info.Account != "" {
+		h.Set(HeaderAccount, info.Account)
+	}
 }
 
 // ParseHealthCheck implements tanagerchute.Dialect. It always returns false, since
--- a/io/proxy/home.go
+++ b/io/proxy/home.go
@@ -37,14 +37,20 @@
 	return h.SyncTable.Begin(c)
 }
 
-// recordID returns the id under which a call to a service with a caller's key is
-// recorded.
-func recordID(service, key string) string { return service + "/" + key }
+// recordID returns the id under which a call to a service with a caller's idempotency
+// key is recorded. Each client account has idempotency keys of its own, so that none
+// gets an answer recorded for another one. No header can contain the separator.
+func recordID(c call.Call, key string) string {
+	if c.Account == "" {
+		return c.Service + "/" + key
+	}
+	return c.Service + "/" + c.Account + "\x1f" + key
+}
 
 // dispatchKeyed sends a call with an idempotency key to the home of the key, and
 // repeats that until the home settles the call. The home runs it at most once.
 func (p *Proxy) dispatchKeyed(ctx context.Context, c call.Call, key dedup.Key) call.Reply {
-	c.ID, c.Issued, c.Key = recordID(c.Service, key.ID), key.Issued, key.ID
+	c.ID, c.Issued, c.Key = recordID(c, key.ID), key.Issued, key.ID
 	centre := key.DataCentre
 	if centre == "" {
 		centre = rank.Best("centre/"+c.ID, p.cfg.DataCentres)
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -54,6 +55,7 @@
 type rejection struct {
 	status int
 	msg    string
+	kind   event.Kind // event.RequestRejected if it is empty
 }
 
 // Origin describes where the requests of a listener come from.
@@ -120,7 +122,7 @@
 // reject records a rejection and writes it to the caller.
 func (p *Proxy) reject(w http.ResponseWriter, c call.Call, rej *rejection) {
 	p.cfg.Journal.Add(event.Event{
-		At: time.Now(), Kind: event.RequestRejected, Subject: c.ID, Trace: c.Trace,
+		At: time.Now(), Kind: cmp.Or(rej.kind, event.RequestRejected), Subject: c.ID, Trace: c.Trace,
 		Cause: strconv.Itoa(rej.status) + " " + rej.msg,
 	})
 	p.cfg.Dialect.WriteRejection(w, rej.status, rej.msg)
@@ -163,7 +165,7 @@
 	}
 	key, err := dedup.ParseKey(header, time.Now(), p.cfg.DataCentres)
 	if err != nil {
-		return call.Reply{}, AttemptSummary{}, &rejection{http.StatusBadRequest, err.Error()}
+		return call.Reply{}, AttemptSummary{}, &rejection{status: http.StatusBadRequest, msg: err.Error()}
 	}
 	if key.Issued.IsZero() {
 		issued, err := p.claimKey(ctx, c, key)
@@ -180,7 +182,7 @@
 	if p.cfg.Claims == nil {
 		return time.Time{}, errors.New("no store to claim the key in")
 	}
-	return p.cfg.Claims.Claim(ctx, recordID(c.Service, key.ID), time.Now())
+	return p.cfg.Claims.Claim(ctx, recordID(c, key.ID), time.Now())
 }
 
 // traceparentRE matches a W3C traceparent header.
@@ -224,10 +226,10 @@
 		}
 	}
 	if size > limit {
-		return &rejection{http.StatusRequestHeaderFieldsTooLarge, "headers have more than " + strconv.Itoa(limit) + " bytes"}
+		return &rejection{status: http.StatusRequestHeaderFieldsTooLarge, msg: "headers have more than " + strconv.Itoa(limit) + " bytes"}
 	}
 	if tp := r.Header.Get("Traceparent"); tp != "" && !traceparentRE.MatchString(tp) {
-		return &rejection{http.StatusBadRequest, "traceparent is malformed"}
+		return &rejection{status: http.StatusBadRequest, msg: "traceparent is malformed"}
 	}
 	return nil
 }
@@ -237,17 +239,17 @@
 func (p *Proxy) readCall(r *http.Request, in ingressRequest) (call.Call, *rejection) {
 	info, err := p.cfg.Dialect.ParseRequest(r.Header)
 	if err != nil {
-		return call.Call{Trace: in.trace}, &rejection{http.StatusBadRequest, err.Error()}
+		return call.Call{Trace: in.trace}, &rejection{status: http.StatusBadRequest, msg: err.Error()}
 	}
 	c := call.Call{Trace: in.trace, ID: info.ID, Issued: in.arrivedAt, Method: r.Method, Host: r.Host, Path: pathOf(r), Depth: info.Depth}
 	if c.ID == "" {
 		c.ID, c.Issued = newID()
 	}
 	if info.Depth >= maxCallDepth {
-		return c, &rejection{http.StatusLoopDetected, "calls are nested more than 16 deep"}
+		return c, &rejection{status: http.StatusLoopDetected, msg: "calls are nested more than 16 deep"}
 	}
 	if in.snapshot == nil || !p.cfg.Feed.Ready() {
-		return c, &rejection{http.StatusServiceUnavailable, "node has no configuration yet"}
+		return c, &rejection{status: http.StatusServiceUnavailable, msg: "node has no configuration yet"}
 	}
 	rt, rej := p.classify(in.snapshot.Table, r, in.origin)
 	if rej != nil {
@@ -256,6 +258,13 @@
 	c.Service = rt.Pick(p.randomUint64())
 	c.Version = in.snapshot.Version.Number
 	c = c.WithRoute(rt, in.arrivedAt)
+	account, rej := p.identify(in, rt, info.Credential)
+	if rej != nil {
+		return c, rej
+	}
+	if account != nil {
+		c = c.WithAccount(account)
+	}
 	if rej := p.limitDeadline(&c, info, in); rej != nil {
 		return c, rej
 	}
@@ -265,7 +274,7 @@
 	c.Header = endToEndHeaders(r.Header)
 	c.Header.Del(headerCall)
 	c.Header.Del(headerAnswer)
-	p.cfg.Dialect.PrepareRequest(c.Header, in.origin.Service)
+	p.cfg.Dialect.PrepareRequest(c.Header, tanagerchute.RequestOrigin{Service: in.origin.Service, Accounts: in.snapshot.Table.Accounts() != nil})
 	c.Work = crash.Identify(crash.Request{Caller: in.origin.Service, Method: c.Method, Host: c.Host, Path: c.Path, Body: c.Body})
 	return c, nil
 }
@@ -296,14 +305,14 @@
 		}
 	}
 	if !t.HasHost(host) {
-		return nil, &rejection{http.StatusNotFound, "no service is called " + strconv.Quote(host)}
+		return nil, &rejection{status: http.StatusNotFound, msg: "no service is called " + strconv.Quote(host)}
 	}
 	rt, ok := t.Match(host, r.Method, r.URL.Path)
 	if origin.Backend && !t.MayCall(origin.Service, host) {
-		return nil, &rejection{http.StatusForbidden, "service " + origin.Service + " may not call " + host}
+		return nil, &rejection{status: http.StatusForbidden, msg: "service " + origin.Service + " may not call " + host}
 	}
 	if !ok {
-		return nil, &rejection{http.StatusNotFound, "no class of " + host + " covers " + r.Method + " " + r.URL.Path}
+		return nil, &rejection{status: http.StatusNotFound, msg: "no class of " + host + " covers " + r.Method + " " + r.URL.Path}
 	}
 	return rt, nil
 }
@@ -316,7 +325,7 @@
 		c.Deadline = earlier(c.Deadline, in.arrivedAt.Add(info.TimeLeft))
 	}
 	if c.Deadline.IsZero() {
-		return &rejection{http.StatusBadRequest, "neither the request nor its route has a deadline"}
+		return &rejection{status: http.StatusBadRequest, msg: "neither the request nor its route has a deadline"}
 	}
 	if in.origin.Backend {
 		if parentDeadline, ok := p.cfg.Gate.Deadline(in.trace); ok {
@@ -357,14 +366,14 @@
 // never reaches a backend server, and so that the call can be resent.
 func (p *Proxy) readBody(r *http.Request, limit int64) ([]byte, *rejection) {
 	if r.ContentLength > limit {
-		return nil, &rejection{http.StatusRequestEntityTooLarge, errBodyTooLarge.Error()}
+		return nil, &rejection{status: http.StatusRequestEntityTooLarge, msg: errBodyTooLarge.Error()}
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
-		return nil, &rejection{http.StatusBadRequest, "body was cut short"}
+		return nil, &rejection{status: http.StatusBadRequest, msg: "body was cut short"}
 	}
 	if int64(len(body)) > limit {
-		return nil, &rejection{http.StatusRequestEntityTooLarge, errBodyTooLarge.Error()}
+		return nil, &rejection{status: http.StatusRequestEntityTooLarge, msg: errBodyTooLarge.Error()}
 	}
 	return body, nil
 }
--- a/io/proxy/meta.go
+++ b/io/proxy/meta.go
@@ -53,7 +53,7 @@
 		TimeLeft: int64(c.Deadline.Sub(now)), WaitLeft: int64(c.WaitUntil.Sub(now)),
 		Version: c.Version, From: c.From, Depth: int32(c.Depth), Mode: wire.Mode(c.Mode),
 		Path: c.Path, Host: c.Host, TargetLeft: nanosUntil(c.Target, now), Notice: encodeNotice(c.Notice, now),
-		Work: uint64(c.Work),
+		Work: uint64(c.Work), Account: c.Account,
 	}
 }
 
@@ -105,7 +105,7 @@
 		Deadline: now.Add(time.Duration(m.GetTimeLeft())), WaitUntil: now.Add(time.Duration(m.GetWaitLeft())),
 		Version: m.GetVersion(), From: m.GetFrom(), Depth: int(m.GetDepth()), Mode: call.Mode(m.GetMode()),
 		Path: m.GetPath(), Host: m.GetHost(), Target: timeAfterNanos(m.GetTargetLeft(), now),
-		Notice: decodeNotice(m.GetNotice(), now), Work: crash.Work(m.GetWork()),
+		Notice: decodeNotice(m.GetNotice(), now), Work: crash.Work(m.GetWork()), Account: m.GetAccount(),
 	}, nil
 }
 
