Client accounts in the own format; commands print no key

Cause: only the users' platform could define accounts, and get, diff and findings repeat what a document holds. Change: the field accounts and the class setting anonymous; a key is given as it is or as sha256: with its digest. apply writes digests, get prints them, and what get prints can be applied again. Findings do not repeat the value of a field with the tag secret, nor a literal that can't be parsed. diff shows a key by the first digits of its digest. A rebase takes changes of accounts over, which it would have dropped.

--- a/cmd/tanagerchute/apply.go
+++ b/cmd/tanagerchute/apply.go
@@ -42,7 +42,7 @@
 func (*applyCmd) Usage() string {
 	return `apply [-parent N] [-rebase] [-wait] FILE
   Validates a document and publishes it as the next version. If the document is
-  not valid, nothing is written.
+  not valid, nothing is written. Keys of client accounts are written as digests.
 
   The parent version, on which the document is based, comes from -parent or from
   the first line that get writes. If newer versions were published since then,
@@ -110,6 +110,9 @@
 		}
 		data = data[len(m[0]):]
 	}
+	if data, err = config.HideKeys(data); err != nil {
+		return err
+	}
 	l, err := a.openLedger(doc.Deployment)
 	if err != nil {
 		return err
--- a/cmd/tanagerchute/get.go
+++ b/cmd/tanagerchute/get.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/subcommands"
 
+	"tanagerchute/core/config"
 	"tanagerchute/core/vers"
 	"tanagerchute/io/ledger"
 )
@@ -27,7 +28,8 @@
 func (*getCmd) Usage() string {
 	return `get -deployment NAME [-version N]
   Prints the document of a version, the newest one by default. The first line
-  holds the number of the version, which apply takes as the parent.
+  holds the number of the version, which apply takes as the parent. Keys of
+  client accounts are printed as digests.
 
   Example:
     tanagerchute get -deployment nordurljos > mesh.jsonc
@@ -56,7 +58,11 @@
 	if err != nil {
 		return exitFailure(err)
 	}
-	if _, err := os.Stdout.WriteString(versionLine(v.Number) + string(v.Content)); err != nil {
+	content, err := config.HideKeys(v.Content)
+	if err != nil {
+		return exitFailure(err)
+	}
+	if _, err := os.Stdout.WriteString(versionLine(v.Number) + string(content)); err != nil {
 		return exitFailure(err)
 	}
 	return subcommands.ExitSuccess
--- a/core/acct/compile.go
+++ b/core/acct/compile.go
@@ -1,8 +1,11 @@
 package acct
 
 import (
+	"slices"
 	"strconv"
 	"sync"
+
+	"github.com/go-faster/errors"
 )
 
 // Spec is the definition of an account in a configuration. It must not be changed.
@@ -22,13 +25,12 @@
 	FieldRate
 	FieldBurst
 	FieldKey
-	FieldKeyDigest
 )
 
 // Problem says what is wrong with a field of a definition. It holds no key.
 type Problem struct {
 	Field Field
-	Key   int // index of the key, if Field is FieldKey or FieldKeyDigest
+	Key   int // index of the key, if Field is FieldKey
 	Msg   string
 }
 
@@ -79,7 +81,7 @@
 			continue
 		}
 		for _, p := range e.add(s) {
-			findings = append(findings, Finding{i, p})
+			findings = appendOnce(findings, Finding{i, p})
 		}
 	}
 	if len(findings) > 0 {
@@ -89,6 +91,15 @@
 	return e.d, nil
 }
 
+// appendOnce appends f unless there is a finding about the same place.
+func appendOnce(findings []Finding, f Finding) []Finding {
+	same := func(o Finding) bool { return o.Index == f.Index && o.Field == f.Field && o.Key == f.Key }
+	if slices.ContainsFunc(findings, same) {
+		return findings
+	}
+	return append(findings, f)
+}
+
 // base returns the directory of the version before, or an empty one.
 func (c *Compiler) base() *Directory {
 	if c.dir == nil {
@@ -111,7 +122,7 @@
 }
 
 // decode returns the definitions of the given sources, by their content and in their
-// order. Those that are not valid are missing.
+// order. Those that are not valid are missing in specs.
 func (c *Compiler) decode(sources []Source) (specs map[string]*Spec, order []*Spec, findings []Finding) {
 	specs = make(map[string]*Spec, len(sources))
 	order = make([]*Spec, len(sources))
@@ -132,11 +143,11 @@
 				findings = append(findings, Finding{i, p})
 			}
 			if len(problems) > 0 {
+				order[i] = s
 				continue
 			}
 		}
-		specs[src.Content] = s
-		order[i] = s
+		specs[src.Content], order[i] = s, s
 	}
 	return specs, order, findings
 }
@@ -157,16 +168,24 @@
 	return out
 }
 
+// CheckKey returns an error, which does not repeat the key, if it can't be a key.
+func CheckKey(key string) error {
+	switch {
+	case key == "":
+		return errors.New("is empty")
+	case len(key) > MaxKeyBytes:
+		return errors.Errorf("has more than %d bytes", MaxKeyBytes)
+	}
+	return nil
+}
+
 // DigestKeys returns the digests of keys, with what is wrong with them.
 func DigestKeys(keys []string) ([]Digest, []Problem) {
 	var out []Digest
 	var problems []Problem
 	for i, k := range keys {
-		switch {
-		case k == "":
-			problems = append(problems, Problem{Field: FieldKey, Key: i, Msg: "is empty"})
-		case len(k) > MaxKeyBytes:
-			problems = append(problems, Problem{Field: FieldKey, Key: i, Msg: "has more than " + strconv.Itoa(MaxKeyBytes) + " bytes"})
+		if err := CheckKey(k); err != nil {
+			problems = append(problems, Problem{Field: FieldKey, Key: i, Msg: err.Error()})
 		}
 		out = append(out, DigestOf(k))
 	}
--- a/core/config/compile.go
+++ b/core/config/compile.go
@@ -6,6 +6,7 @@
 // rules match requests whose host is the name of the service.
 func (d *Document) Compile() (*routes.Table, error) {
 	b := routes.NewBuilder()
+	b.SetAccounts(d.directory)
 	for _, s := range d.Services {
 		b.AddService(routes.Service{Name: s.Name, Calls: s.Calls})
 	}
@@ -29,6 +30,7 @@
 		TargetLatency: c.AnswerWithin.Std(),
 		Timeout:       c.AnswerWithin.Std(),
 		MaxQueueTime:  c.MayWait.Std(),
+		Anonymous:     c.Anonymous,
 	}
 	for _, m := range c.Match {
 		if err := b.AddRule(routes.Rule{Host: service, Method: m.Method, Prefix: m.Path, Route: r}); err != nil {
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"tanagerchute/core/acct"
 	"tanagerchute/core/jsonc"
 	"tanagerchute/core/routes"
 )
@@ -11,6 +12,21 @@
 type Document struct {
 	Deployment string    `json:"deployment"`
 	Services   []Service `json:"services"`
+	// Accounts lists the client accounts. Without the field, requests need no key.
+	Accounts  []Account       `json:"accounts,omitempty"`
+	directory *acct.Directory // compiled from Accounts, nil if there are none
+}
+
+// Account is a client account.
+type Account struct {
+	Name string `json:"name"`
+	// Keys lists the keys of its callers, each as it is or as "sha256:" with the digest
+	// of the key in hex.
+	Keys []string `json:"keys,omitempty" secret:"true"`
+	// Priority of its calls, 0 for the highest, in place of that of their class.
+	Priority *int    `json:"priority,omitempty"`
+	Rate     float64 `json:"rate,omitempty"`  // calls a second at all nodes together, 0 for no limit
+	Burst    float64 `json:"burst,omitempty"` // calls beyond Rate that can be saved up
 }
 
 // Service is a named group of upstreams and the classes of work that they serve.
@@ -32,6 +48,8 @@
 	MayWait jsonc.Duration `json:"may_wait"`
 	// AtMostOnce marks calls that must never run twice.
 	AtMostOnce bool `json:"at_most_once,omitempty"`
+	// Anonymous marks calls that need no key, in a document with accounts.
+	Anonymous bool `json:"anonymous,omitempty"`
 }
 
 // Match selects calls by method and path prefix. An empty method matches any.
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"tanagerchute/core/acct"
 	"tanagerchute/core/errs"
 	"tanagerchute/core/jsonc"
 )
@@ -28,6 +29,12 @@
 // Parse decodes and validates a document. The error, if any, is an *errs.Error
 // that lists all findings with their positions in file.
 func Parse(file string, data []byte) (*Document, error) {
+	return ParseNext(&acct.Compiler{}, file, data)
+}
+
+// ParseNext is like Parse for one of the successive versions of a document. It takes
+// the accounts that did not change from accounts.
+func ParseNext(accounts *acct.Compiler, file string, data []byte) (*Document, error) {
 	if len(data) > MaxDocumentBytes {
 		var l errs.List
 		l.Add(errs.Pos{File: file}, "", "has %d bytes, more than the limit of %d", len(data), MaxDocumentBytes)
@@ -40,6 +47,9 @@
 	}
 	v := &validator{findings}
 	v.checkDocument(d)
+	if d.Accounts != nil {
+		d.directory = v.compileAccounts(accounts, d.Accounts)
+	}
 	if err := v.Err(); err != nil {
 		return nil, err
 	}
--- a/core/jsonc/decode.go
+++ b/core/jsonc/decode.go
@@ -39,7 +39,8 @@
 // Decode decodes data, the content of file, into dst, a pointer to a struct. On a
 // syntax error it returns an *errs.Error with the position of the error. Otherwise
 // it returns all findings about types. Values with a finding are left out of dst;
-// all others are decoded, so that the caller can validate them.
+// all others are decoded, so that the caller can validate them. Findings do not repeat
+// the values of fields with the tag secret:"true".
 func Decode(file string, data []byte, dst any) (*Findings, error) {
 	c := &typeChecker{positions: positions{file: file, lines: newLineIndex(data)}}
 	// The syntax tree shares the bytes that it was parsed from, and Standardize
@@ -124,7 +125,15 @@
 type pathStep struct {
 	parent *pathStep // nil for the first element of a path
 	name   string
-	index  int // of a list element, if name is empty
+	index  int  // of a list element, if name is empty
+	secret bool // findings must not repeat the value
+}
+
+// child returns the path of a part of the value at s.
+func (s *pathStep) child(c pathStep) *pathStep {
+	c.parent = s
+	c.secret = c.secret || s != nil && s.secret
+	return &c
 }
 
 // String returns the dotted path of s.
@@ -153,6 +162,8 @@
 		_, rest, _ := strings.Cut(msg, ":")
 		msg = strings.TrimSpace(rest)
 	}
+	// The literal may be a secret whose quotation marks were forgotten.
+	msg, _, _ = strings.Cut(msg, ": ")
 	c.findings.Add(pos, "", "%s", msg)
 }
 
@@ -183,7 +194,7 @@
 		m := &o.Members[i]
 		lit, _ := m.Name.Value.(hujson.Literal)
 		name := lit.String()
-		memberPath := &pathStep{parent: path, name: name}
+		memberPath := path.child(pathStep{name: name})
 		if seen[name] {
 			c.add(m.Name.StartOffset, memberPath, "appears twice")
 			continue
@@ -193,12 +204,13 @@
 			c.checkValue(m.Value, t.Elem(), memberPath)
 			continue
 		}
-		ft, ok := fieldType(t, name)
+		f, ok := findField(t, name)
 		if !ok {
 			c.add(m.Name.StartOffset, memberPath, "is not a known field%s", unknownFieldHint(name))
 			continue
 		}
-		c.checkValue(m.Value, ft, memberPath)
+		memberPath.secret = memberPath.secret || f.Tag.Get("secret") == "true"
+		c.checkValue(m.Value, f.Type, memberPath)
 	}
 }
 
@@ -220,12 +232,12 @@
 		return
 	}
 	for i := range a.Elements {
-		c.checkValue(a.Elements[i], t.Elem(), &pathStep{parent: path, index: i})
+		c.checkValue(a.Elements[i], t.Elem(), path.child(pathStep{index: i}))
 	}
 }
 
 func (c *typeChecker) checkLiteral(l hujson.Literal, t reflect.Type, path *pathStep, offset int) {
-	addMismatch := func() { c.add(offset, path, "is %s, but %s is wanted", string(l), typeDescription(t)) }
+	addMismatch := func() { c.addMismatch(l, t, path, offset) }
 	if reflect.PointerTo(t).Implements(textUnmarshalerType) {
 		c.checkText(l, t, path, offset)
 		return
@@ -248,7 +260,7 @@
 
 func (c *typeChecker) checkText(l hujson.Literal, t reflect.Type, path *pathStep, offset int) {
 	if l.Kind() != '"' {
-		c.add(offset, path, "is %s, but a string is wanted", string(l))
+		c.addMismatch(l, reflect.TypeFor[string](), path, offset)
 		return
 	}
 	dst := reflect.New(t).Interface().(encoding.TextUnmarshaler)
@@ -259,20 +271,29 @@
 
 func (c *typeChecker) checkNumber(l hujson.Literal, t reflect.Type, path *pathStep, offset int) {
 	if err := json.Unmarshal(l, reflect.New(t).Interface()); err != nil {
-		c.add(offset, path, "is %s, but %s is wanted", string(l), typeDescription(t))
+		c.addMismatch(l, t, path, offset)
+	}
+}
+
+// addMismatch adds a finding about a value of another type than t.
+func (c *typeChecker) addMismatch(l hujson.Literal, t reflect.Type, path *pathStep, offset int) {
+	value := string(l)
+	if path != nil && path.secret {
+		value = "another value"
 	}
+	c.add(offset, path, "is %s, but %s is wanted", value, typeDescription(t))
 }
 
-// fieldType returns the type of the field of struct t with the JSON name.
-func fieldType(t reflect.Type, name string) (reflect.Type, bool) {
+// findField returns the field of struct t with the JSON name.
+func findField(t reflect.Type, name string) (reflect.StructField, bool) {
 	for i := range t.NumField() {
 		f := t.Field(i)
 		tag, _, _ := strings.Cut(f.Tag.Get("json"), ",")
-		if tag == name && tag != "-" {
-			return f.Type, true
+		if tag == name && tag != "-" && f.IsExported() {
+			return f, true
 		}
 	}
-	return nil, false
+	return reflect.StructField{}, false
 }
 
 // typeDescription describes the JSON values that decode into t, for messages.
@@ -288,6 +309,8 @@
 		return "true or false"
 	case reflect.Int, reflect.Int64:
 		return "a whole number"
+	case reflect.Float64:
+		return "a number"
 	case reflect.Uint, reflect.Uint64:
 		return "a whole number that is not negative"
 	}
--- a/core/merge/merge.go
+++ b/core/merge/merge.go
@@ -77,11 +77,31 @@
 			m[path+".answer_within"] = c.AnswerWithin.Std().String()
 			m[path+".may_wait"] = c.MayWait.Std().String()
 			m[path+".at_most_once"] = fmt.Sprint(c.AtMostOnce)
+			if c.Anonymous {
+				m[path+".anonymous"] = "true"
+			}
 		}
 	}
+	for _, a := range d.Accounts {
+		flattenAccount(m, a)
+	}
 	return m
 }
 
+// flattenAccount adds the values of an account to m. A key is shown by the first digits
+// of its digest.
+func flattenAccount(m map[string]string, a config.Account) {
+	path := "accounts." + a.Name
+	m[path+".rate"] = fmt.Sprint(a.Rate)
+	m[path+".burst"] = fmt.Sprint(a.Burst)
+	if a.Priority != nil {
+		m[path+".priority"] = fmt.Sprint(*a.Priority)
+	}
+	for _, k := range a.Keys {
+		m[path+".keys."+config.DescribeKey(k)] = "present"
+	}
+}
+
 // jsonText returns v as JSON.
 func jsonText(v any) string {
 	b, err := json.Marshal(v)
@@ -101,8 +121,9 @@
 	return "both changes touch " + strings.Join(e.Services, ", ")
 }
 
-// Rebase applies the changes from base to mine to theirs and returns the result.
-// It returns a *ConflictError if theirs changed one of the same services.
+// Rebase applies the changes from base to mine to theirs and returns the result, with
+// keys as digests. It returns a *ConflictError if theirs changed one of the same
+// services, or if both changed the client accounts.
 func Rebase(base, theirs, mine []byte) ([]byte, error) {
 	baseTree, err := parse(base)
 	if err != nil {
@@ -121,6 +142,10 @@
 		return nil, &ConflictError{conflicts}
 	}
 	for _, name := range changedByMine {
+		if name == accountsName {
+			theirsTree.replaceAccounts(mineTree)
+			continue
+		}
 		theirsTree.replaceService(name, mineTree)
 	}
 	return theirsTree.root.Pack(), nil
@@ -136,6 +161,10 @@
 
 // parse returns the syntax tree of a document.
 func parse(data []byte) (*syntaxTree, error) {
+	data, err := config.HideKeys(data)
+	if err != nil {
+		return nil, err
+	}
 	root, err := hujson.Parse(data)
 	if err != nil {
 		return nil, err
@@ -157,9 +186,40 @@
 		minimized.Minimize()
 		t.minimized[name] = minimized.String()
 	}
+	if accounts := t.root.Find("/" + accountsField); accounts != nil {
+		minimized := accounts.Clone()
+		minimized.Minimize()
+		t.minimized[accountsName] = minimized.String()
+	}
 	return t, nil
 }
 
+// accountsField is the field of a document that holds the client accounts. accountsName
+// stands for them among the names of services, none of which contains a space.
+const (
+	accountsField = "accounts"
+	accountsName  = "client accounts"
+)
+
+// replaceAccounts gives t the client accounts of from. It removes them if from has none.
+func (t *syntaxTree) replaceAccounts(from *syntaxTree) {
+	object, ok := t.root.Value.(*hujson.Object)
+	if !ok {
+		return
+	}
+	object.Members = slices.DeleteFunc(object.Members, isAccounts)
+	source, _ := from.root.Value.(*hujson.Object)
+	if i := slices.IndexFunc(source.Members, isAccounts); i >= 0 {
+		object.Members = append(object.Members, source.Members[i])
+	}
+}
+
+// isAccounts reports whether m holds the client accounts.
+func isAccounts(m hujson.ObjectMember) bool {
+	name, ok := m.Name.Value.(hujson.Literal)
+	return ok && name.String() == accountsField
+}
+
 // serviceName returns the name of a service, or "" if it has none.
 func serviceName(v *hujson.Value) string {
 	n := v.Find("/name")
--- a/core/vers/track.go
+++ b/core/vers/track.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"tanagerchute/core/acct"
 	"tanagerchute/core/config"
 	"tanagerchute/core/routes"
 )
@@ -163,8 +164,9 @@
 // documentCompiler returns a CompileFunc for config documents. It rejects
 // documents of other deployments.
 func documentCompiler(deployment string) CompileFunc {
+	var accounts acct.Compiler
 	return func(v Version) (*routes.Table, error) {
-		doc, err := config.Parse(fmt.Sprintf("version %d", v.Number), v.Content)
+		doc, err := config.ParseNext(&accounts, fmt.Sprintf("version %d", v.Number), v.Content)
 		if err != nil {
 			return nil, fmt.Errorf("version %d is not valid: %s", v.Number, strings.ReplaceAll(err.Error(), "\n", "; "))
 		}
