Withdrawn keys end everywhere within keys.revoke_within

Cause: a node that is cut off goes on with the keys that it knows. Change: with the setting, a node serves keys only while the version in force was proved to be the newest less than 0.9 of the bound ago, and answers 503 otherwise (events keys_suspended, keys_resumed, request_unproved). core/proof decides what proves it, and when a node asks another one (service Proofs, and the replies to probes) or reads the store. Store.Unchanged is a linearizable read without the value. Ages are counted by the clock that goes on while the process or the instance does not run.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -150,6 +150,7 @@
 	CauseUnreachable       = "unreachable"          // no connection to the node or to the backend server
 	CauseUpstreamShed      = "upstream_shed"        // the backend server refused the call for load
 	CauseCrashesServers    = "crashes_servers"      // backend servers end when they run it, see package crash
+	CauseKeysUnproved      = "keys_unproved"        // the node can't tell whether the key has been withdrawn
 	CauseSilent            = "silent"               // the node did not acknowledge the call in time
 )
 
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -66,17 +66,20 @@
 	RequestRefused      Kind = "request_refused"      // by the gatekeeper, it has not run
 	RequestRejected     Kind = "request_rejected"     // by the ingress, before it was routed
 	RequestUnauthorized Kind = "request_unauthorized" // by the ingress, its key is missing, malformed or not that of an account
-	RequestHeld         Kind = "request_held"         // backend servers end when they run it, so that it is refused everywhere
-	RequestReleased     Kind = "request_released"     // it is no longer refused everywhere
-	RequestMoved        Kind = "request_moved"        // sent again, or not to a local upstream
-	RequestUnknown      Kind = "request_unknown"      // it may have run
-	AnswerMissing       Kind = "answer_missing"       // the connection to the node that a call was sent to ended before its answer
-	LinkSilent          Kind = "link_silent"          // nothing is received from a node that calls are in flight to
-	RequestFenced       Kind = "request_fenced"       // an attempt that had not started may no longer start
-	RequestReplayed     Kind = "request_replayed"     // it got the answer recorded for its key
-	StandingLost        Kind = "standing_lost"        // the node has lost the quorum
-	StandingGained      Kind = "standing_gained"      // the node has gained a quorum
-	FrameDropped        Kind = "frame_dropped"        // a message of a peer was malformed or not expected
+	RequestUnproved     Kind = "request_unproved"     // it has a key, and the version in force has not been proved to be the newest for too long
+	KeysSuspended       Kind = "keys_suspended"       // from now on, requests with keys are refused as unproved
+	KeysResumed         Kind = "keys_resumed"
+	RequestHeld         Kind = "request_held"     // backend servers end when they run it, so that it is refused everywhere
+	RequestReleased     Kind = "request_released" // it is no longer refused everywhere
+	RequestMoved        Kind = "request_moved"    // sent again, or not to a local upstream
+	RequestUnknown      Kind = "request_unknown"  // it may have run
+	AnswerMissing       Kind = "answer_missing"   // the connection to the node that a call was sent to ended before its answer
+	LinkSilent          Kind = "link_silent"      // nothing is received from a node that calls are in flight to
+	RequestFenced       Kind = "request_fenced"   // an attempt that had not started may no longer start
+	RequestReplayed     Kind = "request_replayed" // it got the answer recorded for its key
+	StandingLost        Kind = "standing_lost"    // the node has lost the quorum
+	StandingGained      Kind = "standing_gained"  // the node has gained a quorum
+	FrameDropped        Kind = "frame_dropped"    // a message of a peer was malformed or not expected
 )
 
 // Event is one decision or observation of a node.
--- a/core/vers/track.go
+++ b/core/vers/track.go
@@ -116,6 +116,13 @@
 	return s.After(t.cur.Version.Stamp()) && !refused
 }
 
+// IsInvalid reports whether the version with stamp s was refused because it does not
+// compile, which all nodes find alike.
+func (t *Tracker) IsInvalid(s Stamp) bool {
+	_, refused := t.refused[s.Digest]
+	return refused
+}
+
 // OfferFromStore is like Offer for the newest version of the store. A peer may
 // offer an older version because it lags behind. A store that does so has lost
 // an accepted version, and the decision is StoreRolledBack instead of Stale.
--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -76,6 +76,20 @@
 	return r.KVs[0].kv(), rev, nil
 }
 
+// Unchanged implements tanagerchute.Store.
+func (c *Client) Unchanged(ctx context.Context, key string, mod int64, since tanagerchute.Revision) (bool, tanagerchute.Revision, error) {
+	var r RangeResponse
+	era, err := c.read(ctx, PathRange, RangeRequest{Key: []byte(key), KeysOnly: true}, &r)
+	if err == nil && era != since.Era {
+		err = tanagerchute.ErrEraChanged
+	}
+	if err != nil {
+		return false, tanagerchute.Revision{}, errors.Wrapf(err, "compare %s", key)
+	}
+	same := len(r.KVs) == 1 && r.KVs[0].ModRevision == mod && r.Header.Revision >= since.Number
+	return same, c.eras.Revision(era, r.Header.Revision), nil
+}
+
 // List implements tanagerchute.Store.
 func (c *Client) List(ctx context.Context, prefix string, consistency tanagerchute.Consistency) ([]tanagerchute.KV, tanagerchute.Revision, error) {
 	var r RangeResponse
--- a/io/etcd/wire.go
+++ b/io/etcd/wire.go
@@ -26,6 +26,7 @@
 	// Serializable allows the endpoint to answer from its local state, which may
 	// be out of date.
 	Serializable bool `json:"serializable,omitempty"`
+	KeysOnly     bool `json:"keys_only,omitempty"` // leave the values out of the response
 }
 
 // RangeResponse is the response of /v3/kv/range.
--- a/io/fakekv/server.go
+++ b/io/fakekv/server.go
@@ -243,6 +243,11 @@
 
 func (s *Server) rangeKeys(r etcd.RangeRequest) (etcd.RangeResponse, *gatewayError) {
 	kvs, rev := s.store.list(r.Key, r.RangeEnd)
+	if r.KeysOnly {
+		for i := range kvs {
+			kvs[i].Value = nil
+		}
+	}
 	return etcd.RangeResponse{Header: etcd.Header{Revision: rev}, KVs: kvs, Count: int64(len(kvs))}, nil
 }
 
--- a/io/feed/boot.go
+++ b/io/feed/boot.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tanagerchute/core/vers"
+	"tanagerchute/io/clock"
 	"tanagerchute/io/timer"
 )
 
@@ -102,6 +103,7 @@
 // readStore reads the store and applies its newest version if it is later than the
 // one in force.
 func (f *Feed) readStore(ctx context.Context) {
+	began := clock.Now()
 	head, err := f.cfg.Source.Head(ctx, f.VersionByDigest)
 	if err != nil || head.Version.Number == 0 {
 		return
@@ -110,6 +112,7 @@
 	if head.Version.Stamp().After(cur) {
 		f.offerToTracker(head.Version, origin{name: "store"})
 	}
+	f.recordHead(head, began)
 }
 
 // WaitFor waits until version s or a later one is in force at this node.
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -10,6 +10,7 @@
 
 	"tanagerchute"
 	"tanagerchute/core/event"
+	"tanagerchute/core/proof"
 	"tanagerchute/core/vers"
 	"tanagerchute/io/fleet"
 	"tanagerchute/io/peer"
@@ -46,6 +47,9 @@
 	Client        *peer.Client
 	Journal       *event.Journal
 	Rand          *rand.Rand
+	// RevokeWithin is the time within which withdrawn keys must end, 0 if nodes go on
+	// with the keys that they know.
+	RevokeWithin time.Duration
 	// Mode is how versions are distributed. Only benchmarks set it.
 	Mode Mode
 }
@@ -81,6 +85,7 @@
 	joined    atomic.Bool  // set by SetJoined
 	rank      atomic.Int64 // rank that runReader acts on
 	appliedAt atomic.Int64 // when the version in force was applied, Unix nanoseconds
+	proofs    *proofs      // nil without Config.RevokeWithin
 }
 
 // deltaKey identifies a delta by the digests of the version and of its base.
@@ -113,6 +118,9 @@
 		readAgain: make(chan struct{}, 1),
 	}
 	f.rank.Store(noRank)
+	if cfg.RevokeWithin > 0 {
+		f.proofs = newProofs(proof.Config{Bound: cfg.RevokeWithin, Spread: cfg.Rand.Float64()})
+	}
 	return f
 }
 
@@ -159,6 +167,9 @@
 func (f *Feed) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	loops := []func(context.Context){f.runPushes, f.runReader}
+	if f.proofs != nil {
+		loops = append(loops, f.runProofs)
+	}
 	for range fetchWorkers {
 		loops = append(loops, f.runFetchWorker)
 	}
@@ -198,7 +209,7 @@
 	case vers.Applied:
 		s := f.tracker.Current()
 		f.appliedAt.Store(time.Now().UnixNano())
-		f.current.Store(&s)
+		f.putInForce(&s)
 		f.refusal = ""
 		f.recordVersionEvent(event.VersionApplied, v.Number, cause)
 	case vers.Refused:
--- a/io/feed/reader.go
+++ b/io/feed/reader.go
@@ -10,6 +10,7 @@
 	"tanagerchute"
 	"tanagerchute/core/event"
 	"tanagerchute/core/vers"
+	"tanagerchute/io/clock"
 	"tanagerchute/io/timer"
 )
 
@@ -201,10 +202,12 @@
 	if err != nil {
 		return err
 	}
+	lastValid := f.recordWatched(vers.Stamp{}, head.Version, nil)
 	failed := make(chan error, 2)
 	go func() {
 		failed <- f.cfg.Source.Watch(ctx, f.VersionByDigest, head.Revision.Next(), f.recordStoreBack, func(v vers.Version, err error) {
 			f.applyFromStore(ctx, v, err)
+			lastValid = f.recordWatched(lastValid, v, err)
 		})
 	}()
 	go func() { failed <- f.poll(ctx) }()
@@ -235,16 +238,26 @@
 		if f.rank.Load() != 0 {
 			continue
 		}
-		if _, err := f.syncWithStore(ctx); err != nil {
+		if err := f.pollStore(ctx); err != nil {
 			return err
 		}
 	}
 }
 
+// pollStore reads what is new in the store.
+func (f *Feed) pollStore(ctx context.Context) error {
+	if f.proofs != nil {
+		return f.confirmHead(ctx)
+	}
+	_, err := f.syncWithStore(ctx)
+	return err
+}
+
 // syncWithStore reads the newest version of the store and applies it if it is later
 // than the one in force. If it is earlier, the store has lost the version in force,
 // which it had accepted. syncWithStore then writes that version back.
 func (f *Feed) syncWithStore(ctx context.Context) (tanagerchute.Head, error) {
+	began := clock.Now()
 	head, err := f.cfg.Source.Head(ctx, f.VersionByDigest)
 	if err != nil {
 		return head, err
@@ -252,6 +265,7 @@
 	cur := f.Snapshot()
 	if cur != nil && head.Version.Number < cur.Version.Number {
 		// The version in force may have been written after the read began.
+		began = clock.Now()
 		if head, err = f.cfg.Source.Head(ctx, f.VersionByDigest); err != nil {
 			return head, err
 		}
@@ -262,6 +276,7 @@
 	}
 	if head.Version.Number > 0 {
 		f.applyFromStore(ctx, head.Version, nil)
+		f.recordHead(head, began)
 	}
 	return head, nil
 }
--- a/io/fleet/actions.go
+++ b/io/fleet/actions.go
@@ -8,6 +8,7 @@
 
 	"tanagerchute/core/member"
 	"tanagerchute/core/remote"
+	"tanagerchute/io/clock"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/wire"
 )
@@ -77,11 +78,16 @@
 func (f *Fleet) sendProbe(ctx context.Context, target member.Record) (*wire.ProbeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	return f.cfg.Client.To(target.Addr).Probe(ctx, &wire.ProbeRequest{
+	sentAt := clock.Now()
+	reply, err := f.cfg.Client.To(target.Addr).Probe(ctx, &wire.ProbeRequest{
 		From:    f.cfg.Self.ID,
 		To:      target.ID,
 		Version: peer.ToStamp(f.cfg.Stamp()),
 	})
+	if age := reply.GetProofAge(); err == nil && age > 0 && f.cfg.OnPeerProof != nil {
+		f.cfg.OnPeerProof(peer.FromStamp(reply.GetVersion()), time.Duration(age), sentAt)
+	}
+	return reply, err
 }
 
 // recordProbeReply passes the reply to a direct probe to the member table, and its
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -44,6 +44,12 @@
 	// OnPeerStamp is called with the stamp of the version in force at the node
 	// at addr.
 	OnPeerStamp func(addr string, s vers.Stamp)
+	// Proof returns the stamp of the version in force at this node with the age of the
+	// proof that it is the newest one, 0 if there is none. See package proof.
+	Proof func() (vers.Stamp, time.Duration)
+	// OnPeerProof is called with a proof from the reply to a request that was sent at
+	// sentAt, by the clock of package clock.
+	OnPeerProof func(s vers.Stamp, age time.Duration, sentAt time.Time)
 }
 
 // Fleet runs the membership protocol. Its methods are safe for concurrent use.
--- a/io/fleet/serve.go
+++ b/io/fleet/serve.go
@@ -9,6 +9,7 @@
 	"tanagerchute/core/event"
 	"tanagerchute/core/member"
 	"tanagerchute/core/remote"
+	"tanagerchute/core/vers"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/wire"
 )
@@ -25,7 +26,8 @@
 		// answer would make it look alive.
 		return nil, twirp.NewError(twirp.NotFound, "this address belongs to another node now")
 	}
-	reply := &wire.ProbeReply{Version: peer.ToStamp(f.cfg.Stamp()), CrashDigest: f.crashes.Digest()}
+	stamp, proofAge := f.proof()
+	reply := &wire.ProbeReply{Version: peer.ToStamp(stamp), ProofAge: int64(proofAge), CrashDigest: f.crashes.Digest()}
 	ok := f.do(ctx, func(time.Time) {
 		reply.Digest = f.table.Digest()
 		if m, known := f.table.Get(req.GetFrom()); known && m.State != member.Alive {
@@ -42,6 +44,14 @@
 	return reply, nil
 }
 
+// proof returns the stamp of the version in force with the age of its proof.
+func (f *Fleet) proof() (vers.Stamp, time.Duration) {
+	if f.cfg.Proof == nil {
+		return f.cfg.Stamp(), 0
+	}
+	return f.cfg.Proof()
+}
+
 // Relay probes another node for the node that sent the request, and reports whether
 // it answered.
 func (f *Fleet) Relay(ctx context.Context, req *wire.RelayRequest) (*wire.RelayReply, error) {
--- a/io/fleet/view.go
+++ b/io/fleet/view.go
@@ -112,6 +112,13 @@
 	return readers[:min(n, len(readers))]
 }
 
+// Readers returns the ids of the first n active members of the data centre by rank as
+// readers of the store.
+func (v *View) Readers(n int) []string {
+	readers := v.readers()
+	return readers[:min(n, len(readers))]
+}
+
 // rankIn returns the index of id among the first n of ids, or -1.
 func rankIn(ids []string, id string, n int) int { return slices.Index(ids[:min(n, len(ids))], id) }
 
--- a/io/ledger/ledger.go
+++ b/io/ledger/ledger.go
@@ -57,6 +57,12 @@
 	return h, err
 }
 
+// Unchanged implements tanagerchute.Source.
+func (l *Ledger) Unchanged(ctx context.Context, head tanagerchute.Head) (tanagerchute.Head, bool, error) {
+	same, rev, err := l.cfg.Store.Unchanged(ctx, l.HeadKey(), head.ModRevision, head.Revision)
+	return head.WithRevision(rev), same, err
+}
+
 // decodeHead decodes the value of the key head. If lookup does not find the base of
 // the delta, it reads the full version from its own key.
 func (l *Ledger) decodeHead(ctx context.Context, value []byte, lookup tanagerchute.VersionLookup) (vers.Version, error) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -204,6 +204,8 @@
 		Self: self, Groups: s.Groups(), QuorumAddrs: s.Seeds[s.Group()], Client: n.client, Journal: n.journal, Rand: n.newRand("fleet"),
 		Stamp:       func() vers.Stamp { return n.feed.Stamp() },
 		OnPeerStamp: func(addr string, s vers.Stamp) { n.feed.ObserveStamp(addr, s) },
+		Proof:       func() (vers.Stamp, time.Duration) { return n.feed.Proof() },
+		OnPeerProof: func(s vers.Stamp, age time.Duration, sentAt time.Time) { n.feed.ObserveProof(s, age, sentAt) },
 	})
 	n.buildSeedsAndFeed()
 	n.gate = gate.New(gate.Config{
@@ -262,7 +264,7 @@
 	}
 	n.feed = feed.New(feed.Config{
 		Self: n.id, TrackerConfig: trackerConfig, Source: source, Fleet: n.fleet, Client: n.client,
-		Journal: n.journal, Rand: n.newRand("feed"), Mode: n.cfg.Mode,
+		Journal: n.journal, Rand: n.newRand("feed"), Mode: n.cfg.Mode, RevokeWithin: s.Keys.RevokeWithin.Std(),
 	})
 }
 
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -81,6 +81,11 @@
 	return p
 }
 
+// ProofsOf returns the client of the node at addr for proofs.
+func (c *Client) ProofsOf(addr string) wire.Proofs {
+	return wire.NewProofsProtobufClient("http://"+addr, c.http)
+}
+
 // DedicatedTo returns a client of the node at addr that uses a connection of its
 // own, and a function that closes the connection. A new connection can work
 // while an existing one no longer responds.
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -10,10 +10,15 @@
 // maxRequestBytes bounds the body of a control request.
 const maxRequestBytes = 2 << 20
 
-// Handler serves the control protocol. It calls onDrop with the sender's address
-// and the cause for each request that it rejects without reading the body.
-func Handler(s wire.Peer, deployment string, onDrop func(from, cause string)) http.Handler {
-	next := wire.NewPeerServer(s)
+// Handler serves the control protocol, with further services. It calls onDrop with the
+// sender's address and the cause for each request that it rejects without reading the
+// body.
+func Handler(s wire.Peer, deployment string, onDrop func(from, cause string), services ...wire.TwirpServer) http.Handler {
+	next := http.NewServeMux()
+	next.Handle("/", wire.NewPeerServer(s))
+	for _, service := range services {
+		next.Handle(service.PathPrefix(), service)
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d := r.Header.Get(HeaderDeployment); d != deployment {
 			onDrop(r.RemoteAddr, "request of deployment \""+truncate(d)+"\"")
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -56,6 +56,10 @@
 	status int
 	msg    string
 	kind   event.Kind // event.RequestRejected if it is empty
+	// refusal, if it is set, is the reply to the caller, and cause what the journal
+	// holds. status and msg do not apply then.
+	refusal *call.Reply
+	cause   string
 }
 
 // Origin describes where the requests of a listener come from.
@@ -121,10 +125,12 @@
 
 // reject records a rejection and writes it to the caller.
 func (p *Proxy) reject(w http.ResponseWriter, c call.Call, rej *rejection) {
-	p.cfg.Journal.Add(event.Event{
-		At: time.Now(), Kind: cmp.Or(rej.kind, event.RequestRejected), Subject: c.ID, Trace: c.Trace,
-		Cause: strconv.Itoa(rej.status) + " " + rej.msg,
-	})
+	if rej.refusal != nil {
+		p.recordEvent(rej.kind, c, rej.cause)
+		p.cfg.Dialect.WriteRefusal(w, *rej.refusal)
+		return
+	}
+	p.recordEvent(cmp.Or(rej.kind, event.RequestRejected), c, strconv.Itoa(rej.status)+" "+rej.msg)
 	p.cfg.Dialect.WriteRejection(w, rej.status, rej.msg)
 }
 
@@ -258,19 +264,19 @@
 	c.Service = rt.Pick(p.randomUint64())
 	c.Version = in.snapshot.Version.Number
 	c = c.WithRoute(rt, in.arrivedAt)
-	account, rej := p.identify(in, rt, info.Credential)
+	c, rej = p.identify(c, in, rt, info.Credential)
 	if rej != nil {
 		return c, rej
 	}
-	if account != nil {
-		c = c.WithAccount(account)
-	}
 	if rej := p.limitDeadline(&c, info, in); rej != nil {
 		return c, rej
 	}
 	if c.Body, rej = p.readBody(r, in.limits.MaxBodyBytes); rej != nil {
 		return c, rej
 	}
+	if rej := p.limitByProof(&c, info.Credential); rej != nil {
+		return c, rej
+	}
 	c.Header = endToEndHeaders(r.Header)
 	c.Header.Del(headerCall)
 	c.Header.Del(headerAnswer)
--- a/io/source/source.go
+++ b/io/source/source.go
@@ -42,6 +42,12 @@
 	return h, err
 }
 
+// Unchanged implements tanagerchute.Source.
+func (s *Source) Unchanged(ctx context.Context, head tanagerchute.Head) (tanagerchute.Head, bool, error) {
+	same, rev, err := s.cfg.Store.Unchanged(ctx, s.cfg.Key, head.ModRevision, head.Revision)
+	return head.WithRevision(rev), same, err
+}
+
 // Watch implements tanagerchute.Source.
 func (s *Source) Watch(ctx context.Context, _ tanagerchute.VersionLookup, revision tanagerchute.Revision, ready func(), f func(vers.Version, error)) error {
 	return s.cfg.Store.Watch(ctx, s.cfg.Key, revision, ready, func(e tanagerchute.Event) {
--- a/store.go
+++ b/store.go
@@ -127,6 +127,11 @@
 	// exist is 0. revision is the current revision of the store, and all revisions of
 	// kv are of its era.
 	Get(ctx context.Context, key string) (kv KV, revision Revision, err error)
+	// Unchanged reports whether the last change of a key is still the one at the store
+	// revision mod, which was read at revision since. Like Get, it is linearizable, and
+	// now is the current revision of the store, but it does not transfer the value if
+	// it can do without. It returns ErrEraChanged unless the answer is of the era of since.
+	Unchanged(ctx context.Context, key string, mod int64, since Revision) (same bool, now Revision, err error)
 	// List returns all keys with the given prefix, sorted by key.
 	List(ctx context.Context, prefix string, c Consistency) (kvs []KV, revision Revision, err error)
 	// Commit executes a transaction and reports whether its conditions held. It
