--- a/internal/integ/fleet_test.go
+++ b/internal/integ/fleet_test.go
@@ -69,6 +69,8 @@
 	serveOn bool
 	slots   int
 	work    time.Duration
+	// revokeWithin sets keys.revoke_within of the nodes.
+	revokeWithin time.Duration
 }
 
 // startFleet starts all processes and waits until all nodes are ready with
@@ -81,6 +83,7 @@
 	p, err := procs.Start(procs.Config{
 		Binary: binaryPath, Dir: t.TempDir(), Specs: o.specs,
 		Drain: setup.Drain{Linger: jsonc.Duration(cmp.Or(o.linger, 6*time.Second)), ServeOn: o.serveOn},
+		Keys:  setup.Keys{RevokeWithin: jsonc.Duration(o.revokeWithin)},
 		Slots: cmp.Or(o.slots, 12), Work: jsonc.Duration(cmp.Or(o.work, 5*time.Millisecond)),
 	})
 	f := &fleet{Fleet: p, t: t, client: &http.Client{Timeout: 15 * time.Second}}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -66,6 +66,7 @@
 	NoHedge         bool                   // disables hedging, which sends an unanswered idempotent call to a second upstream
 	NoSeeds         bool                   // leaves seeds out of the settings, so that nodes find each other through the store only
 	NoBackends      bool                   // runs nodes without backend servers
+	RevokeWithin    time.Duration          // setting keys.revoke_within of the nodes
 	CrashDowntime   time.Duration          // time until a backend server that has crashed starts again, see server.Faults.Crash
 }
 
@@ -194,6 +195,7 @@
 	if m.cfg.Linger > 0 {
 		n.Drain.Linger = jsonc.Duration(m.cfg.Linger)
 	}
+	n.Keys.RevokeWithin = jsonc.Duration(m.cfg.RevokeWithin)
 	return n.WithDefaults()
 }
 
