--- a/io/proxy/account.go
+++ b/io/proxy/account.go
@@ -87,7 +87,7 @@
 // unauthorized returns the rejection of a request without a valid key. msg must not hold
 // the key.
 func unauthorized(msg string) *rejection {
-	return &rejection{status: http.StatusUnauthorized, msg: msg, kind: event.RequestUnauthorized}
+	return &rejection{status: http.StatusUnauthorized, msg: msg, kind: event.RequestKeyInvalid}
 }
 
 // unproved returns the rejection of a request with a key that may have been withdrawn.
