--- a/core/vers/track.go
+++ b/core/vers/track.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"tanagerchute/core/acct"
 	"tanagerchute/core/config"
 	"tanagerchute/core/routes"
 )
@@ -115,6 +116,13 @@
 	return s.After(t.cur.Version.Stamp()) && !refused
 }
 
+// IsInvalid reports whether the version with stamp s was refused because it does not
+// compile, which all nodes find alike.
+func (t *Tracker) IsInvalid(s Stamp) bool {
+	_, refused := t.refused[s.Digest]
+	return refused
+}
+
 // OfferFromStore is like Offer for the newest version of the store. A peer may
 // offer an older version because it lags behind. A store that does so has lost
 // an accepted version, and the decision is StoreRolledBack instead of Stale.
@@ -163,8 +171,9 @@
 // documentCompiler returns a CompileFunc for config documents. It rejects
 // documents of other deployments.
 func documentCompiler(deployment string) CompileFunc {
+	var accounts acct.Compiler
 	return func(v Version) (*routes.Table, error) {
-		doc, err := config.Parse(fmt.Sprintf("version %d", v.Number), v.Content)
+		doc, err := config.ParseNext(&accounts, fmt.Sprintf("version %d", v.Number), v.Content)
 		if err != nil {
 			return nil, fmt.Errorf("version %d is not valid: %s", v.Number, strings.ReplaceAll(err.Error(), "\n", "; "))
 		}
