Links: bodies and large answers wait for admission by the link of the node

Cause: small calls, acknowledgements and probes wait behind bodies on narrow links. Change: io/xfer carries core/band; the sender announces a bulk body, the node acknowledges at once and admits it by a second informational response; answers are admitted by the out link of their node and read at the pace of the in link; ingress refuses before it reads; pick adds wait and transfer; gauges link_in_*, link_out_*, events transfer_waited, transfer_refused.

--- a/core/band/schedule.go
+++ b/core/band/schedule.go
@@ -62,6 +62,9 @@
 	// Deadline is by when it must have passed, zero for a transfer that is never
 	// refused.
 	Deadline time.Time
+	// Detached is set if the other end is not a node of the deployment. Such a
+	// transfer does not count as unfinished, so that slow callers hold back nobody.
+	Detached bool
 }
 
 // Verdict is the immediate result of an offer.
@@ -211,6 +214,9 @@
 // admit admits a transfer.
 func (s *Schedule) admit(now time.Time, t Transfer) {
 	s.Pass(now, t.Bytes)
+	if t.Detached {
+		return
+	}
 	lasts := s.freeAt.Sub(now)
 	s.leases = append(s.leases, lease{t.ID, now.Add(leaseFactor*lasts + leaseMargin)})
 }
@@ -285,6 +291,23 @@
 	return out
 }
 
+// Estimate is the expected course of a call whose bodies pass links.
+type Estimate struct {
+	Wait  time.Duration // until the links have room
+	Lasts time.Duration // the transfers and the work between them
+}
+
+// Excess returns by how much a call exceeds its target, or its deadline if it has no target
+// or could not meet it without the wait. It is 0 if the call is in time. Room for it is
+// expected after the excess has passed.
+func (e Estimate) Excess(now, target, deadline time.Time) time.Duration {
+	bound := deadline
+	if !target.IsZero() && !now.Add(e.Lasts).After(target) {
+		bound = target
+	}
+	return max(now.Add(e.Wait+e.Lasts).Sub(bound), 0)
+}
+
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -139,6 +139,7 @@
 	CauseUnreachable       = "unreachable"          // no connection to the node or to the backend server
 	CauseUpstreamShed      = "upstream_shed"        // the backend server refused the call for load
 	CauseCrashesServers    = "crashes_servers"      // backend servers end when they run it, see package crash
+	CauseLinkFull          = "link_full"            // no link has room for the body or the answer in time
 	CauseSilent            = "silent"               // the node did not acknowledge the call in time
 )
 
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -71,6 +71,8 @@
 	RequestUnknown     Kind = "request_unknown"  // it may have run
 	AnswerMissing      Kind = "answer_missing"   // the connection to the node that a call was sent to ended before its answer
 	LinkSilent         Kind = "link_silent"      // nothing is received from a node that calls are in flight to
+	TransferWaited     Kind = "transfer_waited"  // a body or a large answer was admitted to a link after a wait
+	TransferRefused    Kind = "transfer_refused" // a link has no room in time for a body or a large answer
 	RequestFenced      Kind = "request_fenced"   // an attempt that had not started may no longer start
 	RequestReplayed    Kind = "request_replayed" // it got the answer recorded for its key
 	StandingLost       Kind = "standing_lost"    // the node has lost the quorum
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,7 +46,10 @@
 	// LeftServer is its backend server if that has announced its stop, else zero. A
 	// node that restarts learns it from the record of the process before.
 	LeftServer ServerID `json:"left_server,omitzero"`
-	Accuser    string   `json:"accuser,omitempty"` // id of the member that claimed State
+	// LinkRate is what the link of the instance carries in each direction, in bytes a
+	// second, 0 if it is not known to be bounded.
+	LinkRate float64 `json:"link_rate,omitempty"`
+	Accuser  string  `json:"accuser,omitempty"` // id of the member that claimed State
 	// Left marks a dead member that stopped as planned. It does not count
 	// toward the quorum, see Table.QuorumUntil.
 	Left bool `json:"left,omitempty"`
@@ -162,6 +166,8 @@
 		return fmt.Errorf("member %q has unknown state %d", r.ID, r.State)
 	case r.Slots < 0 || r.Slots > maxSlots:
 		return fmt.Errorf("member %q has an invalid number of slots: %d", r.ID, r.Slots)
+	case !(r.LinkRate >= 0) || math.IsInf(r.LinkRate, 0):
+		return fmt.Errorf("member %q has an invalid link rate: %v", r.ID, r.LinkRate)
 	}
 	return nil
 }
--- a/core/pick/cost.go
+++ b/core/pick/cost.go
@@ -62,7 +62,7 @@
 	utilization := utilizationWeight * min(load/limit, 1)
 	cost := (float64(service)*(1+queueing+utilization) + float64(max(service, meanService))*refusals) / (1 - failureRate)
 	cost *= 1 + costJitter*(2*p.cfg.Rand.Float64()-1)
-	return time.Duration(cost) + p.quotaWait(now, c) + p.localityPenalty(c, criteria)
+	return time.Duration(cost) + p.quotaWait(now, c) + p.linkTime(now, c, criteria, service) + p.localityPenalty(c, criteria)
 }
 
 // quotaWait estimates how long a call waits until the rate limit of c lets it start.
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -33,6 +33,10 @@
 	Slots  int
 	Remote bool // in another data centre
 	Entry  bool // an entry node, which chooses the upstream itself
+	// LinkRate is what the link of its instance carries in each direction, in bytes a
+	// second. It is 0 if the link is not known to be bounded, and for the picker's own
+	// node, to which calls take no link.
+	LinkRate float64
 	// WarmupEnd is when the warm-up period of its backend server ends, zero if
 	// there is none. Until then the candidate gets few calls (slow start).
 	WarmupEnd time.Time
@@ -42,6 +46,8 @@
 type Criteria struct {
 	Exclude       []string // ids of candidates that must not be chosen
 	LargeResponse bool     // the answer is expected to be large
+	BodyBytes     int64    // length of the body
+	AnswerBytes   int64    // expected length of the answer, 0 if not known
 	// Target is the time by which the call should be answered, zero if the call
 	// has no target.
 	Target time.Time
@@ -58,6 +64,10 @@
 	// from all nodes together, 0 for no limit.
 	RateLimit float64
 	QuotaWait time.Duration // time until another call could start under RateLimit
+	// LinkWait and LinkOutWait are the times until the link of its instance has room for
+	// another body to it, and for another large answer from it.
+	LinkWait    time.Duration
+	LinkOutWait time.Duration
 }
 
 // Result classifies the end of an attempt at a candidate.
@@ -123,6 +133,8 @@
 	loadAt              time.Time
 	inFlight            int     // calls sent by this node that have not ended
 	inFlightAtReport    int     // inFlight at the time of the last load report
+	bodyBytesSince      int64   // of the bulk bodies sent since the last load report
+	answerBytesSince    int64   // of the bulk answers expected from the calls sent since then
 	failureRate         float64 // smoothed
 	consecutiveFailures int     // UpstreamError, TransportError and silence since the last Success
 	consecutiveRefusals int     // Refused since the last Success, at most maxRefusals
@@ -277,6 +289,7 @@
 	s.inFlight--
 	if o.Load.Limit > 0 {
 		s.load, s.loadAt, s.inFlightAtReport = o.Load, now, s.inFlight
+		s.bodyBytesSince, s.answerBytesSince = 0, 0
 	}
 	switch o.Result {
 	case Success:
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -194,7 +194,7 @@
 	s := n.cfg.Settings
 	self := member.Record{
 		ID: n.id, Addr: s.Listen.PeerAddr(), DataCentre: s.DataCentre, Region: s.Region, Service: s.Service,
-		Incarnation: 1, StartMs: now.UnixMilli(),
+		Incarnation: 1, StartMs: now.UnixMilli(), LinkRate: s.Link.BytesPerSecond(),
 	}
 	n.client = peer.NewClient(peer.Config{
 		Deployment: n.deploymentID(),
@@ -223,7 +223,7 @@
 		WrapDial: func(d link.Dial) link.Dial { return n.byteMeters.calls.Dial(n.cfg.WrapDial(d), n.isRemoteAddr) },
 		Tracer:   n.tracer.Tracer(), Claims: n.proxyClaims(), Rand: n.newRand("proxy"),
 		MaxBodyBytes: s.Limits.RequestBytes, MaxAnswerBytes: s.Limits.AnswerBytes,
-		NestedCallsUntraced: s.LocalCallers, KeysUnused: s.KeysUnused, Retry: retryLimits(s),
+		NestedCallsUntraced: s.LocalCallers, KeysUnused: s.KeysUnused, Retry: retryLimits(s), LinkRate: s.Link.BytesPerSecond(),
 		Hedge: s.Hedge != nil && *s.Hedge, Policy: n.cfg.Policy, OnCall: n.recordCall, OnAttempt: n.recordAttempt,
 	})
 }
--- a/io/node/vars.go
+++ b/io/node/vars.go
@@ -6,6 +6,7 @@
 	"syscall"
 
 	"tanagerchute/io/metric"
+	"tanagerchute/io/xfer"
 )
 
 // nodeMetric is a metric whose value is computed when it is read.
@@ -17,7 +18,7 @@
 
 // nodeMetrics returns the metrics about the node itself.
 func (n *Node) nodeMetrics() []nodeMetric {
-	return []nodeMetric{
+	return append([]nodeMetric{
 		{"control_bytes_inside", "Bytes of control connections, inside the data centre.", n.byteMeters.control.Inside},
 		{"control_bytes_across", "Bytes of control connections, to other data centres.", n.byteMeters.control.Across},
 		{"call_bytes_inside", "Bytes of call connections, inside the data centre.", n.byteMeters.calls.Inside},
@@ -35,7 +36,28 @@
 		{"goroutines", "Goroutines.", func() int64 { return int64(runtime.NumGoroutine()) }},
 		{"log_lines_skipped", "Lines of requests that were left out.", func() int64 { return int64(n.requests.Skipped()) }},
 		{"log_lines_dropped", "Lines that were not written, since nobody read the output fast enough.", func() int64 { return int64(n.cfg.LogSink.Dropped()) }},
+	}, n.linkMetrics()...)
+}
+
+// linkMetrics returns the metrics about the link of the instance. All are 0 if the settings
+// name no rate.
+func (n *Node) linkMetrics() []nodeMetric {
+	in, out := n.proxy.Link()
+	var ms []nodeMetric
+	for _, d := range []struct {
+		name, text string
+		lane       *xfer.Lane
+	}{{"link_in", "to the instance", in}, {"link_out", "from the instance", out}} {
+		ms = append(ms,
+			nodeMetric{d.name + "_bytes", "Bytes of calls and answers " + d.text + ".", func() int64 { return d.lane.Counts().Bytes }},
+			nodeMetric{d.name + "_admitted", "Bulk transfers " + d.text + " that the link admitted.", func() int64 { return d.lane.Counts().Admitted }},
+			nodeMetric{d.name + "_waited", "Bulk transfers " + d.text + " that waited for the link.", func() int64 { return d.lane.Counts().Waited }},
+			nodeMetric{d.name + "_refused", "Bulk transfers " + d.text + " that the link had no room for in time.", func() int64 { return d.lane.Counts().Refused }},
+			nodeMetric{d.name + "_wait_ms", "Milliseconds until the link has room for another bulk transfer " + d.text + ".", func() int64 { return d.lane.Wait().Milliseconds() }},
+			nodeMetric{d.name + "_unfinished", "Bulk transfers " + d.text + " on their way.", func() int64 { return int64(d.lane.State().Unfinished) }},
+		)
 	}
+	return ms
 }
 
 // registerMetrics adds the node's own metrics to its Prometheus metrics.
--- a/io/proxy/ack_test.go
+++ b/io/proxy/ack_test.go
@@ -56,12 +56,15 @@
 		p.cfg.Deployment = r.Header.Get(peer.HeaderDeployment)
 		p.cfg.MaxBodyBytes = defaultMaxBodyBytes
 		p.cfg.Feed = feed.New(feed.Config{})
-		c, err := p.readPeerCall(r)
+		c, _, err := p.readPeerHead(r)
+		if err == nil {
+			c.Body, err = p.readPeerBody(r)
+		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		writePeerReply(w, c, call.Reply{Fate: call.Answered, Status: http.StatusOK, Body: []byte("done"), Replied: true})
+		p.writePeerReply(r.Context(), w, c, call.Reply{Fate: call.Answered, Status: http.StatusOK, Body: []byte("done"), Replied: true})
 	}))
 	ts := httptest.NewUnstartedServer(nil)
 	ts.Config = srv
--- a/io/proxy/candidates.go
+++ b/io/proxy/candidates.go
@@ -63,9 +63,13 @@
 func newCandidates(node string, view *fleet.View, service string) candidates {
 	var c candidates
 	for _, m := range view.Upstreams(service) {
-		c.upstream = append(c.upstream, pick.Candidate{
+		u := pick.Candidate{
 			ID: m.ID, Addr: m.Addr, Slots: m.Slots, Remote: m.DataCentre != view.Self.DataCentre, WarmupEnd: m.WarmupEnd,
-		})
+		}
+		if m.ID != node {
+			u.LinkRate = m.LinkRate
+		}
+		c.upstream = append(c.upstream, u)
 	}
 	for _, e := range view.Remote.Entries(service) {
 		c.entries = append(c.entries, pick.Candidate{ID: e.Addr, Addr: e.Addr, Slots: e.Slots, Remote: true, Entry: true})
--- a/io/proxy/clients.go
+++ b/io/proxy/clients.go
@@ -35,6 +35,7 @@
 type clientPool struct {
 	dial     link.Dial
 	onSilent func(linkSilence) // called when a link falls silent while calls are in flight on it
+	window   int               // stream window for answers, bytes, 0 for the default
 	mu       sync.Mutex
 	clients  map[clientKey]*nodeClient
 }
@@ -68,12 +69,12 @@
 }
 
 // newClientPool returns a pool without clients. wrapDial is that of Config.
-func newClientPool(wrapDial func(link.Dial) link.Dial, onSilent func(linkSilence)) *clientPool {
+func newClientPool(wrapDial func(link.Dial) link.Dial, onSilent func(linkSilence), window int) *clientPool {
 	d := link.Dial(link.Dialer{UnansweredTimeout: callPingTimeout}.Dial)
 	if wrapDial != nil {
 		d = wrapDial(d)
 	}
-	return &clientPool{dial: d, onSilent: onSilent, clients: map[clientKey]*nodeClient{}}
+	return &clientPool{dial: d, onSilent: onSilent, window: window, clients: map[clientKey]*nodeClient{}}
 }
 
 // get returns the client for a node. It replaces one whose link is silent.
@@ -97,6 +98,7 @@
 func (p *clientPool) newClient(key clientKey, acks *ackTimes) *nodeClient {
 	watch := newLinkWatch(key.addr, p.onSilent)
 	transport := peer.NewTransport(watch.dial(p.dial), callPingTimeout)
+	transport.HTTP2.MaxReceiveBufferPerStream = p.window
 	return &nodeClient{key: key, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}, acks: acks, link: watch}
 }
 
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -135,7 +135,7 @@
 		d.paidResend = nil
 		return *c, true
 	}
-	criteria := pick.Criteria{Exclude: d.tried, LargeResponse: d.call.LargeResponse, Target: d.call.Target}
+	criteria := d.criteria()
 	cs := d.p.candidates.get(d.p.cfg.Fleet.View(), d.call.Service)
 	if d.trialNode != "" {
 		target, cause, ok := d.p.chooseCandidate(onlyNode(cs.all(d.local), d.trialNode), criteria)
@@ -148,6 +148,13 @@
 	return choice{target, cause}, ok
 }
 
+// criteria returns what the choice of an upstream for the call depends on.
+func (d *dispatchState) criteria() pick.Criteria {
+	c := d.p.linkCriteria(d.call)
+	c.Exclude = d.tried
+	return c
+}
+
 // chooseCandidate chooses one of cs by the policy of the proxy.
 func (p *Proxy) chooseCandidate(cs []pick.Candidate, criteria pick.Criteria) (pick.Candidate, pick.Cause, bool) {
 	p.mu.Lock()
@@ -184,13 +191,16 @@
 	c = c.WithAttempt(id, mode).WithNotice(p.notices.get(target.Addr))
 	c.From = p.cfg.Node
 	c.Version = p.configVersion()
-	p.recordSent(target.ID)
+	p.recordSent(target, c)
 	start := time.Now()
 	r := p.sendTo(ctx, target, c, func(s silence) {
 		p.recordSilent(c, target, s)
 		onSilent(s)
 	})
 	p.recordOutcome(c, target, r, time.Since(start))
+	if p.links.bounded() {
+		p.links.sizes.observe(c, r)
+	}
 	if r.Replied && !target.Entry {
 		p.notices.record(time.Now(), target.Addr, r.Notice)
 	}
@@ -228,10 +238,12 @@
 }
 
 // recordSent tells the picker that a call is sent to a candidate.
-func (p *Proxy) recordSent(id string) {
+func (p *Proxy) recordSent(target pick.Candidate, c call.Call) {
+	criteria := p.linkCriteria(c)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.picker.Sent(time.Now(), id)
+	p.picker.Sent(time.Now(), target.ID)
+	p.picker.SentBulk(target, criteria)
 }
 
 // recordSilent tells the picker that a candidate is silent.
@@ -282,8 +294,8 @@
 		return pick.AmbiguousError
 	case r.Fate == call.Answered && (r.Status < 500 || r.NestedFailure):
 		return pick.Success
-	case r.Cause == call.CauseCanceled, r.Cause == call.CauseSilent:
-		return pick.Unjudged // given up by the caller, or recorded by recordSilent
+	case r.Cause == call.CauseCanceled, r.Cause == call.CauseSilent, r.Cause == call.CauseLinkFull:
+		return pick.Unjudged // given up by the caller, recorded by recordSilent, or fit for small calls
 	case r.Fate == call.Answered || r.Cause == call.CauseUpstreamFailing:
 		return pick.UpstreamError
 	case r.Fate == call.NotRun && r.Replied:
--- a/io/proxy/hedge.go
+++ b/io/proxy/hedge.go
@@ -31,7 +31,7 @@
 		go func() { replies <- d.p.tryCandidate(ctx, target, d.call, func(silence) { silent <- struct{}{} }) }()
 	}
 	start(first)
-	hedgeDue, stop := d.hedgeTimer()
+	hedgeDue, stop := d.hedgeTimer(first)
 	defer stop()
 	pending, hedged := 1, false
 	for {
@@ -58,9 +58,10 @@
 
 // hedgeTimer returns a channel that receives a value when the hedge delay has
 // passed, and a function that stops the timer. The channel is nil if the proxy is
-// not configured to hedge slow calls.
-func (d *dispatchState) hedgeTimer() (<-chan time.Time, func() bool) {
-	if !d.p.cfg.Hedge {
+// not configured to hedge slow calls, or if the call fills the link of first for so long
+// that sending it twice would slow down others.
+func (d *dispatchState) hedgeTimer(first pick.Candidate) (<-chan time.Time, func() bool) {
+	if !d.p.cfg.Hedge || isBulk(first, d.criteria()) {
 		return nil, func() bool { return true }
 	}
 	t := time.NewTimer(time.Duration(hedgeDelayShare * float64(time.Until(d.call.Deadline))))
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -39,6 +39,7 @@
 var (
 	errOtherDeployment = errors.New("call of another deployment")
 	errBodyTooLarge    = errors.New("body is too large")
+	errBodyLength      = errors.New("length of the body is not as announced")
 )
 
 // Claims records when an opaque idempotency key was first used. An opaque key
@@ -54,8 +55,13 @@
 type rejection struct {
 	status int
 	msg    string
+	// refusal is set if the call is proper, and no link has room for its body, which was
+	// not read then.
+	refusal *call.Reply
 }
 
+func newRejection(status int, msg string) *rejection { return &rejection{status: status, msg: msg} }
+
 // Origin describes where the requests of a listener come from.
 type Origin struct {
 	// Service is the service of the instance that they come from, empty if it
@@ -97,6 +103,10 @@
 		if rej != nil {
 			span.SetStatus(codes.Error, rej.msg)
 			endNested(true)
+			if rej.refusal != nil {
+				p.refuseUnread(w, r, c, *rej.refusal, in.arrivedAt)
+				return
+			}
 			p.reject(w, c, rej)
 			return
 		}
@@ -113,7 +123,7 @@
 			span.SetStatus(codes.Error, reply.Fate.String()+" "+reply.Cause)
 		}
 		p.reportResult(c, reply, summary, in.arrivedAt)
-		p.writeReply(w, c, reply)
+		p.writeReply(ctx, w, c, reply)
 	})
 }
 
@@ -163,7 +173,7 @@
 	}
 	key, err := dedup.ParseKey(header, time.Now(), p.cfg.DataCentres)
 	if err != nil {
-		return call.Reply{}, AttemptSummary{}, &rejection{http.StatusBadRequest, err.Error()}
+		return call.Reply{}, AttemptSummary{}, newRejection(http.StatusBadRequest, err.Error())
 	}
 	if key.Issued.IsZero() {
 		issued, err := p.claimKey(ctx, c, key)
@@ -224,10 +234,10 @@
 		}
 	}
 	if size > limit {
-		return &rejection{http.StatusRequestHeaderFieldsTooLarge, "headers have more than " + strconv.Itoa(limit) + " bytes"}
+		return newRejection(http.StatusRequestHeaderFieldsTooLarge, "headers have more than "+strconv.Itoa(limit)+" bytes")
 	}
 	if tp := r.Header.Get("Traceparent"); tp != "" && !traceparentRE.MatchString(tp) {
-		return &rejection{http.StatusBadRequest, "traceparent is malformed"}
+		return newRejection(http.StatusBadRequest, "traceparent is malformed")
 	}
 	return nil
 }
@@ -237,17 +247,17 @@
 func (p *Proxy) readCall(r *http.Request, in ingressRequest) (call.Call, *rejection) {
 	info, err := p.cfg.Dialect.ParseRequest(r.Header)
 	if err != nil {
-		return call.Call{Trace: in.trace}, &rejection{http.StatusBadRequest, err.Error()}
+		return call.Call{Trace: in.trace}, newRejection(http.StatusBadRequest, err.Error())
 	}
 	c := call.Call{Trace: in.trace, ID: info.ID, Issued: in.arrivedAt, Method: r.Method, Host: r.Host, Path: pathOf(r), Depth: info.Depth}
 	if c.ID == "" {
 		c.ID, c.Issued = newID()
 	}
 	if info.Depth >= maxCallDepth {
-		return c, &rejection{http.StatusLoopDetected, "calls are nested more than 16 deep"}
+		return c, newRejection(http.StatusLoopDetected, "calls are nested more than 16 deep")
 	}
 	if in.snapshot == nil || !p.cfg.Feed.Ready() {
-		return c, &rejection{http.StatusServiceUnavailable, "node has no configuration yet"}
+		return c, newRejection(http.StatusServiceUnavailable, "node has no configuration yet")
 	}
 	rt, rej := p.classify(in.snapshot.Table, r, in.origin)
 	if rej != nil {
@@ -259,7 +269,10 @@
 	if rej := p.limitDeadline(&c, info, in); rej != nil {
 		return c, rej
 	}
-	if c.Body, rej = p.readBody(r, in.limits.MaxBodyBytes); rej != nil {
+	if refusal := p.refuseForLinks(c, r.ContentLength); refusal != nil {
+		return c, &rejection{refusal: refusal}
+	}
+	if c.Body, rej = p.readBody(r, c, in.limits.MaxBodyBytes); rej != nil {
 		return c, rej
 	}
 	c.Header = endToEndHeaders(r.Header)
@@ -296,14 +309,14 @@
 		}
 	}
 	if !t.HasHost(host) {
-		return nil, &rejection{http.StatusNotFound, "no service is called " + strconv.Quote(host)}
+		return nil, newRejection(http.StatusNotFound, "no service is called "+strconv.Quote(host))
 	}
 	rt, ok := t.Match(host, r.Method, r.URL.Path)
 	if origin.Backend && !t.MayCall(origin.Service, host) {
-		return nil, &rejection{http.StatusForbidden, "service " + origin.Service + " may not call " + host}
+		return nil, newRejection(http.StatusForbidden, "service "+origin.Service+" may not call "+host)
 	}
 	if !ok {
-		return nil, &rejection{http.StatusNotFound, "no class of " + host + " covers " + r.Method + " " + r.URL.Path}
+		return nil, newRejection(http.StatusNotFound, "no class of "+host+" covers "+r.Method+" "+r.URL.Path)
 	}
 	return rt, nil
 }
@@ -316,7 +329,7 @@
 		c.Deadline = earlier(c.Deadline, in.arrivedAt.Add(info.TimeLeft))
 	}
 	if c.Deadline.IsZero() {
-		return &rejection{http.StatusBadRequest, "neither the request nor its route has a deadline"}
+		return newRejection(http.StatusBadRequest, "neither the request nor its route has a deadline")
 	}
 	if in.origin.Backend {
 		if parentDeadline, ok := p.cfg.Gate.Deadline(in.trace); ok {
@@ -355,23 +368,26 @@
 
 // readBody reads the whole body before the call is sent, so that a truncated body
 // never reaches a backend server, and so that the call can be resent.
-func (p *Proxy) readBody(r *http.Request, limit int64) ([]byte, *rejection) {
+func (p *Proxy) readBody(r *http.Request, c call.Call, limit int64) ([]byte, *rejection) {
 	if r.ContentLength > limit {
-		return nil, &rejection{http.StatusRequestEntityTooLarge, errBodyTooLarge.Error()}
+		return nil, newRejection(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
+	}
+	if p.links.in.Bulk(r.ContentLength) {
+		return p.readBulkBody(r, c)
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	body, err := io.ReadAll(io.LimitReader(p.links.countReads(r), limit+1))
 	if err != nil {
-		return nil, &rejection{http.StatusBadRequest, "body was cut short"}
+		return nil, newRejection(http.StatusBadRequest, "body was cut short")
 	}
 	if int64(len(body)) > limit {
-		return nil, &rejection{http.StatusRequestEntityTooLarge, errBodyTooLarge.Error()}
+		return nil, newRejection(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
 	}
 	return body, nil
 }
 
 // writeReply writes a reply to the caller. It sets Content-Length, so that the
 // caller notices if the connection is closed early.
-func (p *Proxy) writeReply(w http.ResponseWriter, c call.Call, r call.Reply) {
+func (p *Proxy) writeReply(ctx context.Context, w http.ResponseWriter, c call.Call, r call.Reply) {
 	if r.Fate != call.Answered {
 		p.cfg.Dialect.WriteRefusal(w, r)
 		return
@@ -384,7 +400,7 @@
 		h.Set("Content-Length", strconv.Itoa(len(r.Body)))
 	}
 	w.WriteHeader(r.Status)
-	_, _ = w.Write(r.Body) // fails only if the caller has disconnected
+	_ = p.links.writeToCaller(ctx, w, c, r.Body) // fails only if the caller has disconnected
 }
 
 // bodyAllowed reports whether a response with the given status may have a body.
--- a/io/proxy/peers.go
+++ b/io/proxy/peers.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"tanagerchute/core/band"
 	"tanagerchute/core/call"
 	"tanagerchute/core/event"
 	"tanagerchute/core/vers"
@@ -34,7 +36,7 @@
 func (p *Proxy) servePeerCall(w http.ResponseWriter, r *http.Request) {
 	p.inProgress.Add(1)
 	defer p.inProgress.Add(-1)
-	c, err := p.readPeerCall(r)
+	c, refusal, err := p.readPeerCall(w, r)
 	if err != nil {
 		p.cfg.Journal.Add(event.Event{At: time.Now(), Kind: event.FrameDropped, Subject: r.RemoteAddr, Cause: err.Error()})
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -51,50 +53,83 @@
 			p.cfg.Feed.ObserveStamp(m.Addr, vers.Stamp{Number: c.Version})
 		}
 	}
-	// Acknowledge the call, see ackTimeout.
-	w.WriteHeader(http.StatusProcessing)
-	reply := p.serveByMode(ctx, c)
+	var reply call.Reply
+	if refusal != nil {
+		reply = *refusal
+	} else {
+		reply = p.serveByMode(ctx, c)
+	}
 	reply.Version = p.configVersion()
 	if reply.Node == "" {
 		reply.Node = p.cfg.Node
 	}
 	span.SetAttributes(attribute.String("fate", reply.Fate.String()), attribute.String("class", c.Class))
-	writePeerReply(w, c, reply)
+	p.writePeerReply(ctx, w, c, reply)
+}
+
+// acknowledge tells the sender that its call has arrived, see ackWatch.
+func acknowledge(w http.ResponseWriter) { w.WriteHeader(http.StatusProcessing) }
+
+// readPeerCall reads a call from another node, and acknowledges it. It returns a refusal
+// instead of the body if the link has no room for it in time.
+func (p *Proxy) readPeerCall(w http.ResponseWriter, r *http.Request) (call.Call, *call.Reply, error) {
+	c, announced, err := p.readPeerHead(r)
+	if err != nil {
+		return call.Call{}, nil, err
+	}
+	if announced > 0 {
+		refusal, err := p.admitPeerBody(w, r, &c, announced)
+		return c, refusal, err
+	}
+	if c.Body, err = p.readPeerBody(r); err != nil {
+		return call.Call{}, nil, err
+	}
+	acknowledge(w)
+	return c, nil, nil
 }
 
-// readPeerCall reads a call from another node.
-func (p *Proxy) readPeerCall(r *http.Request) (call.Call, error) {
+// readPeerHead reads a call from another node without its body. It returns the length of
+// a body that waits for admission, 0 if the body is sent at once.
+func (p *Proxy) readPeerHead(r *http.Request) (c call.Call, announced int64, err error) {
 	if d := r.Header.Get(peer.HeaderDeployment); d != p.cfg.Deployment {
-		return call.Call{}, errOtherDeployment
+		return call.Call{}, 0, errOtherDeployment
 	}
 	var m wire.CallMeta
 	if err := decodeHeader(r.Header.Get(headerCall), &m); err != nil {
-		return call.Call{}, err
+		return call.Call{}, 0, err
 	}
-	c, err := decodeCall(&m, time.Now())
-	if err != nil {
-		return call.Call{}, err
+	if c, err = decodeCall(&m, time.Now()); err != nil {
+		return call.Call{}, 0, err
 	}
+	if m.GetBodyLength() > p.Limits().MaxBodyBytes {
+		return call.Call{}, 0, errBodyTooLarge
+	}
+	c.Method = r.Method
+	c.Header = endToEndHeaders(r.Header)
+	c.Header.Del(headerCall)
+	c.Header.Del(peer.HeaderDeployment)
+	return c, m.GetBodyLength(), nil
+}
+
+// readPeerBody reads a body that was sent without waiting for admission.
+func (p *Proxy) readPeerBody(r *http.Request) ([]byte, error) {
 	limit := p.Limits().MaxBodyBytes
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
-		return call.Call{}, err
+		return nil, err
 	}
 	if int64(len(body)) > limit {
-		return call.Call{}, errBodyTooLarge
+		return nil, errBodyTooLarge
 	}
-	c.Method, c.Body = r.Method, body
-	c.Header = endToEndHeaders(r.Header)
-	c.Header.Del(headerCall)
-	c.Header.Del(peer.HeaderDeployment)
-	return c, nil
+	p.links.in.Pass(int64(len(body)) + messageOverhead)
+	return body, nil
 }
 
 // serveByMode serves a call in the mode that its sender has set.
 func (p *Proxy) serveByMode(ctx context.Context, c call.Call) call.Reply {
 	switch c.Mode {
 	case call.Upstream:
-		return p.cfg.Gate.Serve(ctx, c)
+		return p.serveAsGatekeeper(ctx, c)
 	case call.Entry:
 		return p.serveEntry(ctx, c)
 	}
@@ -131,7 +166,7 @@
 }
 
 // writePeerReply writes a reply to the node that sent the call.
-func writePeerReply(w http.ResponseWriter, c call.Call, r call.Reply) {
+func (p *Proxy) writePeerReply(ctx context.Context, w http.ResponseWriter, c call.Call, r call.Reply) {
 	status := http.StatusServiceUnavailable
 	h := w.Header()
 	if r.Fate == call.Answered {
@@ -142,7 +177,14 @@
 	} else {
 		r.Body = nil
 	}
+	done := p.admitPeerAnswer(ctx, c, int64(len(r.Body)))
+	defer done()
+	r.Load.LinkWait, r.Load.LinkOutWait = p.links.in.Wait(), p.links.outWait()
 	h.Set(headerAnswer, encodeHeader(answerMeta(c, r)))
+	if int64(len(r.Body)) > band.PieceBytes(0) { // its receiver may have to admit it
+		h.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	}
 	w.WriteHeader(status)
-	_, _ = w.Write(r.Body) // a sender that misses the reply inquires about the outcome
+	// A sender that misses the reply inquires about the outcome.
+	_ = p.writePeerAnswer(ctx, w, c, r.Body)
 }
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -41,9 +41,10 @@
 	Claims              Claims // for opaque idempotency keys, nil if there is no store
 	KeysUnused          bool   // ignore idempotency keys
 	Rand                *rand.Rand
-	MaxBodyBytes        int64 // of a request
-	MaxAnswerBytes      int64 // of an answer
-	Hedge               bool  // send slow idempotent calls to a second upstream
+	MaxBodyBytes        int64   // of a request
+	MaxAnswerBytes      int64   // of an answer
+	LinkRate            float64 // of the instance's link in each direction, bytes a second, 0 for no bound
+	Hedge               bool    // send slow idempotent calls to a second upstream
 	Retry               RetryLimits
 	NestedCallsUntraced bool // see gate.Config
 	Policy              Policy
@@ -96,6 +97,7 @@
 	budgets    *retryBudgets
 	homeTable  *homeTable
 	notices    *notices
+	links      links
 
 	inProgress atomic.Int64         // requests whose answers are not written yet
 	stop       atomic.Pointer[Stop] // nil before a planned stop
@@ -125,7 +127,8 @@
 		homeTable:  &homeTable{SyncTable: runner.NewSyncTable()},
 		notices:    newNotices(),
 	}
-	p.clients = newClientPool(cfg.WrapDial, p.recordLinkSilent)
+	p.links.init(cfg)
+	p.clients = newClientPool(cfg.WrapDial, p.recordLinkSilent, answerWindow(cfg.LinkRate))
 	p.ended, p.endNow = context.WithCancel(context.Background())
 	return p
 }
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -1,10 +1,8 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -83,31 +81,39 @@
 	defer a.stop()
 	client.link.add(a)
 	defer client.link.remove(a)
-	req, err := http.NewRequestWithContext(a.trace(ctx), c.Method, "http://"+addr+callPath, bytes.NewReader(c.Body))
+	body := p.newPeerBody(ctx, addr, c)
+	a.onGrant = body.grant
+	req, err := http.NewRequestWithContext(a.trace(ctx), c.Method, "http://"+addr+callPath, body)
 	if err != nil {
 		return call.Refuse(call.NotRun, err.Error(), 0)
 	}
+	req.ContentLength = int64(len(c.Body))
+	if req.ContentLength == 0 {
+		req.Body = http.NoBody
+	}
 	req.GetBody = nil // keep the transport from resending the call on its own
 	req.Header = c.Header.Clone()
 	propagator.Inject(ctx, propagation.HeaderCarrier(req.Header))
-	req.Header.Set(headerCall, encodeHeader(callMeta(c, time.Now())))
+	meta := callMeta(c, time.Now())
+	meta.BodyLength = body.announced
+	req.Header.Set(headerCall, encodeHeader(meta))
 	req.Header.Set(peer.HeaderDeployment, p.cfg.Deployment)
 	res, err := client.http.Do(req)
 	if err != nil {
 		p.recordMissingAnswer(ctx, addr, c, a, err)
+		if !body.started() {
+			return unsentReply(ctx)
+		}
 		return failedReply(ctx, a)
 	}
 	a.stop()
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, p.cfg.MaxAnswerBytes+1))
-	if err == nil && int64(len(body)) > p.cfg.MaxAnswerBytes {
-		err = errAnswerTooLarge
-	}
+	answer, err := p.readAnswer(ctx, c, res)
 	if err != nil {
 		p.recordMissingAnswer(ctx, addr, c, a, err)
 		return failedReply(ctx, a)
 	}
-	r, err := decodeReply(c, res, body)
+	r, err := decodeReply(c, res, answer)
 	if err != nil {
 		p.recordEvent(event.FrameDropped, c, addr+": "+err.Error())
 		return failedReply(ctx, a)
@@ -135,6 +141,20 @@
 		"nothing received for %v, %d calls in flight are sent elsewhere or asked for, and still awaited", time.Since(s.heardAt).Round(time.Millisecond), s.inFlight)})
 }
 
+// unsentReply returns the reply for an attempt that failed before its node had admitted its
+// body. No byte of the body was sent, so that it can't have run.
+func unsentReply(ctx context.Context) call.Reply {
+	r := call.Reply{Fate: call.NotRun, Cause: call.CauseUnreachable}
+	switch {
+	case errors.Is(context.Cause(ctx), errUnreachable):
+	case errors.Is(ctx.Err(), context.Canceled):
+		r.Cause = call.CauseCanceled
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		r.Cause = call.CauseLinkFull
+	}
+	return r
+}
+
 // failedReply returns the reply for an attempt that got no valid answer. Without a
 // connection the call can't have run, otherwise its fate is unknown.
 func failedReply(ctx context.Context, a *ackWatch) call.Reply {
@@ -170,6 +190,7 @@
 	times     *ackTimes
 	onSilent  func(silence) // called at most once without an acknowledgement, and once for a silent link
 	startedAt time.Time
+	onGrant   func(rate float64) // called when the node admits the body
 
 	mu    sync.Mutex // guards wait and timer
 	wait  acks.Wait
@@ -240,7 +261,11 @@
 func (a *ackWatch) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
-		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+			if rate, ok := parseGrant(h.Get(headerGrant)); ok {
+				a.onGrant(rate)
+				return nil
+			}
 			a.acked.Store(true)
 			a.stop()
 			a.times.observe(time.Since(a.startedAt))
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -75,6 +75,13 @@
 	MbitPerSecond float64 `json:"mbit_per_s,omitempty"`
 }
 
+// bytesPerMbit is the number of bytes in a megabit.
+const bytesPerMbit = 1e6 / 8
+
+// BytesPerSecond returns the rate of the link in each direction, 0 if it does not bound
+// the node.
+func (l Link) BytesPerSecond() float64 { return l.MbitPerSecond * bytesPerMbit }
+
 // Keys holds the settings of the keys of client accounts.
 type Keys struct {
 	// RevokeWithin bounds how long a withdrawn key may still be served, also by a node
--- /dev/null
+++ b/io/xfer/pace.go
@@ -0,0 +1,81 @@
+package xfer
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"tanagerchute/core/band"
+	"tanagerchute/io/timer"
+)
+
+// Pace spreads the pieces of one transfer over time. It is not safe for concurrent use.
+type Pace struct {
+	rate   float64 // bytes a second, 0 for no bound
+	piece  int64
+	nextAt time.Time
+}
+
+// NewPace returns a pace at the lowest of the given rates in bytes a second, of which 0 means
+// no bound.
+func NewPace(rates ...float64) *Pace {
+	lowest := 0.0
+	for _, r := range rates {
+		if r > 0 && (lowest == 0 || r < lowest) {
+			lowest = r
+		}
+	}
+	return &Pace{rate: lowest, piece: band.PieceBytes(lowest)}
+}
+
+// Next waits until the next piece of n remaining bytes may pass, and returns its size. It
+// returns the error of ctx if that ends before.
+func (p *Pace) Next(ctx context.Context, n int64) (int64, error) {
+	if p.rate == 0 {
+		return n, ctx.Err()
+	}
+	now := time.Now()
+	if p.nextAt.Before(now.Add(-band.Time(p.piece, p.rate))) {
+		p.nextAt = now // a transfer that fell behind does not catch up by a burst
+	}
+	if wait := p.nextAt.Sub(now); wait > 0 && !timer.Sleep(ctx, wait) {
+		return 0, ctx.Err()
+	}
+	n = min(n, p.piece)
+	p.nextAt = p.nextAt.Add(band.Time(n, p.rate))
+	return n, nil
+}
+
+// Read reads n bytes of r at a pace. It returns io.ErrUnexpectedEOF if there are fewer.
+func Read(ctx context.Context, r io.Reader, n int64, p *Pace) ([]byte, error) {
+	out := make([]byte, n)
+	for done := int64(0); done < n; {
+		piece, err := p.Next(ctx, n-done)
+		if err != nil {
+			return nil, err
+		}
+		if _, err := io.ReadFull(r, out[done:done+piece]); err != nil {
+			return nil, err
+		}
+		done += piece
+	}
+	return out, nil
+}
+
+// Write writes b to w at a pace, and calls flush after each piece.
+func Write(ctx context.Context, w io.Writer, b []byte, p *Pace, flush func() error) error {
+	for len(b) > 0 {
+		n, err := p.Next(ctx, int64(len(b)))
+		if err != nil {
+			return err
+		}
+		if _, err := w.Write(b[:n]); err != nil {
+			return err
+		}
+		if err := flush(); err != nil {
+			return err
+		}
+		b = b[n:]
+	}
+	return nil
+}
