--- a/io/link/delay.go
+++ b/io/link/delay.go
@@ -14,6 +14,9 @@
 	// RetransmitDelay, if not nil, returns an additional delay for the next segment,
 	// as caused by the retransmission of a lost packet.
 	RetransmitDelay func() time.Duration
+	// Out and In, if not nil, return an additional delay of the next segment of n bytes
+	// in one direction, as caused by a narrow link, see Bottleneck.
+	Out, In func(n int) time.Duration
 }
 
 // Delay returns a Dial whose connections have the latency of path in each
@@ -21,7 +24,7 @@
 func Delay(next Dial, path func(addr string) Path) Dial {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		p := path(addr)
-		if p.OneWay == 0 && p.RetransmitDelay == nil {
+		if p.OneWay == 0 && p.RetransmitDelay == nil && p.Out == nil && p.In == nil {
 			return next(ctx, network, addr)
 		}
 		c, err := next(ctx, network, addr)
@@ -76,10 +79,13 @@
 	return d
 }
 
-// deliveryTime returns when a segment that is sent now arrives. It is not before
-// the delivery time of the previous segment.
-func (d *delayedConn) deliveryTime(previous time.Time) time.Time {
+// deliveryTime returns when a segment of n bytes that is sent now arrives, with the delay of
+// a narrow link. It is not before the delivery time of the previous segment.
+func (d *delayedConn) deliveryTime(previous time.Time, n int, narrow func(int) time.Duration) time.Time {
 	at := time.Now().Add(d.path.OneWay)
+	if narrow != nil {
+		at = at.Add(narrow(n))
+	}
 	if d.path.RetransmitDelay != nil {
 		at = at.Add(d.path.RetransmitDelay())
 	}
@@ -111,7 +117,7 @@
 	for {
 		buf := make([]byte, maxSegmentBytes)
 		n, err := d.Conn.Read(buf)
-		last = d.deliveryTime(last)
+		last = d.deliveryTime(last, n, d.path.In)
 		select {
 		case d.inbound <- segment{deliverAt: last, data: buf[:n], err: err}:
 		case <-d.closed:
@@ -125,7 +131,7 @@
 
 // Write implements net.Conn. It queues the data and does not wait for the delay.
 func (d *delayedConn) Write(b []byte) (int, error) {
-	s := segment{deliverAt: d.deliveryTime(time.Time{}), data: append([]byte(nil), b...)}
+	s := segment{deliverAt: d.deliveryTime(time.Time{}, len(b), d.path.Out), data: append([]byte(nil), b...)}
 	select {
 	case d.outbound <- s:
 		return len(b), nil
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -52,21 +52,23 @@
 type Config struct {
 	Document        []byte // configuration document, of which New uses only the deployment name
 	Instances       []InstanceSpec
-	OneWay          time.Duration          // network delay between data centres, in each direction
-	RetransmitDelay func() time.Duration   // additional delay of the next segment between data centres, see link.Path
-	Slots           int                    // concurrent calls per backend server, 0 for 12
-	Work            time.Duration          // default duration of a call at a backend server
-	Linger          time.Duration          // how long a stopping node still accepts calls (setting drain.linger), 0 for the default
-	Platform        fakekv.Config          // rate limits of the stand-in store
-	Log             *zap.Logger            // nil for no log
-	OnEvent         func(event.Event)      // called with each event that a node records, if set
-	OnCall          func(proxy.CallResult) // called at the end of each call from a caller, if set
-	Policy          proxy.Policy           // how nodes choose upstreams and resend calls
-	Mode            feed.Mode              // how versions are distributed to the nodes
-	NoHedge         bool                   // disables hedging, which sends an unanswered idempotent call to a second upstream
-	NoSeeds         bool                   // leaves seeds out of the settings, so that nodes find each other through the store only
-	NoBackends      bool                   // runs nodes without backend servers
-	CrashDowntime   time.Duration          // time until a backend server that has crashed starts again, see server.Faults.Crash
+	OneWay          time.Duration              // network delay between data centres, in each direction
+	LinkMbit        func(InstanceSpec) float64 // rate of the link of an instance in each direction, Mbit/s, nil or 0 for no bound
+	LinkUnstated    bool                       // leaves the rates of links out of the settings
+	RetransmitDelay func() time.Duration       // additional delay of the next segment between data centres, see link.Path
+	Slots           int                        // concurrent calls per backend server, 0 for 12
+	Work            time.Duration              // default duration of a call at a backend server
+	Linger          time.Duration              // how long a stopping node still accepts calls (setting drain.linger), 0 for the default
+	Platform        fakekv.Config              // rate limits of the stand-in store
+	Log             *zap.Logger                // nil for no log
+	OnEvent         func(event.Event)          // called with each event that a node records, if set
+	OnCall          func(proxy.CallResult)     // called at the end of each call from a caller, if set
+	Policy          proxy.Policy               // how nodes choose upstreams and resend calls
+	Mode            feed.Mode                  // how versions are distributed to the nodes
+	NoHedge         bool                       // disables hedging, which sends an unanswered idempotent call to a second upstream
+	NoSeeds         bool                       // leaves seeds out of the settings, so that nodes find each other through the store only
+	NoBackends      bool                       // runs nodes without backend servers
+	CrashDowntime   time.Duration              // time until a backend server that has crashed starts again, see server.Faults.Crash
 }
 
 // Instance is an instance of a Mesh. Its node and its backend server are replaced
@@ -94,6 +96,7 @@
 	Instances    []*Instance
 	dataCentres  []string
 	seeds        map[string][]string        // by data centre, for the settings
+	links        map[string]*instanceLink   // by peer address
 	centreByAddr map[string]string          // data centre of each peer address
 	blackholes   map[string]*link.Blackhole // for the connections that nodes of a data centre dial
 	crashes      []Crash
@@ -139,7 +142,7 @@
 	if cfg.Slots == 0 {
 		cfg.Slots = 12
 	}
-	m := &Mesh{cfg: cfg, doc: doc, seeds: map[string][]string{}, centreByAddr: map[string]string{}, blackholes: map[string]*link.Blackhole{}}
+	m := &Mesh{cfg: cfg, doc: doc, seeds: map[string][]string{}, centreByAddr: map[string]string{}, links: map[string]*instanceLink{}, blackholes: map[string]*link.Blackhole{}}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	for _, s := range cfg.Instances {
 		if !slices.Contains(m.dataCentres, s.DataCentre) {
@@ -170,6 +173,7 @@
 		in := &Instance{Spec: s, Settings: m.nodeSettings(s, setup.Listen{Callers: a[0], Peers: a[1], Egress: a[2], Admin: a[3]})}
 		m.Instances = append(m.Instances, in)
 		m.centreByAddr[a[1]] = s.DataCentre
+		m.links[a[1]] = newInstanceLink(m.linkMbit(s))
 		if len(m.seeds[s.DataCentre]) < seedsPerDataCentre {
 			m.seeds[s.DataCentre] = append(m.seeds[s.DataCentre], a[1])
 		}
@@ -188,6 +192,9 @@
 		Name: s.Name, Deployment: m.doc.Deployment, DataCentre: s.DataCentre, DataCentres: m.dataCentres,
 		Service: s.Service, Listen: l, Store: []string{m.StoreURL}, Hedge: &hedge,
 	}
+	if !m.cfg.LinkUnstated {
+		n.Link.MbitPerSecond = m.linkMbit(s)
+	}
 	if !m.cfg.NoSeeds {
 		n.Seeds = m.seeds
 	}
@@ -212,15 +219,16 @@
 	return nil
 }
 
-// dialFrom returns the Dial with which the nodes of a data centre open connections,
-// around next. It adds the delay between data centres and is subject to injected
-// faults. The store is in the first data centre.
-func (m *Mesh) dialFrom(dataCentre string, next link.Dial) link.Dial {
+// dialFrom returns the Dial with which the node of an instance opens connections, around
+// next. It adds the delays between data centres and of narrow links, and is subject to
+// injected faults. The store is in the first data centre.
+func (m *Mesh) dialFrom(in *Instance, next link.Dial) link.Dial {
+	dataCentre := in.Spec.DataCentre
 	delayed := link.Delay(next, func(addr string) link.Path {
 		target, known := m.centreByAddr[addr]
 		switch {
 		case known && target == dataCentre:
-			return link.Path{}
+			return narrowPath(m.links[in.Settings.Listen.Peers], m.links[addr])
 		case known || "http://"+addr == m.StoreURL && dataCentre != m.dataCentres[0]:
 			return link.Path{OneWay: m.cfg.OneWay, RetransmitDelay: m.cfg.RetransmitDelay}
 		}
@@ -271,7 +279,7 @@
 // after Stop or Kill.
 func (m *Mesh) StartInstance(i int) error {
 	in := m.Instances[i]
-	wrapDial := func(next link.Dial) link.Dial { return m.dialFrom(in.Spec.DataCentre, next) }
+	wrapDial := func(next link.Dial) link.Dial { return m.dialFrom(in, next) }
 	n, err := node.New(node.Config{
 		Settings: in.Settings, Store: etcd.New(etcd.Config{Endpoints: []string{m.StoreURL}, Dial: wrapDial(link.Direct)}),
 		Log: m.cfg.Log, WrapDial: wrapDial, OnCall: m.cfg.OnCall, OnEvent: m.cfg.OnEvent,
