Links: callers on the own instance, refusals of unread bodies, room at the sender

Change: lanes of callers are nil for local callers, whose rest is read by net/http; else the connection is closed after 500 ms; waits are taken with a margin; an attempt that ends at its deadline is not judged if its body or answer is bulk for the link.

--- a/core/band/schedule.go
+++ b/core/band/schedule.go
@@ -62,8 +62,9 @@
 	// Deadline is by when it must have passed, zero for a transfer that is never
 	// refused.
 	Deadline time.Time
-	// Detached is set if the other end is not a node of the deployment. Such a
-	// transfer does not count as unfinished, so that slow callers hold back nobody.
+	// Detached is set if the transfer waits for the rate alone: it neither counts as
+	// unfinished nor waits for those that are. So what is slow at its other end holds
+	// back nobody, and nobody waits for this link while another is held for it.
 	Detached bool
 }
 
@@ -132,7 +133,7 @@
 	s.arrivals++
 	s.expireLeases(now)
 	s.sort(now)
-	if len(s.waiters) == 0 && s.hasRoom(now) {
+	if len(s.waiters) == 0 && s.hasRoom(now, t) {
 		s.admit(now, t)
 		return Admitted, 0
 	}
@@ -150,13 +151,16 @@
 	s.expireLeases(now)
 	s.sort(now)
 	out := s.refuseLate(now)
-	for len(s.waiters) > 0 && s.hasRoom(now) {
-		t := s.waiters[0].Transfer
-		s.waiters = slices.Delete(s.waiters, 0, 1)
+	for {
+		i := slices.IndexFunc(s.waiters, func(w waiter) bool { return s.hasRoom(now, w.Transfer) })
+		if i < 0 {
+			return out
+		}
+		t := s.waiters[i].Transfer
+		s.waiters = slices.Delete(s.waiters, i, i+1)
 		s.admit(now, t)
 		out = append(out, Decision{ID: t.ID, Admitted: true})
 	}
-	return out
 }
 
 // Next returns when Advance has to be called again, unless Done is called before. It is
@@ -166,7 +170,7 @@
 		return time.Time{}
 	}
 	next := s.freeAt.Add(-grantLead)
-	if len(s.leases) >= maxUnfinished {
+	if len(s.leases) >= maxUnfinished && !slices.ContainsFunc(s.waiters, func(w waiter) bool { return w.Detached }) {
 		first := slices.MinFunc(s.leases, func(a, b lease) int { return a.expiresAt.Compare(b.expiresAt) })
 		next = later(next, first.expiresAt)
 	}
@@ -206,9 +210,9 @@
 	return State{Waiting: len(s.waiters), Unfinished: len(s.leases), Wait: s.Wait(now)}
 }
 
-// hasRoom reports whether a transfer can be admitted.
-func (s *Schedule) hasRoom(now time.Time) bool {
-	return s.freeAt.Sub(now) <= grantLead && len(s.leases) < maxUnfinished
+// hasRoom reports whether t can be admitted.
+func (s *Schedule) hasRoom(now time.Time, t Transfer) bool {
+	return s.freeAt.Sub(now) <= grantLead && (t.Detached || len(s.leases) < maxUnfinished)
 }
 
 // admit admits a transfer.
@@ -297,6 +301,9 @@
 	Lasts time.Duration // the transfers and the work between them
 }
 
+// waitMargin is the factor on an expected wait, since links are rarely as fast as stated.
+const waitMargin = 1.25
+
 // Excess returns by how much a call exceeds its target, or its deadline if it has no target
 // or could not meet it without the wait. It is 0 if the call is in time. Room for it is
 // expected after the excess has passed.
@@ -305,7 +312,8 @@
 	if !target.IsZero() && !now.Add(e.Lasts).After(target) {
 		bound = target
 	}
-	return max(now.Add(e.Wait+e.Lasts).Sub(bound), 0)
+	wait := time.Duration(waitMargin * float64(e.Wait))
+	return max(now.Add(wait+e.Lasts).Sub(bound), 0)
 }
 
 // later returns the later of two times.
--- a/core/pick/links.go
+++ b/core/pick/links.go
@@ -28,8 +28,8 @@
 	}
 	var u linkUse
 	if criteria.BodyBytes > band.PieceBytes(c.LinkRate) {
-		u.wait += in
-		u.transfer += band.Time(criteria.BodyBytes, rate)
+		u.wait += max(in, criteria.OutWait)
+		u.transfer += max(band.Time(criteria.BodyBytes, rate), band.Time(criteria.BodyBytes, band.BulkRate(criteria.OutRate)))
 	}
 	if criteria.AnswerBytes > band.PieceBytes(c.LinkRate) {
 		u.wait += out
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -48,6 +48,10 @@
 	LargeResponse bool     // the answer is expected to be large
 	BodyBytes     int64    // length of the body
 	AnswerBytes   int64    // expected length of the answer, 0 if not known
+	// OutRate is what the link of the picker's own node carries, in bytes a second, 0 if it
+	// is not bounded. OutWait is the time until it has room for another body.
+	OutRate float64
+	OutWait time.Duration
 	// Target is the time by which the call should be answered, zero if the call
 	// has no target.
 	Target time.Time
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -223,7 +223,7 @@
 		WrapDial: func(d link.Dial) link.Dial { return n.byteMeters.calls.Dial(n.cfg.WrapDial(d), n.isRemoteAddr) },
 		Tracer:   n.tracer.Tracer(), Claims: n.proxyClaims(), Rand: n.newRand("proxy"),
 		MaxBodyBytes: s.Limits.RequestBytes, MaxAnswerBytes: s.Limits.AnswerBytes,
-		NestedCallsUntraced: s.LocalCallers, KeysUnused: s.KeysUnused, Retry: retryLimits(s), LinkRate: s.Link.BytesPerSecond(),
+		NestedCallsUntraced: s.LocalCallers, KeysUnused: s.KeysUnused, Retry: retryLimits(s), LinkRate: s.Link.BytesPerSecond(), LocalCallers: s.LocalCallers,
 		Hedge: s.Hedge != nil && *s.Hedge, Policy: n.cfg.Policy, OnCall: n.recordCall, OnAttempt: n.recordAttempt,
 	})
 }
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -266,6 +266,9 @@
 // recordOutcome tells the picker how an attempt ended.
 func (p *Proxy) recordOutcome(c call.Call, target pick.Candidate, r call.Reply, took time.Duration) {
 	o := pick.Outcome{Result: p.pickResult(r), Latency: took, Load: r.Load}
+	if r.Cause == call.CauseDeadline && isBulk(target, p.linkCriteria(c)) {
+		o.Result = pick.Unjudged // its link may be full, silence tells whether the node works
+	}
 	p.mu.Lock()
 	ejected := p.picker.Done(time.Now(), target.ID, o)
 	p.mu.Unlock()
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -372,7 +372,7 @@
 	if r.ContentLength > limit {
 		return nil, newRejection(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
 	}
-	if p.links.in.Bulk(r.ContentLength) {
+	if p.links.callerIn.Bulk(r.ContentLength) {
 		return p.readBulkBody(r, c)
 	}
 	body, err := io.ReadAll(io.LimitReader(p.links.countReads(r), limit+1))
--- a/io/proxy/links.go
+++ b/io/proxy/links.go
@@ -14,6 +14,7 @@
 	"tanagerchute/core/call"
 	"tanagerchute/core/event"
 	"tanagerchute/core/pick"
+	"tanagerchute/io/timer"
 	"tanagerchute/io/xfer"
 )
 
@@ -37,7 +38,10 @@
 // pass them. Both directions are nil if the link has no bound.
 type links struct {
 	in, out *xfer.Lane
-	sizes   answerSizes
+	// callerIn and callerOut are those of them that the requests and answers of callers
+	// pass, nil if callers are on the same instance.
+	callerIn, callerOut *xfer.Lane
+	sizes               answerSizes
 	// expected is the sum of the bulk answers that the calls at the own backend server
 	// are expected to have, in bytes.
 	expected atomic.Int64
@@ -56,6 +60,9 @@
 		return xfer.NewLane(xfer.Config{BytesPerSecond: cfg.LinkRate, OnWait: record(event.TransferWaited), OnRefuse: record(event.TransferRefused)})
 	}
 	l.in, l.out = lane("in"), lane("out")
+	if !cfg.LocalCallers {
+		l.callerIn, l.callerOut = l.in, l.out
+	}
 	l.sizes.mean = map[answerClass]float64{}
 }
 
@@ -115,6 +122,10 @@
 	criteria := pick.Criteria{LargeResponse: c.LargeResponse, Target: c.Target, BodyBytes: int64(len(c.Body))}
 	if p.links.bounded() {
 		criteria.AnswerBytes = p.links.sizes.expect(c)
+		criteria.OutRate = p.cfg.LinkRate
+		if p.links.out.Bulk(criteria.BodyBytes) {
+			criteria.OutWait = p.links.out.Wait()
+		}
 	}
 	return criteria
 }
@@ -170,18 +181,18 @@
 	cs := p.candidates.get(p.cfg.Fleet.View(), c.Service)
 	now := time.Now()
 	p.mu.Lock()
-	e, ok := p.picker.EstimateLink(now, cs.all(false), criteria)
+	e, ok := p.picker.EstimateLink(now, cs.used(false), criteria)
 	p.mu.Unlock()
 	if !ok {
 		return nil // refused by dispatch
 	}
-	if p.links.in.Bulk(criteria.BodyBytes) {
-		e.Wait = max(e.Wait, p.links.in.Wait())
-		e.Lasts += band.Time(criteria.BodyBytes, p.links.in.Rate())
+	if in := p.links.callerIn; in.Bulk(criteria.BodyBytes) {
+		e.Wait = max(e.Wait, in.Wait())
+		e.Lasts += band.Time(criteria.BodyBytes, in.Rate())
 	}
-	if p.links.out.Bulk(criteria.AnswerBytes) {
-		e.Wait = max(e.Wait, p.links.out.Wait()-e.Lasts)
-		e.Lasts += band.Time(criteria.AnswerBytes, p.links.out.Rate())
+	if out := p.links.callerOut; out.Bulk(criteria.AnswerBytes) {
+		e.Wait = max(e.Wait, out.Wait()-e.Lasts)
+		e.Lasts += band.Time(criteria.AnswerBytes, out.Rate())
 	}
 	if e.Wait == 0 {
 		return nil // no link is in the way
@@ -196,19 +207,28 @@
 	return &r
 }
 
-// refuseUnread writes the refusal of a call whose body was not read. The connection of the
-// caller is closed, since reading the rest would take the link for nothing.
+// unreadCloseDelay is the time between the refusal of a call with an unread body and the end
+// of its connection. The caller may not have read the refusal before, and would lose it.
+const unreadCloseDelay = 500 * time.Millisecond
+
+// refuseUnread writes the refusal of a call whose body was not read. If callers are on the
+// same instance, the server reads the rest of it and keeps the connection, as it does after
+// any early answer. Otherwise the connection is closed, since the rest would take the link
+// for nothing.
 func (p *Proxy) refuseUnread(w http.ResponseWriter, r *http.Request, c call.Call, reply call.Reply, arrivedAt time.Time) {
 	p.reportResult(c, reply, AttemptSummary{}, arrivedAt)
-	unread := r.ContentLength != 0
-	if unread && r.ProtoMajor == 1 {
+	closes := p.links.callerIn != nil && r.ContentLength != 0 && r.ProtoMajor == 1
+	if closes {
 		w.Header().Set("Connection", "close")
 	}
 	p.writeReply(r.Context(), w, c, reply)
-	if unread {
-		// The server would read the rest of a body of moderate size otherwise.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	if !closes {
+		return
 	}
+	rc := http.NewResponseController(w)
+	_ = rc.Flush() // fails only if the caller has disconnected
+	timer.Sleep(r.Context(), unreadCloseDelay)
+	_ = rc.SetReadDeadline(time.Now())
 }
 
 // readBulkBody reads a body when the link of the instance admits it, at its pace.
@@ -216,15 +236,15 @@
 	id, _ := newID()
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
-	d := p.links.in.Acquire(ctx, band.Transfer{
+	d := p.links.callerIn.Acquire(ctx, band.Transfer{
 		ID: id, Bytes: r.ContentLength, Priority: int(c.Priority), Target: c.Target, Deadline: c.Deadline, Detached: true,
 	})
 	if !d.Admitted {
 		refusal := p.refuseLinkFull(d.RetryAfter)
 		return nil, &rejection{refusal: &refusal}
 	}
-	defer p.links.in.Done(id)
-	body, err := xfer.Read(ctx, r.Body, r.ContentLength, xfer.NewPace(p.links.in.Rate()))
+	defer p.links.callerIn.Done(id)
+	body, err := xfer.Read(ctx, r.Body, r.ContentLength, xfer.NewPace(p.links.callerIn.Rate()))
 	if err != nil {
 		return nil, newRejection(http.StatusBadRequest, "body was cut short")
 	}
@@ -234,11 +254,11 @@
 // countReads returns the body of a request from a caller, which is accounted for as it is
 // read. A body without a declared length is read at the pace of the link.
 func (l *links) countReads(r *http.Request) io.Reader {
-	if !l.bounded() {
+	if l.callerIn == nil {
 		return r.Body
 	}
-	l.in.Pass(messageOverhead)
-	return &countedBody{ctx: r.Context(), body: r.Body, in: l.in, pace: xfer.NewPace(l.in.Rate())}
+	l.callerIn.Pass(messageOverhead)
+	return &countedBody{ctx: r.Context(), body: r.Body, in: l.callerIn, pace: xfer.NewPace(l.callerIn.Rate())}
 }
 
 // countedBody is a body that is accounted for as it is read.
@@ -278,17 +298,17 @@
 // writeToCaller writes an answer to a caller, a large one when the link admits it.
 func (l *links) writeToCaller(ctx context.Context, w http.ResponseWriter, c call.Call, body []byte) error {
 	n := int64(len(body))
-	if !l.out.Bulk(n) {
-		l.out.Pass(n + messageOverhead)
+	if !l.callerOut.Bulk(n) {
+		l.callerOut.Pass(n + messageOverhead)
 		_, err := w.Write(body)
 		return err
 	}
 	id, _ := newID()
-	if d := l.out.Acquire(ctx, band.Transfer{ID: id, Bytes: n, Priority: int(c.Priority), Target: c.Target, Detached: true}); !d.Admitted {
+	if d := l.callerOut.Acquire(ctx, band.Transfer{ID: id, Bytes: n, Priority: int(c.Priority), Target: c.Target, Detached: true}); !d.Admitted {
 		return ctx.Err()
 	}
-	defer l.out.Done(id)
-	return xfer.Write(ctx, w, body, xfer.NewPace(l.out.Rate()), http.NewResponseController(w).Flush)
+	defer l.callerOut.Done(id)
+	return xfer.Write(ctx, w, body, xfer.NewPace(l.callerOut.Rate()), http.NewResponseController(w).Flush)
 }
 
 // serveAsGatekeeper runs a call at the own backend server. It refuses one whose answer is
@@ -394,13 +414,16 @@
 	announced int64        // length, 0 if it is sent at once
 	granted   chan float64 // receives the rate that the node grants, nil if it is sent at once
 	sending   atomic.Bool
+	id        string // of the attempt
+	priority  int
+	target    time.Time
 	out       *xfer.Lane
 	pace      *xfer.Pace // nil before the first byte is sent
 }
 
 // newPeerBody returns the body of c for the node at addr.
 func (p *Proxy) newPeerBody(ctx context.Context, addr string, c call.Call) *peerBody {
-	b := &peerBody{ctx: ctx, rest: c.Body, out: p.links.out}
+	b := &peerBody{ctx: ctx, rest: c.Body, id: c.Attempt, priority: int(c.Priority), target: c.Target, out: p.links.out}
 	n := int64(len(c.Body))
 	if n <= band.PieceBytes(0) {
 		p.links.out.Pass(n + messageOverhead)
@@ -454,9 +477,16 @@
 		}
 		b.sending.Store(true)
 	}
-	if int64(len(b.rest)) > band.PieceBytes(0) {
-		b.out.Pass(int64(len(b.rest)) + messageOverhead)
-	}
 	b.pace = xfer.NewPace(rate, b.out.Rate())
+	n := int64(len(b.rest))
+	if !b.out.Bulk(n) {
+		if n > band.PieceBytes(0) {
+			b.out.Pass(n + messageOverhead)
+		}
+		return nil
+	}
+	if d := b.out.Acquire(b.ctx, band.Transfer{ID: b.id, Bytes: n, Priority: b.priority, Target: b.target, Detached: true}); !d.Admitted {
+		return b.ctx.Err()
+	}
 	return nil
 }
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -44,6 +44,7 @@
 	MaxBodyBytes        int64   // of a request
 	MaxAnswerBytes      int64   // of an answer
 	LinkRate            float64 // of the instance's link in each direction, bytes a second, 0 for no bound
+	LocalCallers        bool    // callers are on the node's own instance, so that their requests take no link
 	Hedge               bool    // send slow idempotent calls to a second upstream
 	Retry               RetryLimits
 	NestedCallsUntraced bool // see gate.Config
--- a/io/xfer/pace.go
+++ b/io/xfer/pace.go
@@ -9,6 +9,10 @@
 	"tanagerchute/io/timer"
 )
 
+// maxCatchUpPieces is the number of pieces that a transfer which fell behind may write at
+// once. More would make small messages wait.
+const maxCatchUpPieces = 2
+
 // Pace spreads the pieces of one transfer over time. It is not safe for concurrent use.
 type Pace struct {
 	rate   float64 // bytes a second, 0 for no bound
@@ -25,7 +29,7 @@
 			lowest = r
 		}
 	}
-	return &Pace{rate: lowest, piece: band.PieceBytes(lowest)}
+	return &Pace{rate: lowest, piece: band.PieceBytes(lowest), nextAt: time.Now()}
 }
 
 // Next waits until the next piece of n remaining bytes may pass, and returns its size. It
@@ -35,8 +39,8 @@
 		return n, ctx.Err()
 	}
 	now := time.Now()
-	if p.nextAt.Before(now.Add(-band.Time(p.piece, p.rate))) {
-		p.nextAt = now // a transfer that fell behind does not catch up by a burst
+	if earliest := now.Add(-band.Time(maxCatchUpPieces*p.piece, p.rate)); p.nextAt.Before(earliest) {
+		p.nextAt = earliest
 	}
 	if wait := p.nextAt.Sub(now); wait > 0 && !timer.Sleep(ctx, wait) {
 		return 0, ctx.Err()
