--- a/core/band/schedule.go
+++ b/core/band/schedule.go
@@ -55,6 +55,7 @@
 // Transfer is a bulk transfer that waits for the link.
 type Transfer struct {
 	ID       string
+	Call     string // id of the call that it belongs to, for the journal
 	Bytes    int64
 	Priority int // lower ones first
 	// Target is by when it should have passed, zero if only the deadline counts.
--- a/io/mesh/links_test.go
+++ b/io/mesh/links_test.go
@@ -1,6 +1,11 @@
 package mesh_test
 
 import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -44,14 +49,16 @@
 type eventCounts struct {
 	mu     sync.Mutex
 	counts map[event.Kind]int
+	last   map[event.Kind]event.Event
 }
 
 func (e *eventCounts) add(ev event.Event) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.counts == nil {
-		e.counts = map[event.Kind]int{}
+		e.counts, e.last = map[event.Kind]int{}, map[event.Kind]event.Event{}
 	}
+	e.last[ev.Kind] = ev
 	e.counts[ev.Kind]++
 }
 
@@ -106,6 +113,9 @@
 				t.Logf("%s: %d sent, %d answered, %d in time, %d not run, %d unknown, %d failed, p50 %.0f ms, p99 %.0f ms", k.Name, k.Sent, k.Good, k.InTime, k.NotRun, k.Unknown, k.Failed, k.P50, k.P99)
 			}
 			t.Logf("%d ejections, %d transfers waited, %d refused", events.get(event.UpstreamEjected), events.get(event.TransferWaited), events.get(event.TransferRefused))
+			for _, k := range []event.Kind{event.TransferWaited, event.TransferRefused} {
+				t.Logf("the last: %+v", events.last[k])
+			}
 			for _, in := range m.Instances {
 				for _, e := range in.Backend.Ledger() {
 					is.True(!r.Refused[e.Request]) // a call that was told not to have run
@@ -123,3 +133,99 @@
 		})
 	}
 }
+
+// uploads sends uploads of 60 KB to the service store in the background, and returns a
+// function that waits for their end.
+func uploads(t *testing.T, ctx context.Context, targets []string, rate float64) (wait func() load.Report) {
+	t.Helper()
+	done := make(chan load.Report, 1)
+	go func() {
+		done <- load.Run(ctx, load.Config{Targets: targets, Rate: rate, Duration: 3 * time.Second, Seed: 30, Kinds: []load.Kind{
+			{Name: "upload", Service: "store", Method: "POST", Path: "/scan", BodyBytes: 60_000, Weight: 1, LatencyTarget: 2 * time.Second},
+		}})
+	}()
+	return func() load.Report { return <-done }
+}
+
+// TestPlannedStopBesideUploads checks that a node with a narrow link stops as planned while
+// uploads fill the link: none of them is lost, and none that was refused has run.
+func TestPlannedStopBesideUploads(t *testing.T) {
+	is := is.New(t)
+	var events eventCounts
+	m, ctx := start(t, narrowStore(&events))
+	wait := uploads(t, ctx, frontAddrs(m), 40)
+	time.Sleep(time.Second)
+	for i, in := range m.Instances {
+		if in.Spec.Service == "store" {
+			m.Stop(i)
+			break
+		}
+	}
+	r := wait()
+	total := r.Total()
+	t.Logf("%d sent, %d answered, %d not run, %d unknown, %d failed", total.Sent, total.Good, total.NotRun, total.Unknown, total.Failed)
+	is.Equal(total.Unknown+total.Failed, 0)
+	is.True(total.Good > total.Sent/2)
+	for _, in := range m.Instances {
+		for _, e := range in.Backend.Ledger() {
+			is.True(!r.Refused[e.Request])
+		}
+	}
+}
+
+// TestDeadSenderLeavesRoom checks that the links have room again soon after a node was killed
+// whose uploads had been admitted.
+func TestDeadSenderLeavesRoom(t *testing.T) {
+	is := is.New(t)
+	var events eventCounts
+	m, ctx := start(t, narrowStore(&events))
+	wait := uploads(t, ctx, frontAddrs(m)[:1], 40)
+	time.Sleep(time.Second)
+	for i, in := range m.Instances {
+		if in.Settings.Listen.Callers == frontAddrs(m)[0] {
+			m.Kill(i)
+			break
+		}
+	}
+	time.Sleep(200 * time.Millisecond)
+	after := uploads(t, ctx, frontAddrs(m)[1:], 20)()
+	wait()
+	total := after.Total()
+	t.Logf("%d sent, %d answered, %d not run, %d unknown, %d failed, p99 %.0f ms", total.Sent, total.Good, total.NotRun, total.Unknown, total.Failed, total.P99)
+	is.Equal(total.Good, total.Sent)
+}
+
+// TestBodyIsRefusedUnread checks that an upload which the link of the ingress node has no
+// room for is refused before any byte of its body was sent, and that the caller can read the
+// whole refusal before its connection ends.
+func TestBodyIsRefusedUnread(t *testing.T) {
+	is := is.New(t)
+	var events eventCounts
+	cfg := narrowStore(&events)
+	cfg.LinkMbit = func(s mesh.InstanceSpec) float64 {
+		if s.Service == "front" {
+			return 2
+		}
+		return 0
+	}
+	m, ctx := start(t, cfg)
+	addr := frontAddrs(m)[0]
+	wait := uploads(t, ctx, []string{addr}, 40) // ten times what the link carries
+	time.Sleep(time.Second)
+	c, err := net.Dial("tcp", addr)
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(c.SetDeadline(time.Now().Add(2 * time.Second)))
+	began := time.Now()
+	_, err = c.Write([]byte("POST /scan HTTP/1.1\r\nHost: store\r\nContent-Length: 300000\r\n\r\n"))
+	is.NoErr(err)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	body, err := io.ReadAll(res.Body)
+	is.NoErr(err)
+	t.Logf("%v after %v: %v %s", res.Status, time.Since(began).Round(time.Millisecond), res.Header, body)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	is.True(res.Close)
+	is.True(time.Since(began) < 200*time.Millisecond)
+	is.Equal(wait().Total().Failed, 0)
+}
--- a/io/proxy/links.go
+++ b/io/proxy/links.go
@@ -52,7 +52,7 @@
 	lane := func(direction string) *xfer.Lane {
 		record := func(k event.Kind) func(band.Transfer, time.Duration, band.State) {
 			return func(t band.Transfer, waited time.Duration, s band.State) {
-				cfg.Journal.Add(event.Event{At: time.Now(), Kind: k, Subject: t.ID, Cause: fmt.Sprintf(
+				cfg.Journal.Add(event.Event{At: time.Now(), Kind: k, Subject: t.Call, Cause: fmt.Sprintf(
 					"%s: %d bytes, waited %v, %d wait, %d on their way, room in %v", direction, t.Bytes,
 					waited.Round(time.Millisecond), s.Waiting, s.Unfinished, s.Wait.Round(time.Millisecond))})
 			}
@@ -218,26 +218,51 @@
 func (p *Proxy) refuseUnread(w http.ResponseWriter, r *http.Request, c call.Call, reply call.Reply, arrivedAt time.Time) {
 	p.reportResult(c, reply, AttemptSummary{}, arrivedAt)
 	closes := p.links.callerIn != nil && r.ContentLength != 0 && r.ProtoMajor == 1
-	if closes {
-		w.Header().Set("Connection", "close")
-	}
-	p.writeReply(r.Context(), w, c, reply)
 	if !closes {
+		p.writeReply(r.Context(), w, c, reply)
 		return
 	}
+	w.Header().Set("Connection", "close")
+	whole := &wholeResponse{ResponseWriter: w}
+	p.writeReply(r.Context(), whole, c, reply)
+	whole.send()
 	rc := http.NewResponseController(w)
 	_ = rc.Flush() // fails only if the caller has disconnected
 	timer.Sleep(r.Context(), unreadCloseDelay)
 	_ = rc.SetReadDeadline(time.Now())
 }
 
+// wholeResponse collects a short response, so that it is sent with its length. Its reader
+// finds the end of it before the handler has ended.
+type wholeResponse struct {
+	http.ResponseWriter
+	status int
+	body   []byte
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *wholeResponse) WriteHeader(status int) { w.status = status }
+
+// Write implements http.ResponseWriter.
+func (w *wholeResponse) Write(b []byte) (int, error) {
+	w.body = append(w.body, b...)
+	return len(b), nil
+}
+
+// send sends what was collected.
+func (w *wholeResponse) send() {
+	w.Header().Set("Content-Length", strconv.Itoa(len(w.body)))
+	w.ResponseWriter.WriteHeader(w.status)
+	_, _ = w.ResponseWriter.Write(w.body) // fails only if the caller has disconnected
+}
+
 // readBulkBody reads a body when the link of the instance admits it, at its pace.
 func (p *Proxy) readBulkBody(r *http.Request, c call.Call) ([]byte, *rejection) {
 	id, _ := newID()
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	d := p.links.callerIn.Acquire(ctx, band.Transfer{
-		ID: id, Bytes: r.ContentLength, Priority: int(c.Priority), Target: c.Target, Deadline: c.Deadline, Detached: true,
+		ID: id, Call: c.ID, Bytes: r.ContentLength, Priority: int(c.Priority), Target: c.Target, Deadline: c.Deadline, Detached: true,
 	})
 	if !d.Admitted {
 		refusal := p.refuseLinkFull(d.RetryAfter)
@@ -304,7 +329,7 @@
 		return err
 	}
 	id, _ := newID()
-	if d := l.callerOut.Acquire(ctx, band.Transfer{ID: id, Bytes: n, Priority: int(c.Priority), Target: c.Target, Detached: true}); !d.Admitted {
+	if d := l.callerOut.Acquire(ctx, band.Transfer{ID: id, Call: c.ID, Bytes: n, Priority: int(c.Priority), Target: c.Target, Detached: true}); !d.Admitted {
 		return ctx.Err()
 	}
 	defer l.callerOut.Done(id)
@@ -342,7 +367,7 @@
 		out.Pass(n + messageOverhead)
 		return func() {}
 	}
-	out.Acquire(ctx, band.Transfer{ID: c.Attempt, Bytes: n, Priority: int(c.Priority), Target: c.Target})
+	out.Acquire(ctx, band.Transfer{ID: c.Attempt, Call: c.ID, Bytes: n, Priority: int(c.Priority), Target: c.Target})
 	return func() { out.Done(c.Attempt) }
 }
 
@@ -361,7 +386,7 @@
 	if res.ContentLength > p.cfg.MaxAnswerBytes {
 		return nil, errAnswerTooLarge
 	}
-	if d := in.Acquire(ctx, band.Transfer{ID: c.Attempt, Bytes: res.ContentLength, Priority: int(c.Priority), Target: c.Target}); !d.Admitted {
+	if d := in.Acquire(ctx, band.Transfer{ID: c.Attempt, Call: c.ID, Bytes: res.ContentLength, Priority: int(c.Priority), Target: c.Target}); !d.Admitted {
 		return nil, ctx.Err()
 	}
 	defer in.Done(c.Attempt)
@@ -388,7 +413,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	load := p.cfg.Gate.Load()
-	t := band.Transfer{ID: c.Attempt, Bytes: n, Priority: int(c.Priority), Target: c.Target, Deadline: c.Deadline.Add(-load.ServiceTime)}
+	t := band.Transfer{ID: c.Attempt, Call: c.ID, Bytes: n, Priority: int(c.Priority), Target: c.Target, Deadline: c.Deadline.Add(-load.ServiceTime)}
 	if !t.Target.IsZero() {
 		t.Target = t.Target.Add(-load.ServiceTime)
 	}
@@ -414,16 +439,14 @@
 	announced int64        // length, 0 if it is sent at once
 	granted   chan float64 // receives the rate that the node grants, nil if it is sent at once
 	sending   atomic.Bool
-	id        string // of the attempt
-	priority  int
-	target    time.Time
+	call      call.Call
 	out       *xfer.Lane
 	pace      *xfer.Pace // nil before the first byte is sent
 }
 
 // newPeerBody returns the body of c for the node at addr.
 func (p *Proxy) newPeerBody(ctx context.Context, addr string, c call.Call) *peerBody {
-	b := &peerBody{ctx: ctx, rest: c.Body, id: c.Attempt, priority: int(c.Priority), target: c.Target, out: p.links.out}
+	b := &peerBody{ctx: ctx, rest: c.Body, call: c, out: p.links.out}
 	n := int64(len(c.Body))
 	if n <= band.PieceBytes(0) {
 		p.links.out.Pass(n + messageOverhead)
@@ -485,7 +508,7 @@
 		}
 		return nil
 	}
-	if d := b.out.Acquire(b.ctx, band.Transfer{ID: b.id, Bytes: n, Priority: b.priority, Target: b.target, Detached: true}); !d.Admitted {
+	if d := b.out.Acquire(b.ctx, band.Transfer{ID: b.call.Attempt, Call: b.call.ID, Bytes: n, Priority: int(b.call.Priority), Target: b.call.Target, Detached: true}); !d.Admitted {
 		return b.ctx.Err()
 	}
 	return nil
--- /dev/null
+++ b/io/xfer/lane_test.go
@@ -0,0 +1,60 @@
+package xfer_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tanagerchute/core/band"
+	"tanagerchute/io/xfer"
+)
+
+const rate = 1.25e6 // bytes a second
+
+func transfer(id string, n int64) band.Transfer {
+	return band.Transfer{ID: id, Bytes: n, Deadline: time.Now().Add(5 * time.Second)}
+}
+
+// TestCancelledTransferLeavesNothing checks that transfers whose contexts end while they wait
+// give up their places.
+func TestCancelledTransferLeavesNothing(t *testing.T) {
+	is := is.New(t)
+	l := xfer.NewLane(xfer.Config{BytesPerSecond: rate})
+	is.True(l.Acquire(context.Background(), transfer("first", 100_000)).Admitted)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan band.Decision)
+	for i := range 5 {
+		go func() { done <- l.Acquire(ctx, transfer(fmt.Sprint(i), 50_000)) }()
+	}
+	for l.State().Waiting < 5 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	for range 5 {
+		is.True(!(<-done).Admitted)
+	}
+	l.Done("first")
+	s := l.State()
+	is.Equal(s.Waiting+s.Unfinished, 0)
+	is.Equal(l.Counts().Waited, int64(5))
+	is.True(l.Acquire(context.Background(), transfer("next", 50_000)).Admitted)
+}
+
+// TestPiecesLeaveRoom checks that a transfer is read at its pace, whole, and that a nil lane
+// lets all pass at once.
+func TestPiecesLeaveRoom(t *testing.T) {
+	is := is.New(t)
+	body := bytes.Repeat([]byte("0123456789"), 10_000)
+	start := time.Now()
+	got, err := xfer.Read(context.Background(), bytes.NewReader(body), int64(len(body)), xfer.NewPace(rate, 0))
+	is.NoErr(err)
+	is.True(bytes.Equal(got, body))
+	is.True(time.Since(start) > 60*time.Millisecond) // 80 ms without the first pieces
+	var none *xfer.Lane
+	is.True(!none.Bulk(1 << 30))
+	is.True(none.Acquire(context.Background(), transfer("any", 1<<30)).Admitted)
+}
