--- a/core/band/schedule.go
+++ b/core/band/schedule.go
@@ -300,6 +300,7 @@
 type Estimate struct {
 	Wait  time.Duration // until the links have room
 	Lasts time.Duration // the transfers and the work between them
+	Age   time.Duration // of the report of the wait, 0 if there was none
 }
 
 // waitMargin is the factor on an expected wait, since links are rarely as fast as stated.
--- a/core/pick/links.go
+++ b/core/pick/links.go
@@ -72,6 +72,9 @@
 		}
 		u := p.linkUse(now, c, criteria, service)
 		e := band.Estimate{Wait: u.wait, Lasts: u.transfer + service}
+		if s := p.stats[c.ID]; s != nil && !s.loadAt.IsZero() {
+			e.Age = now.Sub(s.loadAt)
+		}
 		if !ok || e.Wait+e.Lasts < best.Wait+best.Lasts {
 			best, ok = e, true
 		}
--- a/io/proxy/links.go
+++ b/io/proxy/links.go
@@ -201,8 +201,8 @@
 	if excess == 0 {
 		return nil
 	}
-	p.recordEvent(event.TransferRefused, c, fmt.Sprintf("ingress: body of %d bytes, answer of %d expected, room in %v, %v for links and work, %v too late",
-		criteria.BodyBytes, criteria.AnswerBytes, e.Wait.Round(time.Millisecond), e.Lasts.Round(time.Millisecond), excess.Round(time.Millisecond)))
+	p.recordEvent(event.TransferRefused, c, fmt.Sprintf("ingress: body of %d bytes, answer of %d expected, room in %v as reported %v ago, %v for links and work, %v too late",
+		criteria.BodyBytes, criteria.AnswerBytes, e.Wait.Round(time.Millisecond), e.Age.Round(time.Millisecond), e.Lasts.Round(time.Millisecond), excess.Round(time.Millisecond)))
 	r := p.refuseLinkFull(excess)
 	return &r
 }
