--- a/io/mesh/links_test.go
+++ b/io/mesh/links_test.go
@@ -62,10 +62,11 @@
 	e.counts[ev.Kind]++
 }
 
-func (e *eventCounts) get(k event.Kind) int {
+// get returns the number of events of a kind, and the last of them.
+func (e *eventCounts) get(k event.Kind) (int, event.Event) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.counts[k]
+	return e.counts[k], e.last[k]
 }
 
 // frontAddrs returns the addresses for callers of the instances of the service front.
@@ -112,9 +113,10 @@
 			for _, k := range r.Kinds {
 				t.Logf("%s: %d sent, %d answered, %d in time, %d not run, %d unknown, %d failed, p50 %.0f ms, p99 %.0f ms", k.Name, k.Sent, k.Good, k.InTime, k.NotRun, k.Unknown, k.Failed, k.P50, k.P99)
 			}
-			t.Logf("%d ejections, %d transfers waited, %d refused", events.get(event.UpstreamEjected), events.get(event.TransferWaited), events.get(event.TransferRefused))
-			for _, k := range []event.Kind{event.TransferWaited, event.TransferRefused} {
-				t.Logf("the last: %+v", events.last[k])
+			for _, k := range []event.Kind{event.UpstreamEjected, event.TransferWaited, event.TransferRefused} {
+				if n, last := events.get(k); n > 0 {
+					t.Logf("%d events, the last: %s %s %s", n, last.Node, last.Kind, last.Cause)
+				}
 			}
 			for _, in := range m.Instances {
 				for _, e := range in.Backend.Ledger() {
@@ -124,7 +126,8 @@
 			if !c.stated {
 				return
 			}
-			is.Equal(events.get(event.UpstreamEjected), 0)
+			ejections, _ := events.get(event.UpstreamEjected)
+			is.Equal(ejections, 0)
 			is.Equal(r.Total().Failed+r.Total().Unknown, 0)
 			for _, k := range r.Kinds {
 				is.True(k.Name != "detail" || k.InTime > k.Sent*98/100)
--- /dev/null
+++ b/io/proxy/callerbody.go
@@ -0,0 +1,76 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"tanagerchute/core/band"
+	"tanagerchute/core/call"
+	"tanagerchute/io/xfer"
+)
+
+// readBulkBody reads a body when the link of the instance admits it, at its pace.
+func (p *Proxy) readBulkBody(r *http.Request, c call.Call) ([]byte, *rejection) {
+	id, _ := newID()
+	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
+	defer cancel()
+	d := p.links.callerIn.Acquire(ctx, band.Transfer{
+		ID: id, Call: c.ID, Bytes: r.ContentLength, Priority: int(c.Priority), Target: c.Target, Deadline: c.Deadline, Detached: true,
+	})
+	if !d.Admitted {
+		refusal := p.refuseLinkFull(d.RetryAfter)
+		return nil, &rejection{refusal: &refusal}
+	}
+	defer p.links.callerIn.Done(id)
+	body, err := xfer.Read(ctx, r.Body, r.ContentLength, xfer.NewPace(p.links.callerIn.Rate()))
+	if err != nil {
+		return nil, newRejection(http.StatusBadRequest, "body was cut short")
+	}
+	return body, nil
+}
+
+// countReads returns the body of a request from a caller, which is accounted for as it is
+// read. A body without a declared length is read at the pace of the link.
+func (l *links) countReads(r *http.Request) io.Reader {
+	if l.callerIn == nil {
+		return r.Body
+	}
+	l.callerIn.Pass(messageOverhead)
+	return &countedBody{ctx: r.Context(), body: r.Body, in: l.callerIn, pace: xfer.NewPace(l.callerIn.Rate())}
+}
+
+// countedBody is a body that is accounted for as it is read.
+type countedBody struct {
+	ctx  context.Context
+	body io.Reader
+	in   *xfer.Lane
+	pace *xfer.Pace
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(buf []byte) (int, error) {
+	size, err := b.pace.Next(b.ctx, int64(len(buf)))
+	if err != nil {
+		return 0, err
+	}
+	n, err := b.body.Read(buf[:size])
+	b.in.Pass(int64(n))
+	return n, err
+}
+
+// writeToCaller writes an answer to a caller, a large one when the link admits it.
+func (l *links) writeToCaller(ctx context.Context, w http.ResponseWriter, c call.Call, body []byte) error {
+	n := int64(len(body))
+	if !l.callerOut.Bulk(n) {
+		l.callerOut.Pass(n + messageOverhead)
+		_, err := w.Write(body)
+		return err
+	}
+	id, _ := newID()
+	if d := l.callerOut.Acquire(ctx, band.Transfer{ID: id, Call: c.ID, Bytes: n, Priority: int(c.Priority), Target: c.Target, Detached: true}); !d.Admitted {
+		return ctx.Err()
+	}
+	defer l.callerOut.Done(id)
+	return xfer.Write(ctx, w, body, xfer.NewPace(l.callerOut.Rate()), http.NewResponseController(w).Flush)
+}
