--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -150,7 +150,7 @@
 
 // criteria returns what the choice of an upstream for the call depends on.
 func (d *dispatchState) criteria() pick.Criteria {
-	c := d.p.linkCriteria(d.call)
+	c := d.p.linkCriteria(d.call, int64(len(d.call.Body)))
 	c.Exclude = d.tried
 	return c
 }
@@ -239,7 +239,7 @@
 
 // recordSent tells the picker that a call is sent to a candidate.
 func (p *Proxy) recordSent(target pick.Candidate, c call.Call) {
-	criteria := p.linkCriteria(c)
+	criteria := p.linkCriteria(c, int64(len(c.Body)))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.picker.Sent(time.Now(), target.ID)
@@ -266,7 +266,7 @@
 // recordOutcome tells the picker how an attempt ended.
 func (p *Proxy) recordOutcome(c call.Call, target pick.Candidate, r call.Reply, took time.Duration) {
 	o := pick.Outcome{Result: p.pickResult(r), Latency: took, Load: r.Load}
-	if r.Cause == call.CauseDeadline && isBulk(target, p.linkCriteria(c)) {
+	if r.Cause == call.CauseDeadline && isBulk(target, p.linkCriteria(c, int64(len(c.Body)))) {
 		o.Result = pick.Unjudged // its link may be full, silence tells whether the node works
 	}
 	p.mu.Lock()
--- a/io/proxy/linkrefuse.go
+++ b/io/proxy/linkrefuse.go
@@ -33,8 +33,7 @@
 // in time: that of this instance, and that of any upstream. length is that of its body,
 // negative if it is not known.
 func (p *Proxy) refuseForLinks(c call.Call, length int64) *call.Reply {
-	criteria := p.linkCriteria(c)
-	criteria.BodyBytes = max(length, 0)
+	criteria := p.linkCriteria(c, max(length, 0))
 	if max(criteria.BodyBytes, criteria.AnswerBytes) <= band.PieceBytes(0) {
 		return nil // small on any link
 	}
--- a/io/proxy/links.go
+++ b/io/proxy/links.go
@@ -112,9 +112,10 @@
 // Link returns the lanes of the instance's link, nil if it has no bound.
 func (p *Proxy) Link() (in, out *xfer.Lane) { return p.links.in, p.links.out }
 
-// linkCriteria returns what the choice of an upstream for c depends on.
-func (p *Proxy) linkCriteria(c call.Call) pick.Criteria {
-	criteria := pick.Criteria{LargeResponse: c.LargeResponse, Target: c.Target, BodyBytes: int64(len(c.Body))}
+// linkCriteria returns what the choice of an upstream for c depends on, if its body has the
+// given length.
+func (p *Proxy) linkCriteria(c call.Call, bodyBytes int64) pick.Criteria {
+	criteria := pick.Criteria{LargeResponse: c.LargeResponse, Target: c.Target, BodyBytes: bodyBytes}
 	if p.links.bounded() {
 		criteria.AnswerBytes = p.links.sizes.expect(c)
 		criteria.OutRate = p.cfg.LinkRate
