io/xfer: a lane gives its transfers ids of its own

Cause: transfers were known by the ids of attempts, which come from other nodes. Of two that waited with one id, the first was forgotten, and the decision on it blocked the lane for good, with all calls that pass it. Change: the lane sets the id, the decision returns it; callers need no random ids. TestTransfersOfOneID failed before (a transfer was not decided on), passes now with -race.

--- a/core/band/doc.go
+++ b/core/band/doc.go
@@ -27,5 +27,5 @@
 //	}
 //	verdict, refusal := s.Offer(now, band.Transfer{ID: id, Bytes: n, Deadline: deadline})
 //	decisions := s.Advance(now) // again at s.Next
-//	s.Done(now, id)
+//	s.Done(id)
 package band
--- a/io/proxy/callerbody.go
+++ b/io/proxy/callerbody.go
@@ -12,17 +12,16 @@
 
 // readBulkBody reads a body when the link of the instance admits it, at its pace.
 func (p *Proxy) readBulkBody(r *http.Request, c call.Call) ([]byte, *rejection) {
-	id, _ := newID()
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	d := p.links.callerIn.Acquire(ctx, band.Transfer{
-		ID: id, Call: c.ID, Bytes: r.ContentLength, Priority: int(c.Priority), Target: c.Target, Deadline: c.Deadline, Detached: true,
+		Call: c.ID, Bytes: r.ContentLength, Priority: int(c.Priority), Target: c.Target, Deadline: c.Deadline, Detached: true,
 	})
 	if !d.Admitted {
 		refusal := p.refuseLinkFull(d.RetryAfter)
 		return nil, &rejection{refusal: &refusal}
 	}
-	defer p.links.callerIn.Done(id)
+	defer p.links.callerIn.Done(d.ID)
 	body, err := xfer.Read(ctx, r.Body, r.ContentLength, xfer.NewPace(p.links.callerIn.Rate()))
 	if err != nil {
 		return nil, newRejection(http.StatusBadRequest, "body was cut short")
@@ -67,10 +66,10 @@
 		_, err := w.Write(body)
 		return err
 	}
-	id, _ := newID()
-	if d := l.callerOut.Acquire(ctx, band.Transfer{ID: id, Call: c.ID, Bytes: n, Priority: int(c.Priority), Target: c.Target, Detached: true}); !d.Admitted {
+	d := l.callerOut.Acquire(ctx, band.Transfer{Call: c.ID, Bytes: n, Priority: int(c.Priority), Target: c.Target, Detached: true})
+	if !d.Admitted {
 		return ctx.Err()
 	}
-	defer l.callerOut.Done(id)
+	defer l.callerOut.Done(d.ID)
 	return xfer.Write(ctx, w, body, xfer.NewPace(l.callerOut.Rate()), http.NewResponseController(w).Flush)
 }
--- a/io/proxy/peerbody.go
+++ b/io/proxy/peerbody.go
@@ -35,8 +35,8 @@
 		out.Pass(n + messageOverhead)
 		return func() {}
 	}
-	out.Acquire(ctx, band.Transfer{ID: c.Attempt, Call: c.ID, Bytes: n, Priority: int(c.Priority), Target: c.Target})
-	return func() { out.Done(c.Attempt) }
+	d := out.Acquire(ctx, band.Transfer{Call: c.ID, Bytes: n, Priority: int(c.Priority), Target: c.Target})
+	return func() { out.Done(d.ID) }
 }
 
 // readAnswer reads the body of an answer of another node, a large one when the link admits
@@ -54,10 +54,11 @@
 	if res.ContentLength > p.cfg.MaxAnswerBytes {
 		return nil, errAnswerTooLarge
 	}
-	if d := in.Acquire(ctx, band.Transfer{ID: c.Attempt, Call: c.ID, Bytes: res.ContentLength, Priority: int(c.Priority), Target: c.Target}); !d.Admitted {
+	d := in.Acquire(ctx, band.Transfer{Call: c.ID, Bytes: res.ContentLength, Priority: int(c.Priority), Target: c.Target})
+	if !d.Admitted {
 		return nil, ctx.Err()
 	}
-	defer in.Done(c.Attempt)
+	defer in.Done(d.ID)
 	return xfer.Read(ctx, res.Body, res.ContentLength, xfer.NewPace(in.Rate()))
 }
 
@@ -81,16 +82,17 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	load := p.cfg.Gate.Load()
-	t := band.Transfer{ID: c.Attempt, Call: c.ID, Bytes: n, Priority: int(c.Priority), Target: c.Target, Deadline: c.Deadline.Add(-load.ServiceTime)}
+	t := band.Transfer{Call: c.ID, Bytes: n, Priority: int(c.Priority), Target: c.Target, Deadline: c.Deadline.Add(-load.ServiceTime)}
 	if !t.Target.IsZero() {
 		t.Target = t.Target.Add(-load.ServiceTime)
 	}
-	if d := p.links.in.Acquire(ctx, t); !d.Admitted {
+	d := p.links.in.Acquire(ctx, t)
+	if !d.Admitted {
 		refusal := p.refuseLinkFull(d.RetryAfter)
 		refusal.Load = load
 		return &refusal, nil
 	}
-	defer p.links.in.Done(t.ID)
+	defer p.links.in.Done(d.ID)
 	w.Header().Set(headerGrant, strconv.FormatFloat(p.links.in.Rate(), 'f', 0, 64))
 	w.WriteHeader(http.StatusProcessing)
 	w.Header().Del(headerGrant)
@@ -176,7 +178,7 @@
 		}
 		return nil
 	}
-	if d := b.out.Acquire(b.ctx, band.Transfer{ID: b.call.Attempt, Call: b.call.ID, Bytes: n, Priority: int(b.call.Priority), Target: b.call.Target, Detached: true}); !d.Admitted {
+	if d := b.out.Acquire(b.ctx, band.Transfer{Call: b.call.ID, Bytes: n, Priority: int(b.call.Priority), Target: b.call.Target, Detached: true}); !d.Admitted {
 		return b.ctx.Err()
 	}
 	return nil
--- a/io/xfer/lane.go
+++ b/io/xfer/lane.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -30,6 +31,7 @@
 	mu       sync.Mutex
 	schedule *band.Schedule
 	waiting  map[string]waiter // by transfer id
+	lastID   uint64            // of the last transfer
 	timer    *time.Timer       // for the next decision
 	counts   Counts
 }
@@ -97,12 +99,14 @@
 }
 
 // Acquire waits until a bulk transfer is admitted or refused, or ctx ends, which counts as
-// given up. If it is admitted, Done must be called at its end.
+// given up. It sets the id of t, since attempts of other nodes need not have unique ones. If
+// t is admitted, Done must be called at its end with the id of the decision.
 func (l *Lane) Acquire(ctx context.Context, t band.Transfer) band.Decision {
 	if l == nil {
 		return band.Decision{ID: t.ID, Admitted: true}
 	}
 	start := time.Now()
+	t.ID = l.newID()
 	d, decided := l.offer(start, t)
 	if decided == nil {
 		return d
@@ -124,6 +128,14 @@
 	return d
 }
 
+// newID returns the id of a new transfer.
+func (l *Lane) newID() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastID++
+	return strconv.FormatUint(l.lastID, 10)
+}
+
 // offer offers t to the schedule. If it waits, the returned channel receives the decision.
 func (l *Lane) offer(now time.Time, t band.Transfer) (band.Decision, <-chan band.Decision) {
 	l.mu.Lock()
--- a/io/xfer/lane_test.go
+++ b/io/xfer/lane_test.go
@@ -24,7 +24,8 @@
 func TestCancelledTransferLeavesNothing(t *testing.T) {
 	is := is.New(t)
 	l := xfer.NewLane(xfer.Config{BytesPerSecond: rate})
-	is.True(l.Acquire(context.Background(), transfer("first", 100_000)).Admitted)
+	first := l.Acquire(context.Background(), transfer("first", 100_000))
+	is.True(first.Admitted)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan band.Decision)
 	for i := range 5 {
@@ -37,7 +38,7 @@
 	for range 5 {
 		is.True(!(<-done).Admitted)
 	}
-	l.Done("first")
+	l.Done(first.ID)
 	s := l.State()
 	is.Equal(s.Waiting+s.Unfinished, 0)
 	is.Equal(l.Counts().Waited, int64(5))
@@ -58,3 +59,29 @@
 	is.True(!none.Bulk(1 << 30))
 	is.True(none.Acquire(context.Background(), transfer("any", 1<<30)).Admitted)
 }
+
+// TestTransfersOfOneID checks that two transfers with the same id, as two copies of one
+// attempt have, wait and end apart from each other.
+func TestTransfersOfOneID(t *testing.T) {
+	is := is.New(t)
+	l := xfer.NewLane(xfer.Config{BytesPerSecond: rate})
+	first := l.Acquire(context.Background(), transfer("first", 100_000))
+	done := make(chan band.Decision, 2)
+	for range 2 {
+		go func() { done <- l.Acquire(context.Background(), transfer("twice", 10_000)) }()
+	}
+	for l.State().Waiting < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	l.Done(first.ID)
+	for range 2 {
+		select {
+		case d := <-done:
+			is.True(d.Admitted)
+			l.Done(d.ID)
+		case <-time.After(time.Second):
+			t.Fatal("a transfer was not decided on")
+		}
+	}
+	is.Equal(l.State().Unfinished, 0)
+}
