io/proxy: small bodies of callers are read without a pace

Cause: each read after the first of a small body with a declared length waited for a timer, for the size of the buffer of the read before. Change: only a body without a declared length is paced.

--- a/io/proxy/callerbody.go
+++ b/io/proxy/callerbody.go
@@ -29,17 +29,21 @@
 	return body, nil
 }
 
-// countReads returns the body of a request from a caller, which is accounted for as it is
-// read. A body without a declared length is read at the pace of the link.
+// countReads accounts for the small body of a request from a caller, and returns it. A body
+// without a declared length is accounted for as it is read, at the pace of the link.
 func (l *links) countReads(r *http.Request) io.Reader {
 	if l.callerIn == nil {
 		return r.Body
 	}
+	if r.ContentLength >= 0 {
+		l.callerIn.Pass(r.ContentLength + messageOverhead)
+		return r.Body
+	}
 	l.callerIn.Pass(messageOverhead)
 	return &countedBody{ctx: r.Context(), body: r.Body, in: l.callerIn, pace: xfer.NewPace(l.callerIn.Rate())}
 }
 
-// countedBody is a body that is accounted for as it is read.
+// countedBody is a body without a declared length.
 type countedBody struct {
 	ctx  context.Context
 	body io.Reader
