io/proxy: no estimate of links where no link is bounded

Cause: in deployments without link rates, each call with a body over 4 KB searched all members for its address, and estimated all candidates under the proxy's mutex before its body was read. Change: the rates of links are indexed once a view; without any, the estimate is skipped.

--- a/io/proxy/candidates.go
+++ b/io/proxy/candidates.go
@@ -38,20 +38,50 @@
 	mu        sync.Mutex
 	view      *fleet.View
 	byService map[string]candidates
+	linkRates map[string]float64 // of the members whose links are bounded, by address
 }
 
 func newCandidateCache(node string) *candidateCache {
-	return &candidateCache{node: node, byService: map[string]candidates{}}
+	return &candidateCache{node: node, byService: map[string]candidates{}, linkRates: map[string]float64{}}
+}
+
+// linkRate returns the rate of the link of the member at addr in bytes a second, 0 if it is
+// not known to be bounded.
+func (cc *candidateCache) linkRate(view *fleet.View, addr string) float64 {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.update(view)
+	return cc.linkRates[addr]
+}
+
+// linksBounded reports whether the link of any member is known to be bounded.
+func (cc *candidateCache) linksBounded(view *fleet.View) bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.update(view)
+	return len(cc.linkRates) > 0
+}
+
+// update drops what was computed from another view. The caller holds mu.
+func (cc *candidateCache) update(view *fleet.View) {
+	if cc.view == view {
+		return
+	}
+	cc.view = view
+	clear(cc.byService)
+	clear(cc.linkRates)
+	for _, m := range view.Members {
+		if m.LinkRate > 0 && m.IsUp() {
+			cc.linkRates[m.Addr] = m.LinkRate
+		}
+	}
 }
 
 // get returns the candidates for calls to a service in the given view.
 func (cc *candidateCache) get(view *fleet.View, service string) candidates {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	if cc.view != view {
-		cc.view = view
-		clear(cc.byService)
-	}
+	cc.update(view)
 	c, ok := cc.byService[service]
 	if !ok {
 		c = newCandidates(cc.node, view, service)
--- a/io/proxy/linkrefuse.go
+++ b/io/proxy/linkrefuse.go
@@ -37,7 +37,11 @@
 	if max(criteria.BodyBytes, criteria.AnswerBytes) <= band.PieceBytes(0) {
 		return nil // small on any link
 	}
-	cs := p.candidates.get(p.cfg.Fleet.View(), c.Service)
+	view := p.cfg.Fleet.View()
+	if !p.links.bounded() && !p.candidates.linksBounded(view) {
+		return nil
+	}
+	cs := p.candidates.get(view, c.Service)
 	now := time.Now()
 	p.mu.Lock()
 	e, ok := p.picker.EstimateLink(now, cs.used(false), criteria)
--- a/io/proxy/links.go
+++ b/io/proxy/links.go
@@ -141,10 +141,5 @@
 
 // linkRateAt is like linkRateOf, by address.
 func (p *Proxy) linkRateAt(addr string) float64 {
-	for _, m := range p.cfg.Fleet.View().Members {
-		if m.Addr == addr && m.IsUp() {
-			return m.LinkRate
-		}
-	}
-	return 0
+	return p.candidates.linkRate(p.cfg.Fleet.View(), addr)
 }
