io/proxy: a repeat of a call that has run is not refused as not run for a full link

Cause: the body of a call to the home of its key, or to an entry node that records it, was refused before the records were looked at. A repeat of a call that had run was told not_run. Change: such a refusal passes the records like the work itself; where they can't be asked without the body, the fate is unknown. TestFullLinkKeepsRecords failed before (not_run != answered), passes now with -race.

--- a/io/proxy/home.go
+++ b/io/proxy/home.go
@@ -101,7 +101,7 @@
 	view := p.cfg.Fleet.View()
 	home := homes.Current(c.ID, view.HomeCandidates())
 	if home == p.cfg.Node {
-		return p.runAsHome(ctx, c)
+		return p.runAsHome(ctx, c, p.workOfKey(ctx, c))
 	}
 	m, ok := view.Get(home)
 	if !ok {
@@ -110,8 +110,20 @@
 	return p.sendUntilSilent(ctx, m.Addr, c)
 }
 
-// runAsHome runs a call of whose key this node is the home.
-func (p *Proxy) runAsHome(ctx context.Context, c call.Call) call.Reply {
+// workOfKey returns the work of a call of whose key this node is the home.
+func (p *Proxy) workOfKey(ctx context.Context, c call.Call) func() call.Reply {
+	return func() call.Reply {
+		// The call is recorded under its key here, so its upstream may record it
+		// under a new id.
+		id, issued := newID()
+		r, _ := p.dispatch(context.WithoutCancel(ctx), c.WithID(id, issued), false)
+		return r
+	}
+}
+
+// runAsHome does the work of a call of whose key this node is the home, unless that has
+// run before.
+func (p *Proxy) runAsHome(ctx context.Context, c call.Call, work func() call.Reply) call.Reply {
 	if !p.cfg.Fleet.HasQuorum(time.Now()) {
 		p.recordEvent(event.RequestUnknown, c, "this node has no quorum, so another node may be the home of the key")
 		return call.Refuse(call.Unknown, call.CauseHomeNotInStanding, time.Second)
@@ -119,13 +131,7 @@
 	if r, ok := p.checkEarlierHomes(ctx, c); !ok {
 		return r
 	}
-	return runner.Run(ctx, p.homeTable, c, func() call.Reply {
-		// The call is recorded under its key here, so its upstream may record it
-		// under a new id.
-		id, issued := newID()
-		r, _ := p.dispatch(context.WithoutCancel(ctx), c.WithID(id, issued), false)
-		return r
-	})
+	return runner.Run(ctx, p.homeTable, c, work)
 }
 
 // checkEarlierHomes asks the nodes that may have been the home of the key since it
--- a/io/proxy/peers.go
+++ b/io/proxy/peers.go
@@ -55,7 +55,7 @@
 	}
 	var reply call.Reply
 	if refusal != nil {
-		reply = *refusal
+		reply = p.settleRefused(ctx, c, *refusal)
 	} else {
 		reply = p.serveByMode(ctx, c)
 	}
@@ -136,6 +136,22 @@
 	return p.serveHome(ctx, c)
 }
 
+// settleRefused returns the reply to a call whose body the link has no room for. A call that
+// is recorded here may have run before, and is refused under its record.
+func (p *Proxy) settleRefused(ctx context.Context, c call.Call, refusal call.Reply) call.Reply {
+	refuse := func() call.Reply { return refusal }
+	switch {
+	case c.Mode == call.Home:
+		if _, sameDataCentre := p.cfg.Fleet.View().Get(c.From); !sameDataCentre {
+			return withUnknownFate(refusal) // the home that would know can't be asked without the body
+		}
+		return p.runAsHome(ctx, c, refuse)
+	case c.Mode == call.Entry && c.AtMostOnce:
+		return runner.Run(ctx, p.homeTable, c, refuse)
+	}
+	return refusal
+}
+
 // serveEntry dispatches a call from another data centre to an upstream of this
 // one. An at-most-once call is recorded, so that it runs once even if it is sent
 // here again.
@@ -162,7 +178,7 @@
 	if !p.cfg.Feed.Ready() {
 		return call.Refuse(call.NotRun, call.CauseNodeNotReady, time.Second)
 	}
-	return p.runAsHome(ctx, c)
+	return p.runAsHome(ctx, c, p.workOfKey(ctx, c))
 }
 
 // writePeerReply writes a reply to the node that sent the call.
