io/proxy: a body over the limit is rejected before links are looked at

Cause: it was refused with a time to come back when a link was full, and would never pass. Change: the check of the declared length comes first.

--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -269,6 +269,9 @@
 	if rej := p.limitDeadline(&c, info, in); rej != nil {
 		return c, rej
 	}
+	if r.ContentLength > in.limits.MaxBodyBytes {
+		return c, newRejection(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
+	}
 	if refusal := p.refuseForLinks(c, r.ContentLength); refusal != nil {
 		return c, &rejection{refusal: refusal}
 	}
@@ -367,11 +370,9 @@
 }
 
 // readBody reads the whole body before the call is sent, so that a truncated body
-// never reaches a backend server, and so that the call can be resent.
+// never reaches a backend server, and so that the call can be resent. Its declared length
+// is within the limit.
 func (p *Proxy) readBody(r *http.Request, c call.Call, limit int64) ([]byte, *rejection) {
-	if r.ContentLength > limit {
-		return nil, newRejection(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
-	}
 	if p.links.callerIn.Bulk(r.ContentLength) {
 		return p.readBulkBody(r, c)
 	}
