io/proxy: a late backend server counts also for bulk calls

Cause: a bulk call at its deadline said nothing about the node, also if the gatekeeper had replied that its backend server was late. A server that hangs on routes with large answers was not noticed by that. Change: only attempts without a reply are left out. TestBulkCallAtItsDeadline failed with the old condition, passes now.

--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -265,10 +265,7 @@
 
 // recordOutcome tells the picker how an attempt ended.
 func (p *Proxy) recordOutcome(c call.Call, target pick.Candidate, r call.Reply, took time.Duration) {
-	o := pick.Outcome{Result: p.pickResult(r), Latency: took, Load: r.Load}
-	if r.Cause == call.CauseDeadline && isBulk(target, p.linkCriteria(c, int64(len(c.Body)))) {
-		o.Result = pick.Unjudged // its link may be full, silence tells whether the node works
-	}
+	o := pick.Outcome{Result: p.attemptResult(c, target, r), Latency: took, Load: r.Load}
 	p.mu.Lock()
 	ejected := p.picker.Done(time.Now(), target.ID, o)
 	p.mu.Unlock()
@@ -277,6 +274,16 @@
 	}
 }
 
+// attemptResult classifies the reply to an attempt. A bulk call that got no reply by its
+// deadline says nothing, since the link of the candidate may be full; silence tells whether
+// the node works. If the node has replied, its backend server was late.
+func (p *Proxy) attemptResult(c call.Call, target pick.Candidate, r call.Reply) pick.Result {
+	if r.Cause == call.CauseDeadline && !r.Replied && isBulk(target, p.linkCriteria(c, int64(len(c.Body)))) {
+		return pick.Unjudged
+	}
+	return p.pickResult(r)
+}
+
 // recordEjection records that a candidate is ejected after the given failure.
 func (p *Proxy) recordEjection(c call.Call, target pick.Candidate, failure string) {
 	p.cfg.Journal.Add(event.Event{
--- a/io/proxy/links_test.go
+++ b/io/proxy/links_test.go
@@ -13,6 +13,7 @@
 
 	"tanagerchute/core/band"
 	"tanagerchute/core/call"
+	"tanagerchute/core/pick"
 	"tanagerchute/io/gate"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/runner"
@@ -61,3 +62,17 @@
 	is.Equal(r.Fate, call.NotRun) // of a call that has not
 	is.Equal(r.Cause, call.CauseLinkFull)
 }
+
+// TestBulkCallAtItsDeadline checks that a node is not blamed for a bulk call without a reply by
+// the deadline, and that it is for one whose backend server was late.
+func TestBulkCallAtItsDeadline(t *testing.T) {
+	is := is.New(t)
+	p := newSender(t)
+	c := testCall(http.MethodPost, time.Second)
+	c.Body = make([]byte, 60_000)
+	target := pick.Candidate{ID: "node", LinkRate: 1.25e6}
+	late := call.Refuse(call.Unknown, call.CauseDeadline, 0)
+	is.Equal(p.attemptResult(c, target, late), pick.AmbiguousError)
+	late.Replied = false
+	is.Equal(p.attemptResult(c, target, late), pick.Unjudged)
+}
