io/proxy: the entry node does not tell a call with a key as not run for a full link

Cause: a request whose key may have been used before was refused as not_run before the home of the key was asked, which knows whether the call has run. Change: such a call is not refused before its body is read; if the own link has no room to read it, the fate is unknown. TestUnreadBodyWithKey failed before (not_run != unknown), passes now.

--- a/io/proxy/callerbody.go
+++ b/io/proxy/callerbody.go
@@ -19,6 +19,9 @@
 	})
 	if !d.Admitted {
 		refusal := p.refuseLinkFull(d.RetryAfter)
+		if p.hasKey(c, r.Header) {
+			refusal = withUnknownFate(refusal)
+		}
 		return nil, &rejection{refusal: &refusal}
 	}
 	defer p.links.callerIn.Done(d.ID)
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -166,12 +166,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	header := c.Header.Get(HeaderIdempotencyKey)
-	if !c.AtMostOnce || header == "" || p.cfg.KeysUnused {
+	if !p.hasKey(c, c.Header) {
 		r, summary := p.dispatch(ctx, c, false)
 		return r, summary, nil
 	}
-	key, err := dedup.ParseKey(header, time.Now(), p.cfg.DataCentres)
+	key, err := dedup.ParseKey(c.Header.Get(HeaderIdempotencyKey), time.Now(), p.cfg.DataCentres)
 	if err != nil {
 		return call.Reply{}, AttemptSummary{}, newRejection(http.StatusBadRequest, err.Error())
 	}
@@ -185,6 +184,12 @@
 	return p.dispatchKeyed(ctx, c, key), AttemptSummary{Attempts: 1}, nil
 }
 
+// hasKey reports whether a call with the given headers has an idempotency key that counts. An
+// earlier request with the key may have run the call.
+func (p *Proxy) hasKey(c call.Call, h http.Header) bool {
+	return c.AtMostOnce && !p.cfg.KeysUnused && h.Get(HeaderIdempotencyKey) != ""
+}
+
 // claimKey returns the time at which an opaque key was first used.
 func (p *Proxy) claimKey(ctx context.Context, c call.Call, key dedup.Key) (time.Time, error) {
 	if p.cfg.Claims == nil {
@@ -272,8 +277,10 @@
 	if r.ContentLength > in.limits.MaxBodyBytes {
 		return c, newRejection(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
 	}
-	if refusal := p.refuseForLinks(c, r.ContentLength); refusal != nil {
-		return c, &rejection{refusal: refusal}
+	if !p.hasKey(c, r.Header) { // else the home of the key knows whether it has run
+		if refusal := p.refuseForLinks(c, r.ContentLength); refusal != nil {
+			return c, &rejection{refusal: refusal}
+		}
 	}
 	if c.Body, rej = p.readBody(r, c, in.limits.MaxBodyBytes); rej != nil {
 		return c, rej
--- a/io/proxy/links_test.go
+++ b/io/proxy/links_test.go
@@ -76,3 +76,20 @@
 	late.Replied = false
 	is.Equal(p.attemptResult(c, target, late), pick.Unjudged)
 }
+
+// TestUnreadBodyWithKey checks that a call whose body is not read for a full link is told as
+// not run, unless an earlier request with its key may have run it.
+func TestUnreadBodyWithKey(t *testing.T) {
+	is := is.New(t)
+	p := newSender(t)
+	p.cfg.LinkRate = 1.25e6
+	p.links.init(p.cfg)
+	d := p.links.in.Acquire(context.Background(), band.Transfer{Bytes: 100e6})
+	defer p.links.in.Done(d.ID)
+	r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", 60_000)))
+	_, rej := p.readBody(r, testCall(http.MethodPost, time.Second), defaultMaxBodyBytes)
+	is.Equal(rej.refusal.Fate, call.NotRun)
+	r.Header.Set(HeaderIdempotencyKey, "a-key")
+	_, rej = p.readBody(r, testCall(http.MethodPost, time.Second), defaultMaxBodyBytes)
+	is.Equal(rej.refusal.Fate, call.Unknown)
+}
