--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -135,7 +135,7 @@
 		d.paidResend = nil
 		return *c, true
 	}
-	criteria := pick.Criteria{Exclude: d.tried, LargeResponse: d.call.LargeResponse, Target: d.call.Target}
+	criteria := d.criteria()
 	cs := d.p.candidates.get(d.p.cfg.Fleet.View(), d.call.Service)
 	if d.trialNode != "" {
 		target, cause, ok := d.p.chooseCandidate(onlyNode(cs.all(d.local), d.trialNode), criteria)
@@ -148,6 +148,13 @@
 	return choice{target, cause}, ok
 }
 
+// criteria returns what the choice of an upstream for the call depends on.
+func (d *dispatchState) criteria() pick.Criteria {
+	c := d.p.linkCriteria(d.call, int64(len(d.call.Body)))
+	c.Exclude = d.tried
+	return c
+}
+
 // chooseCandidate chooses one of cs by the policy of the proxy.
 func (p *Proxy) chooseCandidate(cs []pick.Candidate, criteria pick.Criteria) (pick.Candidate, pick.Cause, bool) {
 	p.mu.Lock()
@@ -184,13 +191,16 @@
 	c = c.WithAttempt(id, mode).WithNotice(p.notices.get(target.Addr))
 	c.From = p.cfg.Node
 	c.Version = p.configVersion()
-	p.recordSent(target.ID)
+	p.recordSent(target, c)
 	start := time.Now()
 	r := p.sendTo(ctx, target, c, func(s silence) {
 		p.recordSilent(c, target, s)
 		onSilent(s)
 	})
 	p.recordOutcome(c, target, r, time.Since(start))
+	if p.links.bounded() {
+		p.links.sizes.observe(c, r)
+	}
 	if r.Replied && !target.Entry {
 		p.notices.record(time.Now(), target.Addr, r.Notice)
 	}
@@ -228,10 +238,12 @@
 }
 
 // recordSent tells the picker that a call is sent to a candidate.
-func (p *Proxy) recordSent(id string) {
+func (p *Proxy) recordSent(target pick.Candidate, c call.Call) {
+	criteria := p.linkCriteria(c, int64(len(c.Body)))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.picker.Sent(time.Now(), id)
+	p.picker.Sent(time.Now(), target.ID)
+	p.picker.SentBulk(target, criteria)
 }
 
 // recordSilent tells the picker that a candidate is silent.
@@ -253,7 +265,7 @@
 
 // recordOutcome tells the picker how an attempt ended.
 func (p *Proxy) recordOutcome(c call.Call, target pick.Candidate, r call.Reply, took time.Duration) {
-	o := pick.Outcome{Result: p.pickResult(r), Latency: took, Load: r.Load}
+	o := pick.Outcome{Result: p.attemptResult(c, target, r), Latency: took, Load: r.Load}
 	p.mu.Lock()
 	ejected := p.picker.Done(time.Now(), target.ID, o)
 	p.mu.Unlock()
@@ -262,6 +274,16 @@
 	}
 }
 
+// attemptResult classifies the reply to an attempt. A bulk call that got no reply by its
+// deadline says nothing, since the link of the candidate may be full; silence tells whether
+// the node works. If the node has replied, its backend server was late.
+func (p *Proxy) attemptResult(c call.Call, target pick.Candidate, r call.Reply) pick.Result {
+	if r.Cause == call.CauseDeadline && !r.Replied && isBulk(target, p.linkCriteria(c, int64(len(c.Body)))) {
+		return pick.Unjudged
+	}
+	return p.pickResult(r)
+}
+
 // recordEjection records that a candidate is ejected after the given failure.
 func (p *Proxy) recordEjection(c call.Call, target pick.Candidate, failure string) {
 	p.cfg.Journal.Add(event.Event{
@@ -282,8 +304,8 @@
 		return pick.AmbiguousError
 	case r.Fate == call.Answered && (r.Status < 500 || r.NestedFailure):
 		return pick.Success
-	case r.Cause == call.CauseCanceled, r.Cause == call.CauseSilent:
-		return pick.Unjudged // given up by the caller, or recorded by recordSilent
+	case r.Cause == call.CauseCanceled, r.Cause == call.CauseSilent, r.Cause == call.CauseLinkFull:
+		return pick.Unjudged // given up by the caller, recorded by recordSilent, or fit for small calls
 	case r.Fate == call.Answered || r.Cause == call.CauseUpstreamFailing:
 		return pick.UpstreamError
 	case r.Fate == call.NotRun && r.Replied:
