--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -291,7 +291,7 @@
 	}
 	if !p.hasKey(c, r.Header) { // else the home of the key knows whether it has run
 		if refusal := p.refuseForLinks(c, r.ContentLength); refusal != nil {
-			return c, &rejection{refusal: refusal}
+			return c, &rejection{refusal: refusal, linkFull: true}
 		}
 	}
 	if c.Body, rej = p.readBody(r, c, in.limits.MaxBodyBytes); rej != nil {
