Admission: equal shares for the client accounts of one priority, and a quarter for each priority

Load: one account of nine sends seven times its usual, or accounts of a high priority want all room. Change: core/admit counts what each account offers and takes at a server; calls beyond the share of their account come behind those within it, and each priority gets a quarter of what it offers. Only calls with an account are concerned.

--- /dev/null
+++ b/core/admit/account.go
@@ -0,0 +1,98 @@
+package admit
+
+import (
+	"time"
+
+	"tanagerchute/core/routes"
+)
+
+// minServedShare is the share of what a priority offers that is started before more of a
+// higher priority is, if calls have client accounts. The priority of an account holds for
+// all its calls, so that without it the accounts of the lowest priority would get nothing
+// for as long as an overload lasts.
+const minServedShare = 0.25
+
+// checkShare records that a call of a client account is offered, and marks it if the
+// account has taken its share of the slots.
+func (c *Controller) checkShare(now time.Time, it *Item) {
+	if it.Account == "" {
+		return
+	}
+	c.hasAccounts = true
+	it.hold = c.holdTimeOf(it.Priority)
+	it.excess = c.shares[it.Priority].offer(now, it.Account, it.hold, c.availableSlots(now, it.Priority))
+}
+
+// withinShare reports whether the call belongs to a client account that has not taken its
+// share of the slots. The calls within the shares fit together, so that a queue of them is
+// short-lived also under overload.
+func (it *Item) withinShare() bool { return it.Account != "" && it.excess == 0 }
+
+// takeShare records that a call was queued or started.
+func (c *Controller) takeShare(now time.Time, it *Item) {
+	if it.Account != "" {
+		c.shares[it.Priority].take(now, it.Account, it.hold)
+	}
+}
+
+// dequeue removes a call from the queue that does not start, and reports whether it was
+// queued. What it would have taken of the share of its account is given back.
+func (c *Controller) dequeue(now time.Time, id string) bool {
+	it := c.queue.remove(id)
+	if it == nil {
+		return false
+	}
+	if it.Account != "" {
+		c.shares[it.Priority].take(now, it.Account, -it.hold)
+	}
+	return true
+}
+
+// recordStart records that a call starts.
+func (c *Controller) recordStart(now time.Time, it *Item) {
+	c.started.add(now, it.Priority, c.holdTimeOf(it.Priority))
+}
+
+// popNext removes the call from the queue that starts next. That is one of the lowest
+// priority that has got less than minServedShare of what it offers, if calls have client
+// accounts.
+func (c *Controller) popNext(now time.Time, timelyFirst bool) *Item {
+	if c.hasAccounts {
+		for p := routes.Priority(routes.NumPriorities - 1); p > 0; p-- {
+			if c.started.slots(now, p) >= c.guaranteedSlots(now, p) {
+				continue
+			}
+			if it := c.queue.popLevel(p); it != nil {
+				return it
+			}
+		}
+	}
+	return c.queue.pop(timelyFirst)
+}
+
+// guaranteedSlots returns the number of slots that priority p gets whatever higher
+// priorities offer.
+func (c *Controller) guaranteedSlots(now time.Time, p routes.Priority) float64 {
+	if !c.hasAccounts {
+		return 0
+	}
+	return minServedShare * c.offered.slots(now, p)
+}
+
+// availableSlots returns the number of slots that calls of priority p can expect, if the
+// higher priorities use as many as they have lately.
+func (c *Controller) availableSlots(now time.Time, p routes.Priority) float64 {
+	slots := float64(c.Limit())
+	return max(slots-c.used.slotsAbove(now, p), minSlotShare*slots)
+}
+
+// guaranteedWait estimates how long a call of priority p waits behind the given number of
+// queued calls of its own priority for one of the slots that the priority gets whatever
+// the others offer. It returns false if there are none.
+func (c *Controller) guaranteedWait(now time.Time, p routes.Priority, ahead int) (time.Duration, bool) {
+	slots := min(c.guaranteedSlots(now, p), float64(c.Limit()))
+	if slots <= 0 {
+		return 0, false
+	}
+	return time.Duration(float64(ahead+1) * float64(c.holdTimeOf(p)) / slots), true
+}
--- a/core/admit/controller.go
+++ b/core/admit/controller.go
@@ -110,7 +110,10 @@
 	holdTimes       [routes.NumPriorities]time.Duration // holdTime by priority, 0 until a call of it has ended
 	noSamples       bool                                // holdTime and serviceTime have not been measured yet
 	used            usage                               // slots held by calls that have ended
+	started         usage                               // slots that the calls started from here on would hold
 	offered         usage                               // slots that all offered calls would hold if they ran
+	shares          [routes.NumPriorities]shares        // of the client accounts
+	hasAccounts     bool                                // a call of a client account was offered
 	overloadedUntil time.Time                           // calls that can't meet their target are not queued before then
 	quota           quota.Limiter                       // the rate limit that the server names
 	lastBackoff     time.Time
@@ -167,14 +170,18 @@
 		return Refuse, Refusal{ID: it.ID, Cause: CauseDraining}, nil
 	}
 	c.offered.add(now, it.Priority, c.holdTimeOf(it.Priority))
+	c.checkShare(now, &it)
 	if c.inFlight < c.Limit() && c.queue.len() == 0 && c.quota.Take(now) {
 		c.inFlight++
+		c.recordStart(now, &it)
+		c.takeShare(now, &it)
 		return Start, Refusal{}, nil
 	}
 	late, refusal, ok := c.checkQueue(now, &it)
 	if !ok {
 		return Refuse, refusal, nil
 	}
+	c.takeShare(now, &it)
 	c.queue.push(it, late)
 	return Wait, Refusal{}, c.trimQueue(now)
 }
@@ -200,7 +207,7 @@
 	if start.After(it.WaitUntil) {
 		return false, refusal, false
 	}
-	if c.overloaded(now) && wait > c.maxOverloadWait(now, it) {
+	if c.overloaded(now) && wait > c.maxOverloadWait(now, it) && !it.withinShare() {
 		return false, refusal, false
 	}
 	if !start.Add(holdTime).After(it.target()) {
@@ -218,6 +225,9 @@
 // delay each call. The bound is large enough to keep the slots in use.
 func (c *Controller) maxOverloadWait(now time.Time, it *Item) time.Duration {
 	minWait := time.Duration(2 * float64(c.holdTimeOf(it.Priority)) / c.capacity())
+	if guaranteed, ok := c.guaranteedWait(now, it.Priority, 1); ok {
+		minWait = max(minWait, guaranteed)
+	}
 	return max(minWait, time.Duration(overloadWaitShare*float64(it.target().Sub(now))))
 }
 
@@ -251,7 +261,7 @@
 	}
 	var out []Refusal
 	for _, id := range c.queue.lateIDs() {
-		c.queue.remove(id)
+		c.dequeue(now, id)
 		out = append(out, Refusal{ID: id, Cause: c.overloadCause(now), RetryAfter: c.RetryAfter(now)})
 	}
 	return out
@@ -272,14 +282,14 @@
 		if !start.After(it.WaitUntil) && !start.Add(minTimeLeft(c.holdTimeOf(it.Priority))).After(it.Deadline) {
 			return out
 		}
-		c.queue.remove(it.ID)
+		c.dequeue(now, it.ID)
 		c.overloadedUntil = now.Add(overloadPeriod)
 		out = append(out, Refusal{ID: it.ID, Cause: c.overloadCause(now), RetryAfter: c.RetryAfter(now)})
 	}
 }
 
 // Cancel removes a call from the queue and reports whether it was queued.
-func (c *Controller) Cancel(id string) bool { return c.queue.remove(id) }
+func (c *Controller) Cancel(now time.Time, id string) bool { return c.dequeue(now, id) }
 
 // Completion describes a started call that has ended.
 type Completion struct {
@@ -312,13 +322,14 @@
 	}
 	slices.SortFunc(out.Refused, func(a, b Refusal) int { return cmp.Compare(a.ID, b.ID) }) // the map order is random
 	for _, r := range out.Refused {
-		c.queue.remove(r.ID)
+		c.dequeue(now, r.ID)
 	}
 	c.demote(now)
 	timelyFirst := c.overloaded(now)
 	for c.inFlight < c.Limit() && c.queue.len() > 0 && c.quota.Take(now) {
-		it := c.queue.pop(timelyFirst)
+		it := c.popNext(now, timelyFirst)
 		c.inFlight++
+		c.recordStart(now, it)
 		out.Started = append(out.Started, *it)
 	}
 	out.Refused = append(out.Refused, c.refuseLate(now)...)
--- a/core/admit/controller_test.go
+++ b/core/admit/controller_test.go
@@ -148,7 +148,7 @@
 
 func (m *model) cancel() {
 	for id := range m.waiting {
-		if !m.controller.Cancel(id) {
+		if !m.controller.Cancel(m.now, id) {
 			m.t.Fatalf("%s was not waiting", id)
 		}
 		m.reported[id] = true
--- a/core/admit/estimate.go
+++ b/core/admit/estimate.go
@@ -46,9 +46,11 @@
 	for p, n := range ahead {
 		work += time.Duration(n) * c.holdTimeOf(routes.Priority(p))
 	}
-	slots := float64(c.Limit())
-	available := max(slots-c.used.slotsAbove(now, p), minSlotShare*slots)
-	return time.Duration(float64(work) / available)
+	wait := time.Duration(float64(work) / c.availableSlots(now, p))
+	if guaranteed, ok := c.guaranteedWait(now, p, ahead[p]); ok {
+		return min(wait, guaranteed)
+	}
+	return wait
 }
 
 // RetryAfter returns how long a refused caller should wait before a retry:
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -20,7 +20,10 @@
 	// this one: if this is a nested call, those that wait for nested calls of
 	// their own.
 	PossibleWaiters int
-	heap            *itemHeap // the heap that holds it, nil if none does
+	Account         string        // client account, empty if there is none
+	excess          int           // by how much its account is beyond its share of the slots, 0 if it is not
+	hold            time.Duration // recorded as taken by its account
+	heap            *itemHeap     // the heap that holds it, nil if none does
 	heapIndex       int
 }
 
@@ -36,10 +39,12 @@
 // value.
 func (it *Item) usefulAfterTarget() bool { return it.target().Before(it.Deadline) }
 
-// itemHeap is a heap of items, the earliest due first.
+// itemHeap is a heap of items, the earliest due first. Items beyond the share of their
+// account come behind the others.
 type itemHeap struct {
-	items []*Item
-	due   func(*Item) time.Time
+	items        []*Item
+	numOverShare int // items beyond the share of their account
+	due          func(*Item) time.Time
 }
 
 func byTarget(it *Item) time.Time   { return it.target() }
@@ -49,7 +54,15 @@
 func (h *itemHeap) Len() int { return len(h.items) }
 
 // Less implements heap.Interface.
-func (h *itemHeap) Less(i, j int) bool { return h.due(h.items[i]).Before(h.due(h.items[j])) }
+func (h *itemHeap) Less(i, j int) bool { return h.before(h.items[i], h.items[j]) }
+
+// before reports whether a starts before b.
+func (h *itemHeap) before(a, b *Item) bool {
+	if a.excess != b.excess {
+		return a.excess < b.excess
+	}
+	return h.due(a).Before(h.due(b))
+}
 
 // Swap implements heap.Interface.
 func (h *itemHeap) Swap(i, j int) {
@@ -62,6 +75,9 @@
 	it := x.(*Item)
 	it.heapIndex, it.heap = len(h.items), h
 	h.items = append(h.items, it)
+	if it.excess > 0 {
+		h.numOverShare++
+	}
 }
 
 // Pop implements heap.Interface.
@@ -69,31 +85,59 @@
 	it := h.items[len(h.items)-1]
 	h.items = h.items[:len(h.items)-1]
 	it.heap = nil
+	if it.excess > 0 {
+		h.numOverShare--
+	}
 	return it
 }
 
-// countBefore returns the number of items that are due before at.
-func (h *itemHeap) countBefore(at time.Time) int {
+// countBefore returns the number of items that start before other, which the heap need
+// not hold.
+func (h *itemHeap) countBefore(other *Item) int {
 	n := 0
 	for _, it := range h.items {
-		if h.due(it).Before(at) {
+		if h.before(it, other) {
 			n++
 		}
 	}
 	return n
 }
 
-// last returns the item that is due last, or nil if the heap is empty.
+// last returns the item that starts last, or nil if the heap is empty.
 func (h *itemHeap) last() *Item {
 	var last *Item
 	for _, it := range h.items {
-		if last == nil || h.due(it).After(h.due(last)) {
+		if last == nil || h.before(last, it) {
 			last = it
 		}
 	}
 	return last
 }
 
+// firstInShare returns the item that is due first of those within the share of their
+// account, or nil.
+func (h *itemHeap) firstInShare() *Item {
+	if len(h.items) > h.numOverShare {
+		return h.items[0]
+	}
+	return nil
+}
+
+// firstOverShare returns the item that is due first of those beyond the share of their
+// account, or nil.
+func (h *itemHeap) firstOverShare() *Item {
+	if h.numOverShare == 0 {
+		return nil
+	}
+	var first *Item
+	for _, it := range h.items {
+		if it.excess > 0 && (first == nil || h.due(it).Before(h.due(first))) {
+			first = it
+		}
+	}
+	return first
+}
+
 // level holds the items of one priority: those that can still meet their
 // target, and those that can't.
 type level struct {
@@ -134,13 +178,11 @@
 // earliestAnswer is when a call that starts now would be answered.
 func (q *queue) demote(p routes.Priority, earliestAnswer time.Time) {
 	l := &q.levels[p]
-	for l.timely.Len() > 0 {
-		it := l.timely.items[0]
-		if !it.usefulAfterTarget() || !it.target().Before(earliestAnswer) {
-			return
+	for _, first := range []func() *Item{l.timely.firstInShare, l.timely.firstOverShare} {
+		for it := first(); it != nil && it.usefulAfterTarget() && it.target().Before(earliestAnswer); it = first() {
+			heap.Remove(&l.timely, it.heapIndex)
+			heap.Push(&l.late, it)
 		}
-		heap.Pop(&l.timely)
-		heap.Push(&l.late, it)
 	}
 }
 
@@ -173,14 +215,28 @@
 	return it
 }
 
-func (q *queue) remove(id string) bool {
+// remove removes the item with the given id. It returns nil if there is none.
+func (q *queue) remove(id string) *Item {
 	it, ok := q.byID[id]
 	if !ok {
-		return false
+		return nil
 	}
 	heap.Remove(it.heap, it.heapIndex)
 	delete(q.byID, id)
-	return true
+	return it
+}
+
+// popLevel removes and returns the item of priority p that starts next, or returns nil
+// if there is none.
+func (q *queue) popLevel(p routes.Priority) *Item {
+	l := &q.levels[p]
+	switch {
+	case l.timely.Len() > 0:
+		return q.popFrom(&l.timely)
+	case l.late.Len() > 0:
+		return q.popFrom(&l.late)
+	}
+	return nil
 }
 
 // countByPriority is the number of items of each priority.
@@ -204,9 +260,9 @@
 	}
 	l := &q.levels[it.Priority]
 	if late {
-		n[it.Priority] = l.timely.Len() + l.late.countBefore(it.Deadline)
+		n[it.Priority] = l.timely.Len() + l.late.countBefore(it)
 	} else {
-		n[it.Priority] = l.timely.countBefore(it.target())
+		n[it.Priority] = l.timely.countBefore(it)
 	}
 	return n
 }
--- a/core/admit/usage.go
+++ b/core/admit/usage.go
@@ -34,6 +34,12 @@
 	return sum / usageWindow.Seconds()
 }
 
+// slots returns the average number of slots held by priority p.
+func (u *usage) slots(now time.Time, p routes.Priority) float64 {
+	u.decay(now)
+	return u.slotSeconds[p] / usageWindow.Seconds()
+}
+
 func (u *usage) decay(now time.Time) {
 	dt := now.Sub(u.updated)
 	if dt <= 0 {
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -101,7 +101,7 @@
 		r := call.Refuse(call.NotRun, call.CauseUpstreamFailing, time.Second)
 		return admission, nil, &r
 	}
-	it := admit.Item{ID: id, Priority: c.Priority, Target: c.Target, Deadline: c.Deadline, WaitUntil: c.WaitUntil}
+	it := admit.Item{ID: id, Priority: c.Priority, Target: c.Target, Deadline: c.Deadline, WaitUntil: c.WaitUntil, Account: c.Account}
 	if c.Depth > 0 {
 		it.PossibleWaiters = g.callTracker.Waiting()
 	}
@@ -167,7 +167,7 @@
 func (g *Gate) cancelWait(ctx context.Context, admission *admit.Controller, id string) (*call.Reply, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !admission.Cancel(id) {
+	if !admission.Cancel(time.Now(), id) {
 		return nil, false
 	}
 	delete(g.waiters, id)
