--- a/core/admit/account_test.go
+++ b/core/admit/account_test.go
@@ -27,10 +27,6 @@
 // not told the accounts.
 func replayAccounts(loads []accountLoad, anonymous bool) served {
 	const slots, work, target = 9, 200 * time.Millisecond, 600 * time.Millisecond
-	type arrival struct {
-		at   time.Duration
-		load accountLoad
-	}
 	rng := rand.New(rand.NewPCG(1, 2))
 	start := time.Unix(0, 0)
 	now := start
