admit: what low priorities are guaranteed is bounded by the slots

Cause: each priority was guaranteed a quarter of what it offers, however much that is. One that offers four times the slots or more took all of them, before any higher priority. Change: the guarantees of all priorities but the highest are scaled to a quarter of the slots together. A priority is still served at least a quarter as often as all.

--- a/core/admit/account.go
+++ b/core/admit/account.go
@@ -7,7 +7,7 @@
 )
 
 // minServedShare is the share of what a priority offers that is started before more of a
-// higher priority is, if calls have client accounts. The priority of an account holds for
+// higher priority is, if calls have client accounts and the slots are enough for it. The priority of an account holds for
 // all its calls, so that without it the accounts of the lowest priority would get nothing
 // for as long as an overload lasts.
 const minServedShare = 0.25
@@ -71,12 +71,15 @@
 }
 
 // guaranteedSlots returns the number of slots that priority p gets whatever higher
-// priorities offer.
+// priorities offer. All priorities but the highest together get minServedShare of the slots
+// at most, so that those that offer many times what the server can do do not displace it.
 func (c *Controller) guaranteedSlots(now time.Time, p routes.Priority) float64 {
 	if !c.hasAccounts {
 		return 0
 	}
-	return minServedShare * c.offered.slots(now, p)
+	lower := c.offered.slotsAbove(now, routes.NumPriorities) - c.offered.slots(now, 0)
+	scale := float64(c.Limit()) / max(lower, float64(c.Limit()))
+	return minServedShare * scale * c.offered.slots(now, p)
 }
 
 // availableSlots returns the number of slots that calls of priority p can expect, if the
@@ -90,7 +93,7 @@
 // queued calls of its own priority for one of the slots that the priority gets whatever
 // the others offer. It returns false if there are none.
 func (c *Controller) guaranteedWait(now time.Time, p routes.Priority, ahead int) (time.Duration, bool) {
-	slots := min(c.guaranteedSlots(now, p), float64(c.Limit()))
+	slots := c.guaranteedSlots(now, p)
 	if slots <= 0 {
 		return 0, false
 	}
--- a/core/admit/account_test.go
+++ b/core/admit/account_test.go
@@ -115,3 +115,24 @@
 	is.True(with["low"] >= all/4)
 	is.True(with["high-1"] > with["low"]) // the priority still counts
 }
+
+// TestLowPriorityDoesNotDisplaceHigh replays accounts of low priorities that offer many
+// times what the server can do, as those that repeat their requests at once do. They must
+// not take the slots that a high priority needs.
+func TestLowPriorityDoesNotDisplaceHigh(t *testing.T) {
+	for _, numLow := range []int{1, 7} {
+		t.Run(fmt.Sprint(numLow), func(t *testing.T) {
+			is := is.New(t)
+			loads := []accountLoad{{"high", 0, 20}}
+			for i := range numLow {
+				loads = append(loads, accountLoad{fmt.Sprint("low-", i), routes.Priority(1 + i), 800 / float64(numLow)})
+			}
+			s := replayAccounts(loads, false)
+			t.Logf("served in time: %v", s)
+			is.True(s["high"] > 0.9)
+			for _, l := range loads[1:] {
+				is.True(s[l.name] > 0) // each gets some of the rest
+			}
+		})
+	}
+}
