admit: an offer without an account allocates no more than before

Cause: items were compared through a function value, so that each offered item moved to the heap, and each start was counted also where no call has an account. Change: due is a method; starts are counted once a call with an account was offered; the list of functions in demote is a method.

--- a/core/admit/account.go
+++ b/core/admit/account.go
@@ -48,8 +48,11 @@
 	return true
 }
 
-// recordStart records that a call starts.
+// recordStart records that a call starts, if calls have client accounts.
 func (c *Controller) recordStart(now time.Time, it *Item) {
+	if !c.hasAccounts {
+		return
+	}
 	c.started.add(now, it.Priority, c.holdTimeOf(it.Priority))
 }
 
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -43,12 +43,17 @@
 // account come behind the others.
 type itemHeap struct {
 	items        []*Item
-	numOverShare int // items beyond the share of their account
-	due          func(*Item) time.Time
+	numOverShare int  // items beyond the share of their account
+	late         bool // the items can't meet their target, and are due at their deadline
 }
 
-func byTarget(it *Item) time.Time   { return it.target() }
-func byDeadline(it *Item) time.Time { return it.Deadline }
+// due returns when an item of the heap is due.
+func (h *itemHeap) due(it *Item) time.Time {
+	if h.late {
+		return it.Deadline
+	}
+	return it.target()
+}
 
 // Len implements heap.Interface.
 func (h *itemHeap) Len() int { return len(h.items) }
@@ -155,7 +160,7 @@
 func newQueue() queue {
 	q := queue{byID: map[string]*Item{}}
 	for i := range q.levels {
-		q.levels[i] = level{itemHeap{due: byTarget}, itemHeap{due: byDeadline}}
+		q.levels[i].late.late = true
 	}
 	return q
 }
@@ -178,12 +183,20 @@
 // earliestAnswer is when a call that starts now would be answered.
 func (q *queue) demote(p routes.Priority, earliestAnswer time.Time) {
 	l := &q.levels[p]
-	for _, first := range []func() *Item{l.timely.firstInShare, l.timely.firstOverShare} {
-		for it := first(); it != nil && it.usefulAfterTarget() && it.target().Before(earliestAnswer); it = first() {
-			heap.Remove(&l.timely, it.heapIndex)
-			heap.Push(&l.late, it)
-		}
+	for l.demoteItem(l.timely.firstInShare(), earliestAnswer) {
+	}
+	for l.demoteItem(l.timely.firstOverShare(), earliestAnswer) {
+	}
+}
+
+// demoteItem does this for one item, which may be nil, and reports whether it did.
+func (l *level) demoteItem(it *Item, earliestAnswer time.Time) bool {
+	if it == nil || !it.usefulAfterTarget() || !it.target().Before(earliestAnswer) {
+		return false
 	}
+	heap.Remove(&l.timely, it.heapIndex)
+	heap.Push(&l.late, it)
+	return true
 }
 
 // pop removes and returns the item that starts next, or returns nil if the
