admit: a refused call gives back only what it still holds of its account's share

Cause: what a queued call takes decays while it waits, but all of it was subtracted when the call was refused, so that each refused call also gave back a part of what others had taken. Change: giveBack subtracts the decayed rest; the decay has one function. Run: TestGiveBackLeavesOtherCalls fails with the whole amount and passes now; go test -race ./core/admit passed.

--- a/core/admit/account.go
+++ b/core/admit/account.go
@@ -31,6 +31,7 @@
 // takeShare records that a call was queued or started.
 func (c *Controller) takeShare(now time.Time, it *Item) {
 	if it.Account != "" {
+		it.takenAt = now
 		c.shares[it.Priority].take(now, it.Account, it.hold)
 	}
 }
@@ -43,7 +44,7 @@
 		return false
 	}
 	if it.Account != "" {
-		c.shares[it.Priority].take(now, it.Account, -it.hold)
+		c.shares[it.Priority].giveBack(now, it.Account, it.hold, it.takenAt)
 	}
 	return true
 }
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -23,6 +23,7 @@
 	Account         string        // client account, empty if there is none
 	excess          int           // by how much its account is beyond its share of the slots, 0 if it is not
 	hold            time.Duration // recorded as taken by its account
+	takenAt         time.Time     // when it was recorded
 	heap            *itemHeap     // the heap that holds it, nil if none does
 	heapIndex       int
 }
--- a/core/admit/share.go
+++ b/core/admit/share.go
@@ -31,7 +31,7 @@
 		return
 	}
 	u.updated = now
-	f := math.Exp(-dt.Seconds() / usageWindow.Seconds())
+	f := decayFactor(dt)
 	u.offered *= f
 	u.taken *= f
 }
@@ -70,15 +70,20 @@
 	return 1 + int(math.Log2(max(u.offered/s.level, 1)))
 }
 
-// take records that a call of an account was queued or started. A negative time takes
-// that back.
+// take records that a call of an account was queued or started.
 func (s *shares) take(now time.Time, account string, hold time.Duration) {
-	u, ok := s.accounts[account]
-	if !ok {
-		return
+	if u, ok := s.accounts[account]; ok {
+		u.decay(now)
+		u.taken += hold.Seconds()
+	}
+}
+
+// giveBack removes what is left of a call that take recorded at takenAt.
+func (s *shares) giveBack(now time.Time, account string, hold time.Duration, takenAt time.Time) {
+	if u, ok := s.accounts[account]; ok {
+		u.decay(now)
+		u.taken = max(u.taken-hold.Seconds()*decayFactor(now.Sub(takenAt)), 0)
 	}
-	u.decay(now)
-	u.taken = max(u.taken+hold.Seconds(), 0)
 }
 
 // computeLevel returns the level up to which the accounts can get what they offer if
--- a/core/admit/usage.go
+++ b/core/admit/usage.go
@@ -46,8 +46,13 @@
 		return
 	}
 	u.updated = now
-	f := math.Exp(-dt.Seconds() / usageWindow.Seconds())
+	f := decayFactor(dt)
 	for i := range u.slotSeconds {
 		u.slotSeconds[i] *= f
 	}
 }
+
+// decayFactor returns what is left after dt of a value that decays with usageWindow.
+func decayFactor(dt time.Duration) float64 {
+	return math.Exp(-dt.Seconds() / usageWindow.Seconds())
+}
