--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -20,7 +20,11 @@
 	// this one: if this is a nested call, those that wait for nested calls of
 	// their own.
 	PossibleWaiters int
-	heap            *itemHeap // the heap that holds it, nil if none does
+	Account         string        // client account, empty if there is none
+	excess          int           // by how much its account is beyond its share of the slots, 0 if it is not
+	hold            time.Duration // recorded as taken by its account
+	takenAt         time.Time     // when it was recorded
+	heap            *itemHeap     // the heap that holds it, nil if none does
 	heapIndex       int
 }
 
@@ -36,20 +40,35 @@
 // value.
 func (it *Item) usefulAfterTarget() bool { return it.target().Before(it.Deadline) }
 
-// itemHeap is a heap of items, the earliest due first.
+// itemHeap is a heap of items, the earliest due first. Items beyond the share of their
+// account come behind the others.
 type itemHeap struct {
-	items []*Item
-	due   func(*Item) time.Time
+	items        []*Item
+	numOverShare int  // items beyond the share of their account
+	late         bool // the items can't meet their target, and are due at their deadline
 }
 
-func byTarget(it *Item) time.Time   { return it.target() }
-func byDeadline(it *Item) time.Time { return it.Deadline }
+// due returns when an item of the heap is due.
+func (h *itemHeap) due(it *Item) time.Time {
+	if h.late {
+		return it.Deadline
+	}
+	return it.target()
+}
 
 // Len implements heap.Interface.
 func (h *itemHeap) Len() int { return len(h.items) }
 
 // Less implements heap.Interface.
-func (h *itemHeap) Less(i, j int) bool { return h.due(h.items[i]).Before(h.due(h.items[j])) }
+func (h *itemHeap) Less(i, j int) bool { return h.before(h.items[i], h.items[j]) }
+
+// before reports whether a starts before b.
+func (h *itemHeap) before(a, b *Item) bool {
+	if a.excess != b.excess {
+		return a.excess < b.excess
+	}
+	return h.due(a).Before(h.due(b))
+}
 
 // Swap implements heap.Interface.
 func (h *itemHeap) Swap(i, j int) {
@@ -62,6 +81,9 @@
 	it := x.(*Item)
 	it.heapIndex, it.heap = len(h.items), h
 	h.items = append(h.items, it)
+	if it.excess > 0 {
+		h.numOverShare++
+	}
 }
 
 // Pop implements heap.Interface.
@@ -69,31 +91,59 @@
 	it := h.items[len(h.items)-1]
 	h.items = h.items[:len(h.items)-1]
 	it.heap = nil
+	if it.excess > 0 {
+		h.numOverShare--
+	}
 	return it
 }
 
-// countBefore returns the number of items that are due before at.
-func (h *itemHeap) countBefore(at time.Time) int {
+// countBefore returns the number of items that start before other, which the heap need
+// not hold.
+func (h *itemHeap) countBefore(other *Item) int {
 	n := 0
 	for _, it := range h.items {
-		if h.due(it).Before(at) {
+		if h.before(it, other) {
 			n++
 		}
 	}
 	return n
 }
 
-// last returns the item that is due last, or nil if the heap is empty.
+// last returns the item that starts last, or nil if the heap is empty.
 func (h *itemHeap) last() *Item {
 	var last *Item
 	for _, it := range h.items {
-		if last == nil || h.due(it).After(h.due(last)) {
+		if last == nil || h.before(last, it) {
 			last = it
 		}
 	}
 	return last
 }
 
+// firstInShare returns the item that is due first of those within the share of their
+// account, or nil.
+func (h *itemHeap) firstInShare() *Item {
+	if len(h.items) > h.numOverShare {
+		return h.items[0]
+	}
+	return nil
+}
+
+// firstOverShare returns the item that is due first of those beyond the share of their
+// account, or nil.
+func (h *itemHeap) firstOverShare() *Item {
+	if h.numOverShare == 0 {
+		return nil
+	}
+	var first *Item
+	for _, it := range h.items {
+		if it.excess > 0 && (first == nil || h.due(it).Before(h.due(first))) {
+			first = it
+		}
+	}
+	return first
+}
+
 // level holds the items of one priority: those that can still meet their
 // target, and those that can't.
 type level struct {
@@ -111,7 +161,7 @@
 func newQueue() queue {
 	q := queue{byID: map[string]*Item{}}
 	for i := range q.levels {
-		q.levels[i] = level{itemHeap{due: byTarget}, itemHeap{due: byDeadline}}
+		q.levels[i].late.late = true
 	}
 	return q
 }
@@ -134,16 +184,22 @@
 // earliestAnswer is when a call that starts now would be answered.
 func (q *queue) demote(p routes.Priority, earliestAnswer time.Time) {
 	l := &q.levels[p]
-	for l.timely.Len() > 0 {
-		it := l.timely.items[0]
-		if !it.usefulAfterTarget() || !it.target().Before(earliestAnswer) {
-			return
-		}
-		heap.Pop(&l.timely)
-		heap.Push(&l.late, it)
+	for l.demoteItem(l.timely.firstInShare(), earliestAnswer) {
+	}
+	for l.demoteItem(l.timely.firstOverShare(), earliestAnswer) {
 	}
 }
 
+// demoteItem does this for one item, which may be nil, and reports whether it did.
+func (l *level) demoteItem(it *Item, earliestAnswer time.Time) bool {
+	if it == nil || !it.usefulAfterTarget() || !it.target().Before(earliestAnswer) {
+		return false
+	}
+	heap.Remove(&l.timely, it.heapIndex)
+	heap.Push(&l.late, it)
+	return true
+}
+
 // pop removes and returns the item that starts next, or returns nil if the
 // queue is empty. timelyFirst places the late items of all priorities behind
 // the timely items of all priorities.
@@ -173,14 +229,28 @@
 	return it
 }
 
-func (q *queue) remove(id string) bool {
+// remove removes the item with the given id. It returns nil if there is none.
+func (q *queue) remove(id string) *Item {
 	it, ok := q.byID[id]
 	if !ok {
-		return false
+		return nil
 	}
 	heap.Remove(it.heap, it.heapIndex)
 	delete(q.byID, id)
-	return true
+	return it
+}
+
+// popLevel removes and returns the item of priority p that starts next, or returns nil
+// if there is none.
+func (q *queue) popLevel(p routes.Priority) *Item {
+	l := &q.levels[p]
+	switch {
+	case l.timely.Len() > 0:
+		return q.popFrom(&l.timely)
+	case l.late.Len() > 0:
+		return q.popFrom(&l.late)
+	}
+	return nil
 }
 
 // countByPriority is the number of items of each priority.
@@ -204,9 +274,9 @@
 	}
 	l := &q.levels[it.Priority]
 	if late {
-		n[it.Priority] = l.timely.Len() + l.late.countBefore(it.Deadline)
+		n[it.Priority] = l.timely.Len() + l.late.countBefore(it)
 	} else {
-		n[it.Priority] = l.timely.countBefore(it.target())
+		n[it.Priority] = l.timely.countBefore(it)
 	}
 	return n
 }
--- a/core/admit/usage.go
+++ b/core/admit/usage.go
@@ -34,14 +34,25 @@
 	return sum / usageWindow.Seconds()
 }
 
+// slots returns the average number of slots held by priority p.
+func (u *usage) slots(now time.Time, p routes.Priority) float64 {
+	u.decay(now)
+	return u.slotSeconds[p] / usageWindow.Seconds()
+}
+
 func (u *usage) decay(now time.Time) {
 	dt := now.Sub(u.updated)
 	if dt <= 0 {
 		return
 	}
 	u.updated = now
-	f := math.Exp(-dt.Seconds() / usageWindow.Seconds())
+	f := decayFactor(dt)
 	for i := range u.slotSeconds {
 		u.slotSeconds[i] *= f
 	}
 }
+
+// decayFactor returns what is left after dt of a value that decays with usageWindow.
+func decayFactor(dt time.Duration) float64 {
+	return math.Exp(-dt.Seconds() / usageWindow.Seconds())
+}
