proxy: a new home learns of the earlier homes since the issue of the key

Cause: Inquire took the present for the issue time of whatever was asked of this very process. For the inquiry of a new home about a key, members removed more than 5 s before were left out then, nodes that had joined after the issue counted as anchors, and the floor of the records was not looked at. Change: only an attempt is asked about with the present as its issue time. An inquiry about a key uses the issue time that it carries.

--- a/io/proxy/home.go
+++ b/io/proxy/home.go
@@ -206,7 +206,7 @@
 // about a key.
 func (p *Proxy) Inquire(req *wire.InquireRequest) *wire.InquireReply {
 	key := dedup.Key{ID: req.GetKey(), Issued: time.Unix(0, req.GetIssued())}
-	if req.GetTo() == p.cfg.Node {
+	if req.GetTo() == p.cfg.Node && !isAboutKey(key, req.GetAttempt()) {
 		// The issue time tells whether an earlier process at this address may
 		// know more than this one. This attempt was sent to this process, so the
 		// clock of the sender must not matter.
@@ -227,12 +227,16 @@
 	}
 }
 
+// isAboutKey reports whether an inquiry is about a key as a whole: a new home asks
+// with the key as the attempt. The earlier homes depend on the issue time of the key.
+func isAboutKey(key dedup.Key, attempt string) bool { return attempt == key.ID }
+
 // inquireHome looks up an attempt or a key in the records of this node as a home.
-// A new home asks about the key as a whole, with the key as the attempt. It is
-// also told what this node knows of the homes before it.
+// A new home that asks about a key is also told what this node knows of the homes
+// before it.
 func (p *Proxy) inquireHome(key dedup.Key, attempt, sender string) inquiryResult {
 	var res inquiryResult
-	if attempt != key.ID {
+	if !isAboutKey(key, attempt) {
 		res.verdict, res.answer = p.homeTable.Inquire(key, attempt)
 		return res
 	}
