member, fleet: a member that steps down as a home counts as a removed home

Cause: onMemberChange recorded a removal only if the new record still said that the member can be a home. One that stepped down while it is up, as a planned stop with drain.serve_on or the loss of the quorum makes it, was never asked, and the next home ran the work again. Change: the decision stands in core/member, Change.EndsCandidacy, and covers a member that steps down.

--- a/core/member/table.go
+++ b/core/member/table.go
@@ -62,6 +62,16 @@
 	Cause string
 }
 
+// EndsCandidacy reports whether the member may have been the home of a key before the
+// change, and can't be one after it: it has failed, is leaving, or has stepped down. One
+// that is already gone when this node first learns of it may have been a home too.
+func (c Change) EndsCandidacy() bool {
+	if c.New.IsHomeCandidate() {
+		return false
+	}
+	return c.Old.IsHomeCandidate() || c.Old.ID == "" && c.New.CanBeHome
+}
+
 // ActionKind is the kind of an Action.
 type ActionKind int
 
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -235,9 +235,7 @@
 	if ok {
 		f.recordEvent(c.At, kind, c.New.ID, c.Cause)
 	}
-	// A member that is already gone when this node first learns of it may have
-	// been a home too.
-	if c.New.ID != f.cfg.Self.ID && (c.Old.IsHomeCandidate() || c.Old.ID == "") && !c.New.IsHomeCandidate() && c.New.CanBeHome {
+	if c.New.ID != f.cfg.Self.ID && c.EndsCandidacy() {
 		f.homesMu.Lock()
 		f.homes.RecordRemoval(c.At, c.New.ID)
 		f.homesMu.Unlock()
