homes, fleet: a node that starts does not take long-dead members for homes just removed

Cause: a node learns of dead members when it joins, and recorded each as removed at that moment. For 5 s it, and each home that asked it, then asked the long-dead ones, and refused the keys as too old. Change: what a node learns as already gone before it can be a home itself is left out. Its tenure begins later, so it can be an anchor only for keys issued after that; for the others the anchor, which has seen the removal, names the member. core/homes takes member.Change and decides; RecordRemoval and the restart of the tenure in io/fleet are gone with it.

Tests: io/fleet TestStartedNodeNamesNoLongDeadHome failed before (long-dead is named), passes. core/homes TestAsksEveryFormerHome has joiners learn of the dead, changes before the issue too, and asks for nobody removed more than the margin before the issue: fails with the rule taken out (m1 asks a, removed 5 s before the issue), passes with it, and still finds each former home asked.

--- a/core/homes/homes.go
+++ b/core/homes/homes.go
@@ -18,10 +18,16 @@
 // itself, it asks only the removed members. If there is no anchor, or a member
 // that has to be asked can't answer, it is not known whether the work has run.
 //
+// A node that starts learns of members that are already dead, and can't tell when they
+// were removed. Until it can be a home itself it does not record them: it will be an
+// anchor only for keys that are issued after that, and for the earlier ones the anchor
+// names them.
+//
 // # Usage
 //
 //	t := homes.New(homes.Config{Self: id, Start: now, Margin: 5 * time.Second})
-//	t.RecordRemoval(now, "hafnar-2")
+//	t.SetCandidate(now, true)
+//	t.RecordChange(change) // of another member
 //	history, ok := t.FormerHomes(key, issued, "")
 package homes
 
@@ -29,6 +35,7 @@
 	"slices"
 	"time"
 
+	"tanagerchute/core/member"
 	"tanagerchute/core/rank"
 )
 
@@ -53,10 +60,11 @@
 // Tracker is the state machine that tracks the tenure of its own node and the
 // removals of members. It is not safe for concurrent use.
 type Tracker struct {
-	cfg      Config
-	start    time.Time
-	removals []removal
-	floor    time.Time // removals up to it may have been dropped
+	cfg       Config
+	start     time.Time
+	candidate bool // this node can be a home
+	removals  []removal
+	floor     time.Time // removals up to it may have been dropped
 }
 
 // New returns a Tracker for a node whose tenure begins at cfg.Start.
@@ -71,8 +79,27 @@
 	}
 }
 
-// RecordRemoval records that a member has stopped being eligible as a home.
-func (t *Tracker) RecordRemoval(at time.Time, id string) {
+// SetCandidate records whether this node can be a home. Its tenure restarts when it
+// becomes able to.
+func (t *Tracker) SetCandidate(at time.Time, can bool) {
+	if can && !t.candidate {
+		t.RestartTenure(at)
+	}
+	t.candidate = can
+}
+
+// RecordChange records the removal of another member if the change ends its candidacy,
+// see member.Change. It leaves out a member that was gone before this node could be a
+// home.
+func (t *Tracker) RecordChange(c member.Change) {
+	goneBefore := c.Old.ID == "" && !t.candidate
+	if c.EndsCandidacy() && !goneBefore {
+		t.recordRemoval(c.At, c.New.ID)
+	}
+}
+
+// recordRemoval records that a member has stopped being eligible as a home.
+func (t *Tracker) recordRemoval(at time.Time, id string) {
 	t.removals = append(t.removals, removal{id, at})
 	if len(t.removals) > maxRemovals {
 		t.floor = t.removals[0].at
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -235,9 +235,9 @@
 	if ok {
 		f.recordEvent(c.At, kind, c.New.ID, c.Cause)
 	}
-	if c.New.ID != f.cfg.Self.ID && c.EndsCandidacy() {
+	if c.New.ID != f.cfg.Self.ID {
 		f.homesMu.Lock()
-		f.homes.RecordRemoval(c.At, c.New.ID)
+		f.homes.RecordChange(c)
 		f.homesMu.Unlock()
 	}
 }
@@ -286,11 +286,9 @@
 // see package homes, restarts when it becomes able to.
 func (f *Fleet) SetCanBeHome(ctx context.Context, can bool) {
 	f.do(ctx, func(now time.Time) {
-		if can && !f.table.Self().CanBeHome {
-			f.homesMu.Lock()
-			f.homes.RestartTenure(now)
-			f.homesMu.Unlock()
-		}
+		f.homesMu.Lock()
+		f.homes.SetCandidate(now, can)
+		f.homesMu.Unlock()
 		f.perform(ctx, f.table.SetCanBeHome(now, can))
 	})
 }
