homes, proxy, node: a home that steps down names the latest key that it accepted

Cause: since a member that steps down counts as a removed home, keys issued up to 5 s after that were asked about at a node that may have ended by then, and refused as too old until their deadline. Besides, a home that had stepped down went on accepting new keys of senders that did not know it yet, for the linger time with drain.serve_on. Change: a node that can't be a home accepts no new key, from its start on. When it steps down, its record names the issue time of the latest key that it accepted (Member.home_until), and it is asked about keys up to that only. A planned stop steps down at once. A node from before this change names none, and counts as before. A home that this node never saw as a candidate, since records that follow each other closely share a message, is recorded too.

--- a/core/homes/homes.go
+++ b/core/homes/homes.go
@@ -18,6 +18,10 @@
 // itself, it asks only the removed members. If there is no anchor, or a member
 // that has to be asked can't answer, it is not known whether the work has run.
 //
+// A member that steps down while it is up accepts no further keys, and says when the
+// latest one that it accepted was issued (member.Record.HomeUntil). Nobody asks it about
+// later ones, so that keys need not wait for its margin, nor for it to stay.
+//
 // A node that starts learns of members that are already dead, and can't tell when they
 // were removed. Until it can be a home itself it does not record them: it will be an
 // anchor only for keys that are issued after that, and for the earlier ones the anchor
@@ -52,9 +56,11 @@
 // maxRemovals is the maximum number of removals that are kept.
 const maxRemovals = 1024
 
+// removal is the end of a member's time as a home. The member may have been the home of
+// keys that were issued before the given time.
 type removal struct {
-	id string
-	at time.Time
+	id     string
+	before time.Time
 }
 
 // Tracker is the state machine that tracks the tenure of its own node and the
@@ -64,7 +70,7 @@
 	start     time.Time
 	candidate bool // this node can be a home
 	removals  []removal
-	floor     time.Time // removals up to it may have been dropped
+	floor     time.Time // removals of homes of keys that were issued before it may have been dropped
 }
 
 // New returns a Tracker for a node whose tenure begins at cfg.Start.
@@ -88,25 +94,46 @@
 	t.candidate = can
 }
 
-// RecordChange records the removal of another member if the change ends its candidacy,
-// see member.Change. It leaves out a member that was gone before this node could be a
-// home.
+// RecordChange records the removal of another member if it can't be a home after the
+// change, and may have been one before.
 func (t *Tracker) RecordChange(c member.Change) {
-	goneBefore := c.Old.ID == "" && !t.candidate
-	if c.EndsCandidacy() && !goneBefore {
-		t.recordRemoval(c.At, c.New.ID)
+	hasSteppedDown := !c.New.HomeUntil.IsZero()
+	switch {
+	case c.New.IsHomeCandidate():
+	case hasSteppedDown && c.New.HomeUntil.Equal(c.Old.HomeUntil): // recorded already
+	case hasSteppedDown:
+		t.recordRemoval(removal{c.New.ID, c.New.HomeUntil.Add(1)})
+	case c.Old.ID == "" && !t.candidate: // gone before this node could be a home
+	case mayHaveBeenCandidate(c):
+		t.recordRemoval(removal{c.New.ID, c.At.Add(t.cfg.Margin)})
 	}
 }
 
-// recordRemoval records that a member has stopped being eligible as a home.
-func (t *Tracker) recordRemoval(at time.Time, id string) {
-	t.removals = append(t.removals, removal{id, at})
+// mayHaveBeenCandidate reports whether a member that is not a candidate after the change
+// may have been one before. The node does not see each record of a member, since records
+// that follow each other closely share a message.
+func mayHaveBeenCandidate(c member.Change) bool {
+	becameOneUnseen := !c.Old.CanBeHome && c.New.CanBeHome
+	refutedDeathUnseen := c.Old.CanBeHome && c.Old.State == member.Dead && c.New.Incarnation > c.Old.Incarnation
+	return c.Old.IsHomeCandidate() || becameOneUnseen || refutedDeathUnseen
+}
+
+func (t *Tracker) recordRemoval(r removal) {
+	t.removals = append(t.removals, r)
 	if len(t.removals) > maxRemovals {
-		t.floor = t.removals[0].at
+		t.floor = later(t.floor, t.removals[0].before)
 		t.removals = slices.Clone(t.removals[1:])
 	}
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // Current returns the home of a key among the eligible members.
 func Current(key string, members []string) string { return rank.Best("home/"+key, members) }
 
@@ -130,7 +157,7 @@
 // issue. It leaves out the asker, which knows whether it was the home. ok is
 // false if removals from that time have been dropped.
 func (t *Tracker) FormerHomes(key string, issued time.Time, asker string) (history History, ok bool) {
-	if issued.Before(t.floor.Add(t.cfg.Margin)) {
+	if issued.Before(t.floor) {
 		return history, false
 	}
 	history.Anchor = !issued.Before(t.start.Add(t.cfg.Margin))
@@ -139,7 +166,7 @@
 		if r.id == t.cfg.Self || r.id == asker || slices.Contains(history.Removed, r.id) {
 			continue
 		}
-		if issued.Before(r.at.Add(t.cfg.Margin)) && rank.Score("home/"+key, r.id) > selfScore {
+		if issued.Before(r.before) && rank.Score("home/"+key, r.id) > selfScore {
 			history.Removed = append(history.Removed, r.id)
 		}
 	}
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -38,7 +38,10 @@
 	Ready       bool   `json:"ready"` // its backend server is announced and not failing
 	Slots       int    `json:"slots"`
 	CanBeHome   bool   `json:"keeper"` // eligible as the home of an idempotency key
-	StartMs     int64  `json:"since"`  // start of the process, Unix milliseconds
+	// HomeUntil is the issue time of the latest key that the member accepted as a home.
+	// It is zero while the member can be a home, and if it never could.
+	HomeUntil time.Time `json:"home_until,omitzero"`
+	StartMs   int64     `json:"since"` // start of the process, Unix milliseconds
 	// WarmupEnd is when the warm-up period of its backend server ends. The
 	// server is slow until then. It is zero if there is no warm-up.
 	WarmupEnd time.Time `json:"warm_until,omitzero"`
@@ -111,10 +114,16 @@
 	return r.DataCentre
 }
 
-// WithCanBeHome returns a copy of r that is or isn't eligible as the home of
-// idempotency keys.
-func (r Record) WithCanBeHome(can bool) Record {
-	r.CanBeHome = can
+// WithCandidacy returns a copy of r that is eligible as the home of idempotency keys.
+func (r Record) WithCandidacy() Record {
+	r.CanBeHome, r.HomeUntil = true, time.Time{}
+	return r
+}
+
+// WithoutCandidacy returns a copy of r that isn't eligible as the home of keys. The
+// latest key that it has accepted as a home was issued at until.
+func (r Record) WithoutCandidacy(until time.Time) Record {
+	r.CanBeHome, r.HomeUntil = false, until
 	return r
 }
 
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -62,16 +62,6 @@
 	Cause string
 }
 
-// EndsCandidacy reports whether the member may have been the home of a key before the
-// change, and can't be one after it: it has failed, is leaving, or has stepped down. One
-// that is already gone when this node first learns of it may have been a home too.
-func (c Change) EndsCandidacy() bool {
-	if c.New.IsHomeCandidate() {
-		return false
-	}
-	return c.Old.IsHomeCandidate() || c.Old.ID == "" && c.New.CanBeHome
-}
-
 // ActionKind is the kind of an Action.
 type ActionKind int
 
@@ -229,17 +219,22 @@
 	return r, ok
 }
 
-// SetCanBeHome sets whether this node is eligible as the home of idempotency
-// keys, and announces it.
-func (t *Table) SetCanBeHome(now time.Time, can bool) []Action {
-	if t.self.CanBeHome == can {
+// BecomeCandidate makes this node eligible as the home of idempotency keys, and
+// announces it.
+func (t *Table) BecomeCandidate(now time.Time) []Action {
+	if t.self.CanBeHome {
 		return nil
 	}
-	cause := "can't be the home of keys"
-	if can {
-		cause = "can be the home of keys"
+	return t.updateSelf(now, t.self.WithCandidacy(), "can be the home of keys")
+}
+
+// StepDown ends the eligibility of this node as the home of keys, and announces it. The
+// node accepts no further keys. The latest that it has accepted was issued at until.
+func (t *Table) StepDown(now, until time.Time) []Action {
+	if !t.self.CanBeHome {
+		return nil
 	}
-	return t.updateSelf(now, t.self.WithCanBeHome(can), cause)
+	return t.updateSelf(now, t.self.WithoutCandidacy(until), "can't be the home of keys")
 }
 
 // Leave announces that this node accepts no new calls.
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -282,17 +282,30 @@
 	return r, ok
 }
 
-// SetCanBeHome publishes whether this node can be the home of a key. Its tenure,
-// see package homes, restarts when it becomes able to.
-func (f *Fleet) SetCanBeHome(ctx context.Context, can bool) {
+// BecomeHomeCandidate publishes that this node can be the home of a key. Its tenure
+// restarts, see package homes.
+func (f *Fleet) BecomeHomeCandidate(ctx context.Context) {
 	f.do(ctx, func(now time.Time) {
-		f.homesMu.Lock()
-		f.homes.SetCandidate(now, can)
-		f.homesMu.Unlock()
-		f.perform(ctx, f.table.SetCanBeHome(now, can))
+		f.setHomeCandidate(now, true)
+		f.perform(ctx, f.table.BecomeCandidate(now))
+	})
+}
+
+// StepDownAsHome publishes that this node can't be the home of a key any more. It must
+// accept no further keys; the latest that it has accepted was issued at until.
+func (f *Fleet) StepDownAsHome(ctx context.Context, until time.Time) {
+	f.do(ctx, func(now time.Time) {
+		f.setHomeCandidate(now, false)
+		f.perform(ctx, f.table.StepDown(now, until))
 	})
 }
 
+func (f *Fleet) setHomeCandidate(now time.Time, can bool) {
+	f.homesMu.Lock()
+	defer f.homesMu.Unlock()
+	f.homes.SetCandidate(now, can)
+}
+
 // Leave announces to all members that this node is leaving and accepts no new calls.
 func (f *Fleet) Leave(ctx context.Context) {
 	f.do(ctx, func(now time.Time) { f.perform(ctx, f.table.Leave(now)) })
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -90,6 +90,8 @@
 	killed           chan struct{} // closed by Kill
 	killOnce         sync.Once
 	stopping         atomic.Bool                     // a planned stop has begun
+	candidacyMu      sync.Mutex                      // guards homeCandidate, and its changes
+	homeCandidate    bool                            // this node can be the home of keys
 	acceptingCallers atomic.Bool                     // the listener for callers is open
 	remoteBySeedAddr atomic.Pointer[map[string]bool] // whether the address of a seed is in another data centre
 }
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -43,7 +43,7 @@
 	wg.Go(func() { n.boot(bgCtx) })
 	wg.Go(func() { n.serveCallersWhenReady(bgCtx, s) })
 	if !n.cfg.Settings.KeysUnused {
-		wg.Go(func() { n.updateHomeEligibility(bgCtx) })
+		wg.Go(func() { n.updateHomeCandidacy(bgCtx) })
 	}
 	wg.Go(func() { n.rejoin(bgCtx) })
 
@@ -142,17 +142,29 @@
 	n.acceptingCallers.Store(true)
 }
 
-// updateHomeEligibility makes this node eligible as the home of idempotency keys,
+// updateHomeCandidacy makes this node eligible as the home of idempotency keys,
 // see package proxy, while it is ready, has a quorum and is not stopping.
-func (n *Node) updateHomeEligibility(ctx context.Context) {
-	wasEligible := false
+func (n *Node) updateHomeCandidacy(ctx context.Context) {
 	for timer.Sleep(ctx, homeCheckInterval) {
-		eligible := n.feed.Ready() && n.fleet.HasQuorum(time.Now()) && !n.stopping.Load()
-		if eligible != wasEligible {
-			n.fleet.SetCanBeHome(ctx, eligible)
-			wasEligible = eligible
-		}
+		n.checkHomeCandidacy(ctx)
+	}
+}
+
+// checkHomeCandidacy makes this node a candidate or makes it step down, if its
+// eligibility has changed. It accepts no key after it has stepped down, since it tells
+// the others when the latest that it accepted was issued.
+func (n *Node) checkHomeCandidacy(ctx context.Context) {
+	n.candidacyMu.Lock()
+	defer n.candidacyMu.Unlock()
+	can := n.feed.Ready() && n.fleet.HasQuorum(time.Now()) && !n.stopping.Load()
+	switch {
+	case can && !n.homeCandidate:
+		n.proxy.AcceptNewKeys()
+		n.fleet.BecomeHomeCandidate(ctx)
+	case !can && n.homeCandidate:
+		n.fleet.StepDownAsHome(ctx, n.proxy.RefuseNewKeys())
 	}
+	n.homeCandidate = can
 }
 
 // recordEvent adds an event about this node to the journal.
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -49,6 +49,7 @@
 	startedAt := time.Now()
 	n.recordEvent(event.NodeDraining, "planned stop")
 	n.stopping.Store(true)
+	n.checkHomeCandidacy(ctx)
 	drain := n.drainSettings()
 	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(drain.Timeout.Std()+drain.Linger.Std()))
 	defer cancel()
@@ -60,7 +61,6 @@
 		s.callerConns.waitForCurrentRequests(requestsCtx)
 		cancel()
 	}
-	n.proxy.RefuseNewKeys()
 	n.gate.StartDrain()
 	n.fleet.Leave(ctx)
 	seedRemoved := n.removeSeedRecord(ctx)
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -34,7 +34,7 @@
 		return &wire.Member{
 			Id: r.ID, Addr: r.Addr, DataCentre: r.DataCentre, Service: r.Service,
 			Incarnation: r.Incarnation, State: int32(r.State), Ready: r.Ready,
-			Slots: int32(r.Slots), Since: r.StartMs, Accuser: r.Accuser, Left: r.Left, Keeper: r.CanBeHome,
+			Slots: int32(r.Slots), Since: r.StartMs, Accuser: r.Accuser, Left: r.Left, Keeper: r.CanBeHome, HomeUntil: toNanos(r.HomeUntil),
 			Region: r.Region, WarmLeft: warmupLeft(r), LeftServer: r.LeftServer.ID, LeftServerStart: r.LeftServer.StartMs,
 		}
 	})
@@ -56,13 +56,29 @@
 	return time.Now().Add(time.Duration(left))
 }
 
+// toNanos returns t in Unix nanoseconds, or 0 for the zero time.
+func toNanos(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+// fromNanos is the inverse of toNanos.
+func fromNanos(n int64) time.Time {
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, n)
+}
+
 // FromMembers converts records from their wire format. It does not validate them.
 func FromMembers(ms []*wire.Member) []member.Record {
 	return convertAll(ms, func(m *wire.Member) member.Record {
 		return member.Record{
 			ID: m.GetId(), Addr: m.GetAddr(), DataCentre: m.GetDataCentre(), Service: m.GetService(),
 			Incarnation: m.GetIncarnation(), State: member.State(m.GetState()), Ready: m.GetReady(),
-			Slots: int(m.GetSlots()), StartMs: m.GetSince(), Accuser: m.GetAccuser(), Left: m.GetLeft(), CanBeHome: m.GetKeeper(),
+			Slots: int(m.GetSlots()), StartMs: m.GetSince(), Accuser: m.GetAccuser(), Left: m.GetLeft(), CanBeHome: m.GetKeeper(), HomeUntil: fromNanos(m.GetHomeUntil()),
 			Region: m.GetRegion(), WarmupEnd: warmupEnd(m.GetWarmLeft()),
 			LeftServer: member.ServerID{ID: m.GetLeftServer(), StartMs: m.GetLeftServerStart()},
 		}
--- a/io/proxy/home.go
+++ b/io/proxy/home.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"slices"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"tanagerchute/core/call"
@@ -21,20 +21,48 @@
 // those that it accepts as an entry node of its data centre.
 type homeTable struct {
 	*runner.SyncTable
-	refuseNew atomic.Bool
+
+	mu        sync.Mutex // guards the fields below, and the start of calls against them
+	refuseNew bool
+	// latest is the issue time of the latest key that was accepted, at least the start
+	// of the process.
+	latest time.Time
+}
+
+// newHomeTable returns the table of a node that accepts no keys yet.
+func newHomeTable() *homeTable {
+	return &homeTable{SyncTable: runner.NewSyncTable(), refuseNew: true, latest: time.Now()}
+}
+
+// acceptNewKeys ends the effect of refuseNewKeys.
+func (h *homeTable) acceptNewKeys() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refuseNew = false
 }
 
 // refuseNewKeys makes the table refuse keys that it has no record of. Calls that
 // have started continue, and inquiries about them are answered until the node
-// stops.
-func (h *homeTable) refuseNewKeys() { h.refuseNew.Store(true) }
+// stops. It returns the issue time of the latest key that was accepted.
+func (h *homeTable) refuseNewKeys() (latest time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refuseNew = true
+	return h.latest
+}
 
 // Begin implements runner.Table.
 func (h *homeTable) Begin(c call.Call) (dedup.Verdict, dedup.Answer) {
-	if h.refuseNew.Load() && !h.Contains(c.ID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.refuseNew && !h.Contains(c.ID) {
 		return dedup.Fenced, dedup.Answer{}
 	}
-	return h.SyncTable.Begin(c)
+	v, a := h.SyncTable.Begin(c)
+	if v == dedup.Run && c.Issued.After(h.latest) {
+		h.latest = c.Issued
+	}
+	return v, a
 }
 
 // recordID returns the id under which a call to a service with a caller's key is
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -20,7 +20,6 @@
 	"tanagerchute/io/gate"
 	"tanagerchute/io/link"
 	"tanagerchute/io/peer"
-	"tanagerchute/io/runner"
 	"tanagerchute/io/timer"
 )
 
@@ -122,7 +121,7 @@
 		budgets:    newRetryBudgets(cfg.Retry, func() int { return len(cfg.Fleet.View().ActiveIDs()) }),
 		picker:     pick.New(pick.DefaultConfig(cfg.Rand)),
 		waits:      waits.New(),
-		homeTable:  &homeTable{SyncTable: runner.NewSyncTable()},
+		homeTable:  newHomeTable(),
 		notices:    newNotices(),
 	}
 	p.clients = newClientPool(cfg.WrapDial, p.recordLinkSilent)
@@ -133,9 +132,12 @@
 // Close closes idle connections.
 func (p *Proxy) Close() { p.clients.close() }
 
+// AcceptNewKeys makes this node accept keys of which it is the home.
+func (p *Proxy) AcceptNewKeys() { p.homeTable.acceptNewKeys() }
+
 // RefuseNewKeys makes this node refuse to be the home of a key that it has no
-// record of. It is called when the node is about to stop.
-func (p *Proxy) RefuseNewKeys() { p.homeTable.refuseNewKeys() }
+// record of. It returns the issue time of the latest key that it has accepted.
+func (p *Proxy) RefuseNewKeys() (latest time.Time) { return p.homeTable.refuseNewKeys() }
 
 // Stop is the course of a planned stop of the node.
 type Stop struct {
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -179,7 +179,7 @@
 // Defaults of a node.
 const (
 	DefaultDrainTimeout = 30 * time.Second
-	DefaultLinger       = 6 * time.Second        // longer than the 5 s margin for a change of a key's home, see package homes
+	DefaultLinger       = 6 * time.Second        // for callers that move, and new homes of keys that ask
 	DefaultSlowSpan     = 250 * time.Millisecond // default of Trace.Slow
 	defaultLogLevel     = "info"
 )
