proxy: a home that is silent behind a relay is tried again

A sender in the data centre of the home repeats the call. Change: the relay names the cause home_silent, which a sender does not take as settled. The reply of a node that is the home itself counts as a reply wherever it runs.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -135,6 +135,7 @@
 	CauseKeyTooOld         = "key_too_old"          // an earlier run under the key can't be ruled out
 	CauseHomeNotInStanding = "home_not_in_standing" // the home of the key has no quorum
 	CauseHomeUnreachable   = "home_unreachable"     // the home of the key can't be reached
+	CauseHomeSilent        = "home_silent"          // a relay got no reply from the home of the key
 	CauseAnswerTooLarge    = "answer_too_large"     // the answer exceeds the size limit
 	CauseUnreachable       = "unreachable"          // no connection to the node or to the backend server
 	CauseUpstreamShed      = "upstream_shed"        // the backend server refused the call for load
--- a/io/proxy/home.go
+++ b/io/proxy/home.go
@@ -119,8 +119,17 @@
 		}
 		r = p.sendUntilSilent(ctx, relays[try%len(relays)], c)
 	}
-	settled := r.Replied && r.Cause != call.CauseMoved && r.Cause != call.CauseFenced
-	return r, settled
+	return r, settledByHome(r)
+}
+
+// settledByHome reports whether a reply to a call with a key is the last one, and not that
+// of a node that is not the home, or that has got no reply from the home.
+func settledByHome(r call.Reply) bool {
+	switch r.Cause {
+	case call.CauseMoved, call.CauseFenced, call.CauseHomeSilent:
+		return false
+	}
+	return r.Replied
 }
 
 // sendToLocalHome sends a call to the home of its key in this data centre, which
@@ -152,6 +161,7 @@
 		// under a new id.
 		id, issued := newID()
 		r, _ := p.dispatch(context.WithoutCancel(ctx), c.WithID(id, issued), false)
+		r.Replied = true
 		return r
 	})
 }
--- a/io/proxy/peers.go
+++ b/io/proxy/peers.go
@@ -122,7 +122,11 @@
 func (p *Proxy) serveHome(ctx context.Context, c call.Call) call.Reply {
 	if _, sameDataCentre := p.cfg.Fleet.View().Get(c.From); !sameDataCentre {
 		c.From = p.cfg.Node
-		return p.sendToLocalHome(ctx, c)
+		r := p.sendToLocalHome(ctx, c)
+		if !r.Replied {
+			r.Cause = call.CauseHomeSilent
+		}
+		return r
 	}
 	if !p.cfg.Feed.Ready() {
 		return call.Refuse(call.NotRun, call.CauseNodeNotReady, time.Second)
