--- a/io/proxy/home.go
+++ b/io/proxy/home.go
@@ -78,12 +78,19 @@
 		centre = rank.Best("centre/"+c.ID, p.cfg.DataCentres)
 	}
 	last := call.Refuse(call.Unknown, call.CauseHomeUnreachable, time.Second)
+	mayStillRun := false // an earlier try
 	for try := 0; ; try++ {
-		if r, ok := p.tryHome(ctx, c, centre, try); ok {
+		r, ok := p.tryHome(ctx, c, centre, try)
+		if ok && mayStillRun && r.Fate == call.NotRun {
+			return withUnknownFate(r)
+		}
+		if ok {
 			return r
-		} else if r.Replied {
+		}
+		if r.Replied {
 			last = r
 		}
+		mayStillRun = mayStillRun || r.Fate == call.Unknown && r.Cause != call.CauseHomeUnreachable
 		if p.dataCentreUnreachable(centre) || !timer.Sleep(ctx, inquiryInterval/2) || time.Now().After(c.Deadline) {
 			return withUnknownFate(last)
 		}
--- a/io/proxy/home_test.go
+++ b/io/proxy/home_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,21 +39,26 @@
 	is.True(table.refuseNewKeys().Equal(now.Add(time.Second)))
 }
 
+// newSenderWithHome returns a proxy whose fleet has one home of keys, at addr.
+func newSenderWithHome(t *testing.T, addr string) *Proxy {
+	p := newSender(t)
+	p.cfg.DataCentres = []string{""} // that of its fleet
+	go p.cfg.Fleet.Run(t.Context())
+	record := &wire.Member{Id: "home", Addr: addr, Incarnation: 1, Keeper: true}
+	_, err := p.cfg.Fleet.Gossip(t.Context(), &wire.GossipRequest{From: "home", Members: []*wire.Member{record}})
+	is.New(t).NoErr(err)
+	for len(p.cfg.Fleet.View().HomeCandidates()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return p
+}
+
 // TestSilentHomeBehindRelayIsTriedAgain guards against a caller that is told unknown at once
 // because the home of its key, in another data centre, is silent for a moment. The relay
 // there gives up its attempt, and the sender must send the call again.
 func TestSilentHomeBehindRelayIsTriedAgain(t *testing.T) {
 	is := is.New(t)
-	ctx := t.Context()
-	home := slowPeer{ackAfter: 3 * time.Second}.start(t)
-	relay := newSender(t)
-	go relay.cfg.Fleet.Run(ctx)
-	record := &wire.Member{Id: "home", Addr: home, Incarnation: 1, Keeper: true}
-	_, err := relay.cfg.Fleet.Gossip(ctx, &wire.GossipRequest{From: "home", Members: []*wire.Member{record}})
-	is.NoErr(err)
-	for len(relay.cfg.Fleet.View().HomeCandidates()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	relay := newSenderWithHome(t, slowPeer{ackAfter: 3 * time.Second}.start(t))
 	ts := httptest.NewUnstartedServer(nil)
 	ts.Config = peer.NewServer(relay.Peer(http.NotFoundHandler()))
 	ts.Start()
@@ -61,8 +67,41 @@
 	sender := newSender(t)
 	c := testCall(http.MethodPost, 5*time.Second).WithAttempt("attempt", call.Home)
 	c.Key, c.From = c.ID, "node-of-another-data-centre"
-	r := sender.send(ctx, strings.TrimPrefix(ts.URL, "http://"), c, func(silence) {})
+	r := sender.send(t.Context(), strings.TrimPrefix(ts.URL, "http://"), c, func(silence) {})
 	is.Equal(r.Fate, call.Unknown)
 	is.True(time.Now().Before(c.Deadline)) // there is time to send it again
 	is.True(!settledByHome(r))
 }
+
+// refusingHome is a home of keys that is silent at first, and refuses later calls as not run.
+func refusingHome(t *testing.T) string {
+	var calls atomic.Int32
+	ts := httptest.NewUnstartedServer(nil)
+	ts.Config = peer.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerCall) == "" {
+			http.Error(w, "no inquiries here", http.StatusServiceUnavailable)
+			return
+		}
+		if calls.Add(1) == 1 {
+			<-r.Context().Done()
+			return
+		}
+		var m wire.CallMeta
+		_ = decodeHeader(r.Header.Get(headerCall), &m)
+		c := call.Call{ID: m.GetId(), Attempt: m.GetAttempt()}
+		writePeerReply(w, c, call.Refuse(call.NotRun, call.CauseNoUpstream, time.Second))
+	}))
+	ts.Start()
+	t.Cleanup(ts.Close)
+	return strings.TrimPrefix(ts.URL, "http://")
+}
+
+// TestRefusalAfterSilentHomeIsUnknown guards against a false not_run: the home of a key did
+// not acknowledge a call and refuses its repeat, but may still take up the first one.
+func TestRefusalAfterSilentHomeIsUnknown(t *testing.T) {
+	is := is.New(t)
+	p := newSenderWithHome(t, refusingHome(t))
+	r := p.dispatchKeyed(t.Context(), testCall(http.MethodPost, 5*time.Second), dedup.Key{ID: "k", Issued: time.Now()})
+	is.Equal(r.Fate, call.Unknown)
+	is.Equal(r.Cause, call.CauseNoUpstream)
+}
