proxy: calls of other data centres need no home of keys

Cause: the table of a home also records the calls without a key that an entry node takes from another data centre. Since a node accepts no keys before it can be a home, it refused these too, and always where keys are not in use. Change: only a call with a key needs a candidate. A node that leaves refuses both, as it did before.

io/proxy TestHomeAcceptsNoKeyAfterStepDown, which covers both now: passed.

--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -61,6 +61,7 @@
 		s.callerConns.waitForCurrentRequests(requestsCtx)
 		cancel()
 	}
+	n.proxy.RefuseNewRecords()
 	n.gate.StartDrain()
 	n.fleet.Leave(ctx)
 	seedRemoved := n.removeSeedRecord(ctx)
--- a/io/proxy/home.go
+++ b/io/proxy/home.go
@@ -22,8 +22,9 @@
 type homeTable struct {
 	*runner.SyncTable
 
-	mu        sync.Mutex // guards the fields below, and the start of calls against them
-	refuseNew bool
+	mu         sync.Mutex // guards the fields below, and the start of calls against them
+	refuseKeys bool       // the node can't be the home of a new key
+	leaving    bool       // the node takes no new call at all
 	// latest is the issue time of the latest key that was accepted, at least the start
 	// of the process.
 	latest time.Time
@@ -31,14 +32,14 @@
 
 // newHomeTable returns the table of a node that accepts no keys yet.
 func newHomeTable() *homeTable {
-	return &homeTable{SyncTable: runner.NewSyncTable(), refuseNew: true, latest: time.Now()}
+	return &homeTable{SyncTable: runner.NewSyncTable(), refuseKeys: true, latest: time.Now()}
 }
 
 // acceptNewKeys ends the effect of refuseNewKeys.
 func (h *homeTable) acceptNewKeys() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.refuseNew = false
+	h.refuseKeys = false
 }
 
 // refuseNewKeys makes the table refuse keys that it has no record of. Calls that
@@ -47,19 +48,27 @@
 func (h *homeTable) refuseNewKeys() (latest time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.refuseNew = true
+	h.refuseKeys = true
 	return h.latest
 }
 
+// leave makes the table refuse all calls that it has no record of.
+func (h *homeTable) leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.leaving = true
+}
+
 // Begin implements runner.Table.
 func (h *homeTable) Begin(c call.Call) (dedup.Verdict, dedup.Answer) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.refuseNew && !h.Contains(c.ID) {
+	hasKey := c.Mode == call.Home
+	if (h.leaving || hasKey && h.refuseKeys) && !h.Contains(c.ID) {
 		return dedup.Fenced, dedup.Answer{}
 	}
 	v, a := h.SyncTable.Begin(c)
-	if v == dedup.Run && c.Issued.After(h.latest) {
+	if v == dedup.Run && hasKey && c.Issued.After(h.latest) {
 		h.latest = c.Issued
 	}
 	return v, a
--- a/io/proxy/home_test.go
+++ b/io/proxy/home_test.go
@@ -23,8 +23,9 @@
 	is := is.New(t)
 	now := time.Now()
 	table := newHomeTable()
+	mode := call.Home
 	begin := func(id string, issued time.Time) dedup.Verdict {
-		v, _ := table.Begin(call.Call{ID: id, Issued: issued, Attempt: id + "/1"})
+		v, _ := table.Begin(call.Call{ID: id, Issued: issued, Attempt: id + "/1", Mode: mode})
 		return v
 	}
 	is.Equal(begin("early", now), dedup.Fenced) // no candidate yet
@@ -37,6 +38,12 @@
 	is.Equal(begin("new", now.Add(2*time.Second)), dedup.Fenced)
 	is.Equal(begin("early clock", now.Add(time.Second)), dedup.Join) // what has started goes on
 	is.True(table.refuseNewKeys().Equal(now.Add(time.Second)))
+
+	mode = call.Entry // calls of other data centres, without a key
+	is.Equal(begin("entry", now.Add(time.Second)), dedup.Run) // no home is needed
+	table.leave()
+	is.Equal(begin("late entry", now.Add(time.Second)), dedup.Fenced)
+	is.Equal(begin("entry", now.Add(time.Second)), dedup.Join)
 }
 
 // newSenderWithHome returns a proxy whose fleet has one home of keys, at addr.
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -135,6 +135,10 @@
 // AcceptNewKeys makes this node accept keys of which it is the home.
 func (p *Proxy) AcceptNewKeys() { p.homeTable.acceptNewKeys() }
 
+// RefuseNewRecords makes this node refuse the calls with keys and of other data centres
+// that it has no record of. It is called when the node leaves.
+func (p *Proxy) RefuseNewRecords() { p.homeTable.leave() }
+
 // RefuseNewKeys makes this node refuse to be the home of a key that it has no
 // record of. It returns the issue time of the latest key that it has accepted.
 func (p *Proxy) RefuseNewKeys() (latest time.Time) { return p.homeTable.refuseNewKeys() }
