dedup, proxy: a dropped record is no proof that an attempt has not run

Cause, found while reading for the inquiry about keys: an inquiry about an attempt that was sent to this process came with the present as its issue time, to leave out the check for earlier processes. Change: dedup.Inquiry says that the attempt was sent to this process; only the check for earlier processes is left out then, and the issue time is the real one.

--- a/core/dedup/table.go
+++ b/core/dedup/table.go
@@ -231,17 +231,28 @@
 	return v, a, true
 }
 
-// Inquire returns what became of an attempt at the work under key. If the work
-// has not begun, Inquire fences the attempt.
-func (t *Table) Inquire(now time.Time, key Key, attempt string) (Verdict, Answer) {
+// Inquiry asks what became of an attempt.
+type Inquiry struct {
+	Key     Key // of the work
+	Attempt string
+	// Own is set if the attempt was sent to this very process. Otherwise an earlier one
+	// at its address may have got it.
+	Own bool
+}
+
+// Inquire returns what became of an attempt. If the work has not begun, Inquire fences
+// the attempt.
+func (t *Table) Inquire(now time.Time, q Inquiry) (Verdict, Answer) {
 	t.expire(now)
-	if r, ok := t.records[key.ID]; ok {
+	if r, ok := t.records[q.Key.ID]; ok {
 		return r.verdict()
 	}
-	if !key.Issued.After(t.floor) || !key.Issued.After(t.cfg.Start) {
+	maybeDropped := !q.Key.Issued.After(t.floor)
+	maybeEarlier := !q.Own && !q.Key.Issued.After(t.cfg.Start)
+	if maybeDropped || maybeEarlier {
 		return TooOld, Answer{}
 	}
-	t.addFence(fence{attempt, key.Issued})
+	t.addFence(fence{q.Attempt, q.Key.Issued})
 	return Fenced, Answer{}
 }
 
--- a/core/dedup/table_test.go
+++ b/core/dedup/table_test.go
@@ -61,7 +61,7 @@
 				table.Withdraw(id)
 				delete(running, id)
 			case "inquire":
-				v, _ := table.Inquire(now, key, attempt)
+				v, _ := table.Inquire(now, dedup.Inquiry{Key: key, Attempt: attempt})
 				if v == dedup.Fenced {
 					if running[id] || ended[id] {
 						t.Fatalf("%s was reported as not begun", id)
@@ -105,9 +105,12 @@
 func TestEarlierProcessIsTooOld(t *testing.T) {
 	is := is.New(t)
 	table := dedup.NewTable(dedup.DefaultConfig(epoch))
-	v, _ := table.Inquire(epoch, dedup.Key{ID: "old", Issued: epoch.Add(-time.Second)}, "1")
+	old := dedup.Key{ID: "old", Issued: epoch.Add(-time.Second)}
+	v, _ := table.Inquire(epoch, dedup.Inquiry{Key: old, Attempt: "1"})
 	is.Equal(v, dedup.TooOld)
-	v, _ = table.Inquire(epoch, dedup.Key{ID: "new", Issued: epoch.Add(time.Second)}, "1")
+	v, _ = table.Inquire(epoch, dedup.Inquiry{Key: old, Attempt: "1", Own: true})
+	is.Equal(v, dedup.Fenced) // sent to this process, by a sender whose clock is behind
+	v, _ = table.Inquire(epoch, dedup.Inquiry{Key: dedup.Key{ID: "new", Issued: epoch.Add(time.Second)}, Attempt: "1"})
 	is.Equal(v, dedup.Fenced)
 }
 
--- a/io/proxy/home.go
+++ b/io/proxy/home.go
@@ -260,20 +260,15 @@
 // about a key.
 func (p *Proxy) Inquire(req *wire.InquireRequest) *wire.InquireReply {
 	key := dedup.Key{ID: req.GetKey(), Issued: time.Unix(0, req.GetIssued())}
-	if req.GetTo() == p.cfg.Node && !isAboutKey(key, req.GetAttempt()) {
-		// The issue time tells whether an earlier process at this address may
-		// know more than this one. This attempt was sent to this process, so the
-		// clock of the sender must not matter.
-		key.Issued = time.Now()
-	}
+	q := dedup.Inquiry{Key: key, Attempt: req.GetAttempt(), Own: req.GetTo() == p.cfg.Node}
 	var res inquiryResult
 	switch {
 	case req.GetTo() != "" && req.GetTo() != p.cfg.Node:
 		res.verdict = dedup.TooOld // the process that was asked has ended
 	case call.Mode(req.GetMode()) == call.Upstream:
-		res.verdict, res.answer = p.cfg.Gate.Inquire(key, req.GetAttempt())
+		res.verdict, res.answer = p.cfg.Gate.Inquire(q)
 	default:
-		res = p.inquireHome(key, req.GetAttempt(), req.GetFrom())
+		res = p.inquireHome(q, req.GetFrom())
 	}
 	return &wire.InquireReply{
 		Verdict: int32(res.verdict), Answer: peer.ToAnswer(res.answer),
@@ -281,17 +276,14 @@
 	}
 }
 
-// isAboutKey reports whether an inquiry is about a key as a whole: a new home asks
-// with the key as the attempt. The earlier homes depend on the issue time of the key.
-func isAboutKey(key dedup.Key, attempt string) bool { return attempt == key.ID }
-
 // inquireHome looks up an attempt or a key in the records of this node as a home.
-// A new home that asks about a key is also told what this node knows of the homes
-// before it.
-func (p *Proxy) inquireHome(key dedup.Key, attempt, sender string) inquiryResult {
+// A new home asks about the key as a whole, with the key as the attempt. It is
+// also told what this node knows of the homes before it.
+func (p *Proxy) inquireHome(q dedup.Inquiry, sender string) inquiryResult {
+	key := q.Key
 	var res inquiryResult
-	if !isAboutKey(key, attempt) {
-		res.verdict, res.answer = p.homeTable.Inquire(key, attempt)
+	if q.Attempt != key.ID {
+		res.verdict, res.answer = p.homeTable.Inquire(q)
 		return res
 	}
 	former, ok := p.cfg.Fleet.FormerHomes(key.ID, key.Issued, sender)
--- a/io/proxy/home_test.go
+++ b/io/proxy/home_test.go
@@ -112,3 +112,24 @@
 	is.Equal(r.Fate, call.Unknown)
 	is.Equal(r.Cause, call.CauseNoUpstream)
 }
+
+// TestDroppedRecordIsNoProofOfNotRun guards against a false not_run about an attempt whose
+// record has been dropped to bound the size of the table.
+func TestDroppedRecordIsNoProofOfNotRun(t *testing.T) {
+	is := is.New(t)
+	p := newSender(t)
+	const answerBytes, kept = 1 << 20, 16
+	first := testCall(http.MethodPost, time.Minute).WithAttempt("first", call.Entry)
+	for c, n := first, 0; n <= kept; n++ {
+		v, _ := p.homeTable.Begin(c)
+		is.Equal(v, dedup.Run)
+		p.homeTable.End(c, call.Reply{Fate: call.Answered, Body: make([]byte, answerBytes)})
+		c = testCall(http.MethodPost, time.Minute).WithAttempt("later", call.Entry)
+	}
+	is.True(!p.homeTable.Contains(first.ID))
+	time.Sleep(600 * time.Millisecond) // until attempts are not taken for those of an earlier process
+	reply := p.Inquire(&wire.InquireRequest{
+		Key: first.ID, Issued: first.Issued.UnixNano(), Attempt: "first", Mode: wire.Mode(call.Entry), From: "other", To: p.cfg.Node,
+	})
+	is.Equal(dedup.Verdict(reply.GetVerdict()), dedup.TooOld)
+}
--- a/io/runner/synctable.go
+++ b/io/runner/synctable.go
@@ -60,10 +60,10 @@
 
 // Inquire returns the verdict on an attempt, with its answer if it has one. An
 // attempt that has not started is fenced, so that it never starts.
-func (t *SyncTable) Inquire(key dedup.Key, attempt string) (dedup.Verdict, dedup.Answer) {
+func (t *SyncTable) Inquire(q dedup.Inquiry) (dedup.Verdict, dedup.Answer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.table.Inquire(time.Now(), key, attempt)
+	return t.table.Inquire(time.Now(), q)
 }
 
 // InquireKey returns the verdict on a key, with the recorded answer if there is
