--- a/io/proxy/ack_test.go
+++ b/io/proxy/ack_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -188,3 +189,30 @@
 	is.Equal(r.Cause, "")
 	is.True(former.Anchor)
 }
+
+// TestSlowDialDeliversNothing guards against a false not_run: a call whose connection takes
+// too long to open counts as not run, and must not be sent when it is open after all.
+func TestSlowDialDeliversNothing(t *testing.T) {
+	is := is.New(t)
+	var arrived atomic.Int32
+	ts := httptest.NewUnstartedServer(nil)
+	ts.Config = peer.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived.Add(1) }))
+	ts.Start()
+	t.Cleanup(ts.Close)
+	dialed := make(chan error, 1)
+	p := newSenderWithDial(t, func(next link.Dial) link.Dial {
+		return func(_ context.Context, network, addr string) (net.Conn, error) {
+			time.Sleep(1500 * time.Millisecond)
+			c, err := next(context.Background(), network, addr)
+			dialed <- err
+			return c, err
+		}
+	})
+	addr := strings.TrimPrefix(ts.URL, "http://")
+	r := p.send(t.Context(), addr, testCall(http.MethodPost, 4*time.Second), func(silence) {})
+	is.Equal(r.Fate, call.NotRun)
+	is.Equal(r.Cause, call.CauseUnreachable)
+	is.NoErr(<-dialed) // open after the call was given up
+	time.Sleep(200 * time.Millisecond)
+	is.Equal(arrived.Load(), int32(0))
+}
--- a/io/proxy/home_test.go
+++ b/io/proxy/home_test.go
@@ -39,7 +39,7 @@
 	is.Equal(begin("early clock", now.Add(time.Second)), dedup.Join) // what has started goes on
 	is.True(table.refuseNewKeys().Equal(now.Add(time.Second)))
 
-	mode = call.Entry // calls of other data centres, without a key
+	mode = call.Entry                                         // calls of other data centres, without a key
 	is.Equal(begin("entry", now.Add(time.Second)), dedup.Run) // no home is needed
 	table.leave()
 	is.Equal(begin("late entry", now.Add(time.Second)), dedup.Fenced)
