--- a/io/proxy/home.go
+++ b/io/proxy/home.go
@@ -91,6 +91,7 @@
 	for try := 0; ; try++ {
 		r, ok := p.tryHome(ctx, c, centre, try)
 		if ok && mayStillRun && r.Fate == call.NotRun {
+			p.recordEvent(event.RequestUnknown, c, "refused by the home of the key ("+r.Cause+"), but an earlier try may still run")
 			return withUnknownFate(r)
 		}
 		if ok {
@@ -172,7 +173,7 @@
 	if r, ok := p.checkEarlierHomes(ctx, c); !ok {
 		return r
 	}
-	return runner.Run(ctx, p.homeTable, c, func() call.Reply {
+	r := runner.Run(ctx, p.homeTable, c, func() call.Reply {
 		// The call is recorded under its key here, so its upstream may record it
 		// under a new id.
 		id, issued := newID()
@@ -180,6 +181,10 @@
 		r.Replied = true
 		return r
 	})
+	if r.Cause == call.CauseFenced {
+		p.recordEvent(event.RequestFenced, c, "this node can't be the home of new keys, or a later home has asked about the key")
+	}
+	return r
 }
 
 // checkEarlierHomes asks the nodes that may have been the home of the key since it
--- a/io/proxy/peers.go
+++ b/io/proxy/peers.go
@@ -124,6 +124,7 @@
 		c.From = p.cfg.Node
 		r := p.sendToLocalHome(ctx, c)
 		if !r.Replied {
+			p.recordEvent(event.RequestUnknown, c, "no reply from the home of the key: "+r.Cause)
 			r.Cause = call.CauseHomeSilent
 		}
 		return r
