--- a/io/proxy/home.go
+++ b/io/proxy/home.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"slices"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"tanagerchute/core/call"
@@ -21,20 +21,57 @@
 // those that it accepts as an entry node of its data centre.
 type homeTable struct {
 	*runner.SyncTable
-	refuseNew atomic.Bool
+
+	mu         sync.Mutex // guards the fields below, and the start of calls against them
+	refuseKeys bool       // the node can't be the home of a new key
+	leaving    bool       // the node takes no new call at all
+	// latest is the issue time of the latest key that was accepted, at least the start
+	// of the process.
+	latest time.Time
+}
+
+// newHomeTable returns the table of a node that accepts no keys yet.
+func newHomeTable() *homeTable {
+	return &homeTable{SyncTable: runner.NewSyncTable(), refuseKeys: true, latest: time.Now()}
+}
+
+// acceptNewKeys ends the effect of refuseNewKeys.
+func (h *homeTable) acceptNewKeys() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refuseKeys = false
 }
 
 // refuseNewKeys makes the table refuse keys that it has no record of. Calls that
 // have started continue, and inquiries about them are answered until the node
-// stops.
-func (h *homeTable) refuseNewKeys() { h.refuseNew.Store(true) }
+// stops. It returns the issue time of the latest key that was accepted.
+func (h *homeTable) refuseNewKeys() (latest time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refuseKeys = true
+	return h.latest
+}
+
+// leave makes the table refuse all calls that it has no record of.
+func (h *homeTable) leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.leaving = true
+}
 
 // Begin implements runner.Table.
 func (h *homeTable) Begin(c call.Call) (dedup.Verdict, dedup.Answer) {
-	if h.refuseNew.Load() && !h.Contains(c.ID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	hasKey := c.Mode == call.Home
+	if (h.leaving || hasKey && h.refuseKeys) && !h.Contains(c.ID) {
 		return dedup.Fenced, dedup.Answer{}
 	}
-	return h.SyncTable.Begin(c)
+	v, a := h.SyncTable.Begin(c)
+	if v == dedup.Run && hasKey && c.Issued.After(h.latest) {
+		h.latest = c.Issued
+	}
+	return v, a
 }
 
 // recordID returns the id under which a call to a service with a caller's idempotency
@@ -56,12 +93,20 @@
 		centre = rank.Best("centre/"+c.ID, p.cfg.DataCentres)
 	}
 	last := call.Refuse(call.Unknown, call.CauseHomeUnreachable, time.Second)
+	mayStillRun := false // an earlier try
 	for try := 0; ; try++ {
-		if r, ok := p.tryHome(ctx, c, centre, try); ok {
+		r, ok := p.tryHome(ctx, c, centre, try)
+		if ok && mayStillRun && r.Fate == call.NotRun {
+			p.recordEvent(event.RequestUnknown, c, "refused by the home of the key ("+r.Cause+"), but an earlier try may still run")
+			return withUnknownFate(r)
+		}
+		if ok {
 			return r
-		} else if r.Replied {
+		}
+		if r.Replied {
 			last = r
 		}
+		mayStillRun = mayStillRun || r.Fate == call.Unknown && r.Cause != call.CauseHomeUnreachable
 		if p.dataCentreUnreachable(centre) || !timer.Sleep(ctx, inquiryInterval/2) || time.Now().After(c.Deadline) {
 			return withUnknownFate(last)
 		}
@@ -97,8 +142,17 @@
 		}
 		r = p.sendUntilSilent(ctx, relays[try%len(relays)], c)
 	}
-	settled := r.Replied && r.Cause != call.CauseMoved && r.Cause != call.CauseFenced
-	return r, settled
+	return r, settledByHome(r)
+}
+
+// settledByHome reports whether a reply to a call with a key is the last one, and not that
+// of a node that is not the home, or that has got no reply from the home.
+func settledByHome(r call.Reply) bool {
+	switch r.Cause {
+	case call.CauseMoved, call.CauseFenced, call.CauseHomeSilent:
+		return false
+	}
+	return r.Replied
 }
 
 // sendToLocalHome sends a call to the home of its key in this data centre, which
@@ -123,6 +177,7 @@
 		// under a new id.
 		id, issued := newID()
 		r, _ := p.dispatch(context.WithoutCancel(ctx), c.WithID(id, issued), false)
+		r.Replied = true
 		return r
 	}
 }
@@ -137,7 +192,11 @@
 	if r, ok := p.checkEarlierHomes(ctx, c); !ok {
 		return r
 	}
-	return runner.Run(ctx, p.homeTable, c, work)
+	r := runner.Run(ctx, p.homeTable, c, work)
+	if r.Cause == call.CauseFenced {
+		p.recordEvent(event.RequestFenced, c, "this node can't be the home of new keys, or a later home has asked about the key")
+	}
+	return r
 }
 
 // checkEarlierHomes asks the nodes that may have been the home of the key since it
@@ -218,20 +277,15 @@
 // about a key.
 func (p *Proxy) Inquire(req *wire.InquireRequest) *wire.InquireReply {
 	key := dedup.Key{ID: req.GetKey(), Issued: time.Unix(0, req.GetIssued())}
-	if req.GetTo() == p.cfg.Node {
-		// The issue time tells whether an earlier process at this address may
-		// know more than this one. This attempt was sent to this process, so the
-		// clock of the sender must not matter.
-		key.Issued = time.Now()
-	}
+	q := dedup.Inquiry{Key: key, Attempt: req.GetAttempt(), Own: req.GetTo() == p.cfg.Node}
 	var res inquiryResult
 	switch {
 	case req.GetTo() != "" && req.GetTo() != p.cfg.Node:
 		res.verdict = dedup.TooOld // the process that was asked has ended
 	case call.Mode(req.GetMode()) == call.Upstream:
-		res.verdict, res.answer = p.cfg.Gate.Inquire(key, req.GetAttempt())
+		res.verdict, res.answer = p.cfg.Gate.Inquire(q)
 	default:
-		res = p.inquireHome(key, req.GetAttempt(), req.GetFrom())
+		res = p.inquireHome(q, req.GetFrom())
 	}
 	return &wire.InquireReply{
 		Verdict: int32(res.verdict), Answer: peer.ToAnswer(res.answer),
@@ -242,10 +296,11 @@
 // inquireHome looks up an attempt or a key in the records of this node as a home.
 // A new home asks about the key as a whole, with the key as the attempt. It is
 // also told what this node knows of the homes before it.
-func (p *Proxy) inquireHome(key dedup.Key, attempt, sender string) inquiryResult {
+func (p *Proxy) inquireHome(q dedup.Inquiry, sender string) inquiryResult {
+	key := q.Key
 	var res inquiryResult
-	if attempt != key.ID {
-		res.verdict, res.answer = p.homeTable.Inquire(key, attempt)
+	if q.Attempt != key.ID {
+		res.verdict, res.answer = p.homeTable.Inquire(q)
 		return res
 	}
 	former, ok := p.cfg.Fleet.FormerHomes(key.ID, key.Issued, sender)
--- a/io/proxy/peers.go
+++ b/io/proxy/peers.go
@@ -173,7 +173,12 @@
 func (p *Proxy) serveHome(ctx context.Context, c call.Call) call.Reply {
 	if _, sameDataCentre := p.cfg.Fleet.View().Get(c.From); !sameDataCentre {
 		c.From = p.cfg.Node
-		return p.sendToLocalHome(ctx, c)
+		r := p.sendToLocalHome(ctx, c)
+		if !r.Replied {
+			p.recordEvent(event.RequestUnknown, c, "no reply from the home of the key: "+r.Cause)
+			r.Cause = call.CauseHomeSilent
+		}
+		return r
 	}
 	if !p.cfg.Feed.Ready() {
 		return call.Refuse(call.NotRun, call.CauseNodeNotReady, time.Second)
