Pipelined requests run side by side and are answered in order

Cause: net/http runs the requests of a connection one after the other, so that a slow first one delays the work of all that a caller has sent behind it. Change: io/ahead looks at the bytes behind the request in turn and starts idempotent requests without a body there, up to pipeline_depth; their responses leave in their turn.

--- /dev/null
+++ b/io/ahead/ahead.go
@@ -0,0 +1,166 @@
+package ahead
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+)
+
+// Config configures a Pipeline.
+type Config struct {
+	Handler http.Handler
+	// Depth is the number of requests of one connection that may be in progress at once.
+	Depth int
+	// Eligible reports whether a request may be started before the requests in front of
+	// it are answered. It may be called for a request that is not started.
+	Eligible func(*http.Request) bool
+	// OnStart, if not nil, is called when a request is started ahead of its turn.
+	OnStart func()
+}
+
+// Pipeline starts pipelined requests ahead of their turn. It is safe for concurrent
+// use.
+type Pipeline struct{ cfg Config }
+
+// New returns a pipeline.
+func New(cfg Config) *Pipeline { return &Pipeline{cfg} }
+
+// Listener returns a listener whose connections look ahead. The server must use
+// ConnContext and Handler.
+func (p *Pipeline) Listener(ln net.Listener) net.Listener {
+	if p.cfg.Depth < 2 {
+		return ln
+	}
+	return listener{ln, p}
+}
+
+type listener struct {
+	net.Listener
+	pipeline *Pipeline
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newConn(c, l.pipeline), nil
+}
+
+// connKey is the context key of the connection of a request.
+type connKey struct{}
+
+// ConnContext is the ConnContext hook of a server whose listener is a
+// Pipeline.Listener.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	pc, ok := c.(*Conn)
+	if !ok {
+		return ctx
+	}
+	return context.WithValue(pc.withBase(ctx), connKey{}, pc)
+}
+
+// Handler returns a handler that answers a request that was started early with the
+// response of that run, and passes all others to Config.Handler.
+func (p *Pipeline) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*Conn)
+		if !ok {
+			p.cfg.Handler.ServeHTTP(w, r)
+			return
+		}
+		early := c.take(r)
+		if early == nil {
+			p.cfg.Handler.ServeHTTP(w, r)
+			return
+		}
+		early.finish(r.Context(), w)
+	})
+}
+
+// run is a request that was started ahead of its turn.
+type run struct {
+	turn     uint64 // number of the request on its connection
+	request  *http.Request
+	cancel   context.CancelFunc
+	response *recorder
+	panicked any           // value with which the handler panicked, nil if it did not
+	done     chan struct{} // closed when response is complete
+}
+
+// start starts r. Its context ends when that of the connection does.
+func (p *Pipeline) start(ctx context.Context, r *http.Request) *run {
+	ctx, cancel := context.WithCancel(ctx)
+	e := &run{request: r, cancel: cancel, response: newRecorder(), done: make(chan struct{})}
+	if p.cfg.OnStart != nil {
+		p.cfg.OnStart()
+	}
+	go func() {
+		defer close(e.done)
+		defer func() { e.panicked = recover() }()
+		p.cfg.Handler.ServeHTTP(e.response, r.WithContext(ctx))
+	}()
+	return e
+}
+
+// finish waits for the response and writes it to w. If ctx, that of the request in its
+// turn, ends first, the run is cancelled. A panic of the handler goes on here.
+func (e *run) finish(ctx context.Context, w http.ResponseWriter) {
+	defer e.cancel()
+	select {
+	case <-e.done:
+	case <-ctx.Done():
+		e.cancel()
+		<-e.done
+	}
+	if e.panicked != nil {
+		panic(e.panicked)
+	}
+	e.response.copyTo(w)
+}
+
+// answers reports whether e is a run of r.
+func (e *run) answers(r *http.Request) bool {
+	return e.request.Method == r.Method && e.request.RequestURI == r.RequestURI && e.request.Host == r.Host &&
+		maps.EqualFunc(e.request.Header, r.Header, slices.Equal[[]string])
+}
+
+// recorder is a ResponseWriter that keeps the response.
+type recorder struct {
+	header http.Header
+	status int // 0 until it is written
+	body   []byte
+}
+
+func newRecorder() *recorder { return &recorder{header: http.Header{}} }
+
+// Header implements http.ResponseWriter.
+func (r *recorder) Header() http.Header { return r.header }
+
+// WriteHeader implements http.ResponseWriter. Informational statuses are dropped.
+func (r *recorder) WriteHeader(status int) {
+	if r.status == 0 && status >= http.StatusOK {
+		r.status = status
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (r *recorder) Write(b []byte) (int, error) {
+	r.WriteHeader(http.StatusOK)
+	r.body = append(r.body, b...)
+	return len(b), nil
+}
+
+// copyTo writes the response to w.
+func (r *recorder) copyTo(w http.ResponseWriter) {
+	maps.Copy(w.Header(), r.header)
+	if r.status != 0 {
+		w.WriteHeader(r.status)
+	}
+	if len(r.body) > 0 {
+		_, _ = w.Write(r.body) // fails only if the caller has disconnected
+	}
+}
--- /dev/null
+++ b/io/ahead/conn.go
@@ -0,0 +1,276 @@
+package ahead
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	readSize = 4 << 10 // bytes that are read from the connection at once
+	// maxBuffered bounds the bytes that are read ahead. A request whose head is larger
+	// is not looked at, and neither is anything behind it.
+	maxBuffered = 64 << 10
+)
+
+// Conn is a connection of a caller that looks ahead for pipelined requests. Its server
+// calls SetActive and SetIdle like those of link.ReadTimeoutConn. Read is called by one
+// goroutine at a time, all other methods are safe for concurrent use.
+//
+// Invariants: Read returns the bytes of one request at a time, and none of the next
+// one's before that is admitted; runs are the requests right behind the one in turn, in
+// their order.
+type Conn struct {
+	net.Conn
+	pipeline *Pipeline
+
+	mu         sync.Mutex
+	base       context.Context // of the requests, nil before the server has set it
+	cancelBase context.CancelFunc
+	buf        []byte        // read from Conn and not returned by Read yet
+	err        error         // with which reading ended, nil if it has not
+	reading    chan struct{} // closed when the read from Conn in progress has ended, nil if there is none
+	opaque     bool          // the requests can't be told apart any more
+
+	delivering int           // bytes of buf of the request that was admitted last
+	admitted   *http.Request // that request
+	scanned    int           // bytes of buf up to the end of the last run
+
+	turn        uint64        // number of the request that the server works on
+	active      bool          // the server works on it
+	turnRequest *http.Request // that request, nil if it is not known
+	runs        []*run
+}
+
+func newConn(c net.Conn, p *Pipeline) *Conn { return &Conn{Conn: c, pipeline: p} }
+
+// withBase returns the context of all requests of the connection, which ends when the
+// connection does. net/http doesn't notice that while the next request has arrived.
+func (c *Conn) withBase(ctx context.Context) context.Context {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.base, c.cancelBase = context.WithCancel(ctx)
+	return c.base
+}
+
+// activity is implemented by a connection that is told when a request is in progress.
+type activity interface {
+	SetActive()
+	SetIdle()
+}
+
+// SetActive records that the server works on the request that was admitted last.
+func (c *Conn) SetActive() {
+	if a, ok := c.Conn.(activity); ok {
+		a.SetActive()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.active {
+		return
+	}
+	c.active = true
+	c.turn++
+	c.turnRequest, c.admitted = c.admitted, nil
+	c.lookAhead()
+}
+
+// SetIdle records that the server waits for the next request.
+func (c *Conn) SetIdle() {
+	if a, ok := c.Conn.(activity); ok {
+		a.SetIdle()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active = false
+	c.turnRequest = nil
+}
+
+// Close implements net.Conn. It cancels the runs.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	if c.cancelBase != nil {
+		c.cancelBase()
+	}
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	for {
+		n, err, ok := c.deliver(b)
+		if ok {
+			return n, err
+		}
+		inProgress, passThrough := c.beginRead()
+		switch {
+		case inProgress != nil:
+			<-inProgress
+		case passThrough:
+			return c.Conn.Read(b)
+		default:
+			if err := c.fill(); err != nil {
+				return 0, err
+			}
+		}
+	}
+}
+
+// deliver copies bytes to b that Read may return. ok is false if there are none yet.
+func (c *Conn) deliver(b []byte) (n int, err error, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.delivering == 0 {
+		c.admit()
+	}
+	if c.delivering == 0 {
+		return 0, c.err, c.err != nil
+	}
+	n = copy(b, c.buf[:c.delivering])
+	c.buf = c.buf[n:]
+	c.delivering -= n
+	c.scanned = max(c.scanned-n, 0)
+	return n, nil, true
+}
+
+// admit lets Read return the next request of buf, if its head is complete. If the server
+// still works on the one before, the request may start early, and has to be looked at
+// before a part of it is delivered. The caller holds mu.
+func (c *Conn) admit() {
+	if !c.opaque {
+		c.lookAhead()
+		h := parseHead(c.buf)
+		if h.size == 0 && len(c.buf) < maxBuffered {
+			return
+		}
+		if h.noBody {
+			c.delivering, c.admitted = h.size, h.request
+			return
+		}
+		c.opaque = true
+	}
+	c.delivering = len(c.buf)
+}
+
+// lookAhead starts the requests behind the one in turn that may start early, and reads
+// on while there are any. The caller holds mu.
+func (c *Conn) lookAhead() {
+	for c.mayStartNext() {
+		h := parseHead(c.buf[c.scanned:])
+		if !h.noBody || !c.pipeline.cfg.Eligible(h.request) {
+			return
+		}
+		h.request.RemoteAddr = c.RemoteAddr().String()
+		e := c.pipeline.start(c.base, h.request)
+		e.turn = c.turn + 1 + uint64(len(c.runs))
+		c.runs = append(c.runs, e)
+		c.scanned += h.size
+	}
+}
+
+// mayStartNext reports whether the request behind the runs may start early. It reads on
+// in the background if there are runs. The caller holds mu.
+func (c *Conn) mayStartNext() bool {
+	if !c.active || c.turnRequest == nil || c.opaque || c.base == nil || c.base.Err() != nil {
+		return false
+	}
+	if len(c.runs) == 0 {
+		c.scanned = 0
+		nextAdmitted := c.delivering > 0
+		return !nextAdmitted && len(c.buf) > 0 && c.pipeline.cfg.Eligible(c.turnRequest)
+	}
+	c.readOn()
+	return len(c.runs) < c.pipeline.cfg.Depth-1 && c.scanned < len(c.buf)
+}
+
+// readOn reads more in the background, for a caller that is known to pipeline. The
+// caller holds mu.
+func (c *Conn) readOn() {
+	if c.reading != nil || len(c.buf) >= maxBuffered || c.err != nil {
+		return
+	}
+	c.reading = make(chan struct{})
+	go func() {
+		err := c.fill()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		var netErr net.Error
+		switch {
+		case err == nil:
+			c.lookAhead()
+		case errors.As(err, &netErr) && netErr.Timeout():
+			// The server interrupts reads at the end of each request. The next Read
+			// is subject to the deadline as well.
+		default:
+			c.err = err
+			c.cancelBase()
+		}
+	}()
+}
+
+// beginRead reserves the next read from Conn for the caller, which has to call fill. If
+// another one is in progress, it returns the channel that is closed at its end. If the
+// connection is passed through, it reserves nothing.
+func (c *Conn) beginRead() (inProgress chan struct{}, passThrough bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.reading != nil:
+		return c.reading, false
+	case c.opaque && len(c.buf) == 0:
+		return nil, true
+	}
+	c.reading = make(chan struct{})
+	return nil, false
+}
+
+// scratch holds buffers of readSize bytes.
+var scratch = sync.Pool{New: func() any { return new([readSize]byte) }}
+
+// fill reads from Conn into buf, and ends the read that beginRead or readOn has
+// reserved.
+func (c *Conn) fill() error {
+	b := scratch.Get().(*[readSize]byte)
+	defer scratch.Put(b)
+	n, err := c.Conn.Read(b[:])
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.buf = append(c.buf, b[:n]...)
+	close(c.reading)
+	c.reading = nil
+	if n > 0 {
+		return nil // the next read returns the error again
+	}
+	return err
+}
+
+// take returns the run of the request in turn, nil if it was not started early. If it
+// turns out to be another request, all runs are cancelled.
+func (c *Conn) take(r *http.Request) *run {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.runs) == 0 || c.runs[0].turn != c.turn {
+		return nil
+	}
+	e := c.runs[0]
+	if !e.answers(r) {
+		c.dropRuns()
+		return nil
+	}
+	c.runs = c.runs[1:]
+	c.lookAhead()
+	return e
+}
+
+// dropRuns cancels all runs and stops looking ahead. The caller holds mu.
+func (c *Conn) dropRuns() {
+	for _, e := range c.runs {
+		e.cancel()
+	}
+	c.runs = nil
+	c.opaque = true
+}
--- /dev/null
+++ b/io/ahead/doc.go
@@ -0,0 +1,24 @@
+// Package ahead runs pipelined requests side by side.
+//
+// A caller may send further requests on an HTTP/1.1 connection before the first one
+// is answered. net/http reads and runs them one after the other, so that a slow first
+// request delays all others. A connection of this package looks ahead: it starts the
+// requests that wait behind the one in progress, up to a bound, and keeps their
+// responses. net/http still reads each request in its turn, and the handler of this
+// package then hands out the response that is already there, or waits for it. So the
+// responses leave in the order of the requests, whatever their order of completion.
+//
+// Only requests without a body for which Config.Eligible returns true are started
+// early, and none behind one that is not. They have to be idempotent: if a response
+// closes the connection, the caller sends the requests behind it again, although some
+// of them may have run. A connection whose requests can't be told apart with certainty
+// is passed through unchanged for the rest of its life.
+//
+// A caller that does not pipeline is served as without this package.
+//
+// # Usage
+//
+//	a := ahead.New(ahead.Config{Handler: handler, Depth: 8, Eligible: isIdempotent})
+//	server := &http.Server{Handler: a.Handler(), ConnContext: ahead.ConnContext}
+//	err := server.Serve(a.Listener(listener))
+package ahead
--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -16,11 +16,12 @@
 
 // Set holds the metrics of one node. It is safe for concurrent use.
 type Set struct {
-	registry *prometheus.Registry
-	requests *prometheus.CounterVec
-	latency  *prometheus.HistogramVec
-	attempts *prometheus.CounterVec
-	events   *prometheus.CounterVec
+	registry  *prometheus.Registry
+	requests  *prometheus.CounterVec
+	latency   *prometheus.HistogramVec
+	attempts  *prometheus.CounterVec
+	events    *prometheus.CounterVec
+	pipelined prometheus.Counter
 }
 
 // New returns a Set with all counters at zero.
@@ -40,8 +41,11 @@
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "events_total", Help: "Decisions in the journal of this node, by kind.",
 		}, []string{"kind"}),
+		pipelined: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "pipelined_total", Help: "Pipelined requests that were started before the ones in front of them were answered.",
+		}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.events)
+	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.events, m.pipelined)
 	return m
 }
 
@@ -56,6 +60,9 @@
 	m.attempts.WithLabelValues(service, fate, cause).Inc()
 }
 
+// CountPipelined counts a pipelined request that is started ahead of its turn.
+func (m *Set) CountPipelined() { m.pipelined.Inc() }
+
 // CountEvent counts a journal event, see package event.
 func (m *Set) CountEvent(kind string) { m.events.WithLabelValues(kind).Inc() }
 
--- a/io/node/callers.go
+++ b/io/node/callers.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"tanagerchute/io/link"
 	"tanagerchute/io/timer"
 )
 
@@ -38,9 +37,15 @@
 
 func newConnTracker() *connTracker { return &connTracker{byConn: map[net.Conn]connState{}} }
 
+// activityConn is a connection that is told whether a request is in progress.
+type activityConn interface {
+	SetActive()
+	SetIdle()
+}
+
 // track is the ConnState hook of a server.
 func (c *connTracker) track(conn net.Conn, state http.ConnState) {
-	if rc, ok := conn.(*link.ReadTimeoutConn); ok {
+	if rc, ok := conn.(activityConn); ok {
 		switch state {
 		case http.StateActive:
 			rc.SetActive()
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"tanagerchute/io/admin"
+	"tanagerchute/io/ahead"
 	"tanagerchute/io/link"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/proxy"
@@ -20,6 +21,7 @@
 	bound                         []boundServer // all except the one for callers
 	serveErrs                     chan error    // of servers that stopped unexpectedly
 	callerConns                   *connTracker
+	pipeline                      *ahead.Pipeline
 	cancelCalls                   context.CancelFunc             // cancels the calls from callers
 	callersListener               atomic.Pointer[activeListener] // nil until it is opened
 }
@@ -41,14 +43,17 @@
 // serveCallers. If one of them fails, it closes the others.
 func (n *Node) listen() (*servers, error) {
 	control := peer.Handler(peerServer{n}, n.deploymentID(), n.recordDroppedFrame)
+	pipeline := n.newPipeline()
 	s := &servers{
-		callers:     peer.NewServer(n.closeConnsWhenStopping(n.proxy.Ingress(n.callerOrigin()))),
+		pipeline:    pipeline,
+		callers:     peer.NewServer(pipeline.Handler()),
 		egress:      peer.NewServer(n.proxy.Ingress(proxy.Origin{Service: n.cfg.Settings.Service, Backend: true})),
 		peers:       peer.NewServer(n.proxy.Peer(control)),
 		admin:       peer.NewServer(admin.Handler(admin.Config{Node: adminNode{n}, Vars: n.vars})),
 		callerConns: newConnTracker(),
 	}
 	s.callers.ConnState = s.callerConns.track
+	s.callers.ConnContext = ahead.ConnContext
 	// HTTP/1 connections have the timeouts of callerTimeouts instead.
 	s.callers.ReadHeaderTimeout, s.callers.IdleTimeout = 0, http2IdleTimeout
 	baseCtx, cancelCalls := context.WithCancel(context.Background())
@@ -73,6 +78,17 @@
 	return s, nil
 }
 
+// newPipeline returns the pipeline of the requests of callers. A node that is stopping
+// starts none early, since its next answer closes the connection.
+func (n *Node) newPipeline() *ahead.Pipeline {
+	return ahead.New(ahead.Config{
+		Handler:  n.closeConnsWhenStopping(n.proxy.Ingress(n.callerOrigin())),
+		Depth:    n.cfg.Settings.PipelineDepth,
+		Eligible: func(r *http.Request) bool { return !n.stopping.Load() && n.proxy.MayStartEarly(r) },
+		OnStart:  n.metrics.CountPipelined,
+	})
+}
+
 // add adds a server that will listen at addr. It is ignored if addr is empty.
 func (s *servers) add(addr string, srv *http.Server) {
 	if addr != "" {
@@ -135,7 +151,7 @@
 	}
 	active := &activeListener{listener: ln, done: make(chan struct{})}
 	s.callersListener.Store(active)
-	s.serve(link.WithReadTimeouts(ln, timeouts), s.callers, active.done)
+	s.serve(s.pipeline.Listener(link.WithReadTimeouts(ln, timeouts)), s.callers, active.done)
 	return nil
 }
 
