ahead: a request that arrives between two turns runs once

Cause: the turn of a new run was counted from the request in turn. Between SetActive and take, that request is itself the first run, so a request whose bytes had arrived while the server was idle got the turn after its own, and ran again in its own turn. Change: the turn is that of the last run and one.

--- a/io/ahead/ahead_test.go
+++ b/io/ahead/ahead_test.go
@@ -31,6 +31,12 @@
 // newSite starts a server of the given depth. Requests whose path starts with /held wait
 // for open, and those with /close close the connection.
 func newSite(t testing.TB, depth int) *site {
+	s := newUnstartedSite(t, depth)
+	s.Start()
+	return s
+}
+
+func newUnstartedSite(t testing.TB, depth int) *site {
 	s := &site{release: map[string]chan struct{}{}}
 	p := ahead.New(ahead.Config{
 		Handler: http.HandlerFunc(s.serve), Depth: depth,
@@ -46,7 +52,6 @@
 		}
 	}
 	s.Listener = p.Listener(s.Listener)
-	s.Start()
 	t.Cleanup(s.Close)
 	return s
 }
--- a/io/ahead/conn.go
+++ b/io/ahead/conn.go
@@ -166,12 +166,21 @@
 		}
 		h.request.RemoteAddr = c.RemoteAddr().String()
 		e := c.pipeline.start(c.base, h.request)
-		e.turn = c.turn + 1 + uint64(len(c.runs))
+		e.turn = c.nextTurn()
 		c.runs = append(c.runs, e)
 		c.scanned += h.size
 	}
 }
 
+// nextTurn returns the number of the request behind the runs. The first run may be the
+// request in turn, until take has returned it. The caller holds mu.
+func (c *Conn) nextTurn() uint64 {
+	if n := len(c.runs); n > 0 {
+		return c.runs[n-1].turn + 1
+	}
+	return c.turn + 1
+}
+
 // mayStartNext reports whether the request behind the runs may start early. It reads on
 // in the background if there are runs. The caller holds mu.
 func (c *Conn) mayStartNext() bool {
