ahead: take a bare LF as the end of a line, as net/http does

Cause: the end of a head was searched as CRLF CRLF only. A request with bare line feeds was never handed to net/http, which answers it; one followed by others was taken together with them as one request. Change: headSize reads line by line. Run: go test -race -run BareLine ./io/ahead: timeout of 5 s before, passed after; the package passed three times with -race.

--- a/io/ahead/ahead_test.go
+++ b/io/ahead/ahead_test.go
@@ -219,6 +219,23 @@
 	is.Equal(s.numStarted(), 1)
 }
 
+// TestBareLineFeeds guards against a connection that waits for a CRLF although net/http
+// takes LF as the end of a line.
+func TestBareLineFeeds(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 8)
+	conn, r := s.dial(t)
+	_, _ = io.WriteString(conn, "GET /1 HTTP/1.1\nHost: h\n\n")
+	is.Equal(readAnswer(t, r), "GET /1 ")
+	_, _ = io.WriteString(conn, "GET /held/2 HTTP/1.1\r\nHost: h\r\n\nGET /3 HTTP/1.1\nHost: h\n\n"+get("/4"))
+	await(t, "all run", func() bool { return s.numStarted() == 4 })
+	s.open("/held/2")
+	for _, path := range []string{"/held/2", "/3", "/4"} {
+		is.Equal(readAnswer(t, r), "GET "+path+" ")
+	}
+	is.Equal(s.numStarted(), 4)
+}
+
 // TestAnyRequestsInAnyPieces checks that each request of a connection runs once and is
 // answered in order, whatever it is and wherever its bytes are cut.
 func TestAnyRequestsInAnyPieces(t *testing.T) {
--- a/io/ahead/head.go
+++ b/io/ahead/head.go
@@ -7,9 +7,6 @@
 	"strings"
 )
 
-// endOfHead is the end of the headers of a request.
-var endOfHead = []byte("\r\n\r\n")
-
 // head is the head of a request at the start of a buffer.
 type head struct {
 	size    int           // bytes, 0 if it is not complete
@@ -19,11 +16,10 @@
 
 // parseHead reads the head of a request at the start of buf.
 func parseHead(buf []byte) head {
-	end := bytes.Index(buf, endOfHead)
-	if end < 0 {
-		return head{}
+	h := head{size: headSize(buf)}
+	if h.size == 0 {
+		return h
 	}
-	h := head{size: end + len(endOfHead)}
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(buf[:h.size])))
 	if err != nil {
 		return h
@@ -33,6 +29,25 @@
 	return h
 }
 
+// headSize returns the size of the head of a request at the start of buf, up to and with
+// the empty line, or 0 if it is not complete. Like net/http, it takes LF and CRLF as the
+// end of a line.
+func headSize(buf []byte) int {
+	for size := 0; ; {
+		n := bytes.IndexByte(buf[size:], '\n') + 1
+		if n == 0 {
+			return 0
+		}
+		size += n
+		switch rest := buf[size:]; {
+		case bytes.HasPrefix(rest, []byte("\n")):
+			return size + 1
+		case bytes.HasPrefix(rest, []byte("\r\n")):
+			return size + 2
+		}
+	}
+}
+
 // announcesBody reports whether r has a header of a message with a body, even if it
 // says that the body is empty.
 func announcesBody(r *http.Request) bool {
