ahead: a stopping node answers what it has started, then closes the connection

Cause: the decision on Connection: close was taken inside the run. Answers of runs that had started before a stop carried none, so that their connection stayed open, and the caller could send more on it until it was cut; the first request that began after the stop would have ended the runs behind it. Change: the pipeline decides in the turn of the answer, and closes only when no run is behind it. take drops runs of a turn that has passed. finish is split into wait and writeTo.

--- a/io/ahead/ahead.go
+++ b/io/ahead/ahead.go
@@ -16,6 +16,9 @@
 	// Eligible reports whether a request may be started before the requests in front of
 	// it are answered. It may be called for a request that is not started.
 	Eligible func(*http.Request) bool
+	// Stopping, if not nil, reports whether the server begins to stop. Answers close their
+	// connection then, unless requests behind them have been started.
+	Stopping func() bool
 	// OnStart, if not nil, is called when a request is started ahead of its turn.
 	OnStart func()
 }
@@ -67,20 +70,32 @@
 // response of that run, and passes all others to Config.Handler.
 func (p *Pipeline) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, ok := r.Context().Value(connKey{}).(*Conn)
-		if !ok {
-			p.cfg.Handler.ServeHTTP(w, r)
-			return
-		}
+		c, _ := r.Context().Value(connKey{}).(*Conn) // nil if the listener is another one
 		early := c.take(r)
 		if early == nil {
+			p.closeIfStopping(c, w)
 			p.cfg.Handler.ServeHTTP(w, r)
 			return
 		}
-		early.finish(r.Context(), w)
+		early.wait(r.Context())
+		p.closeIfStopping(c, w)
+		early.writeTo(w)
 	})
 }
 
+// closeIfStopping makes the response close its connection if the server is stopping.
+// Runs behind it are answered first.
+func (p *Pipeline) closeIfStopping(c *Conn, w http.ResponseWriter) {
+	if p.cfg.Stopping != nil && p.cfg.Stopping() && !c.hasRuns() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// mayStart reports whether r may be started ahead of its turn.
+func (p *Pipeline) mayStart(r *http.Request) bool {
+	return (p.cfg.Stopping == nil || !p.cfg.Stopping()) && p.cfg.Eligible(r)
+}
+
 // run is a request that was started ahead of its turn.
 type run struct {
 	turn     uint64 // number of the request on its connection
@@ -106,9 +121,9 @@
 	return e
 }
 
-// finish waits for the response and writes it to w. If ctx, that of the request in its
-// turn, ends first, the run is cancelled. A panic of the handler goes on here.
-func (e *run) finish(ctx context.Context, w http.ResponseWriter) {
+// wait waits for the response. If ctx, that of the request in its turn, ends first, the run
+// is cancelled.
+func (e *run) wait(ctx context.Context) {
 	defer e.cancel()
 	select {
 	case <-e.done:
@@ -116,6 +131,10 @@
 		e.cancel()
 		<-e.done
 	}
+}
+
+// writeTo writes the response to w. A panic of the handler goes on here.
+func (e *run) writeTo(w http.ResponseWriter) {
 	if e.panicked != nil {
 		panic(e.panicked)
 	}
--- a/io/ahead/ahead_test.go
+++ b/io/ahead/ahead_test.go
@@ -26,6 +26,7 @@
 	started  []string
 	release  map[string]chan struct{}
 	canceled atomic.Int32
+	stopping atomic.Bool
 }
 
 // newSite starts a server of the given depth. Requests whose path starts with /held wait
@@ -41,6 +42,7 @@
 	p := ahead.New(ahead.Config{
 		Handler: http.HandlerFunc(s.serve), Depth: depth,
 		Eligible: func(r *http.Request) bool { return r.URL.Query().Get("once") == "" },
+		Stopping: s.stopping.Load,
 	})
 	s.Server = httptest.NewUnstartedServer(p.Handler())
 	s.Config.ConnContext = ahead.ConnContext
--- a/io/ahead/conn.go
+++ b/io/ahead/conn.go
@@ -161,7 +161,7 @@
 func (c *Conn) lookAhead() {
 	for c.mayStartNext() {
 		h := parseHead(c.buf[c.scanned:])
-		if !h.noBody || !c.pipeline.cfg.Eligible(h.request) {
+		if !h.noBody || !c.pipeline.mayStart(h.request) {
 			return
 		}
 		h.request.RemoteAddr = c.RemoteAddr().String()
@@ -190,7 +190,7 @@
 	if len(c.runs) == 0 {
 		c.scanned = 0
 		nextAdmitted := c.delivering > 0
-		return !nextAdmitted && len(c.buf) > 0 && c.pipeline.cfg.Eligible(c.turnRequest)
+		return !nextAdmitted && len(c.buf) > 0 && c.pipeline.mayStart(c.turnRequest)
 	}
 	c.readOn()
 	return len(c.runs) < c.pipeline.cfg.Depth-1 && c.scanned < len(c.buf)
@@ -258,15 +258,18 @@
 }
 
 // take returns the run of the request in turn, nil if it was not started early. If it
-// turns out to be another request, all runs are cancelled.
+// turns out to be another request, all runs are cancelled. c may be nil.
 func (c *Conn) take(r *http.Request) *run {
+	if c == nil {
+		return nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.runs) == 0 || c.runs[0].turn != c.turn {
+	if len(c.runs) == 0 || c.runs[0].turn > c.turn {
 		return nil
 	}
 	e := c.runs[0]
-	if !e.answers(r) {
+	if e.turn < c.turn || !e.answers(r) {
 		c.dropRuns()
 		return nil
 	}
@@ -275,6 +278,16 @@
 	return e
 }
 
+// hasRuns reports whether requests behind the one in turn have been started. c may be nil.
+func (c *Conn) hasRuns() bool {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.runs) > 0
+}
+
 // dropRuns cancels all runs and stops looking ahead. The caller holds mu.
 func (c *Conn) dropRuns() {
 	for _, e := range c.runs {
--- a/io/ahead/turn_test.go
+++ b/io/ahead/turn_test.go
@@ -39,3 +39,27 @@
 	is.Equal(readAnswer(t, r), "GET /3 ")
 	is.Equal(s.numStarted(), 3) // each ran once
 }
+
+// TestStopAnswersRuns guards against a planned stop that loses requests which were started,
+// or that leaves the connection open behind them.
+func TestStopAnswersRuns(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 8)
+	conn, r := s.dial(t)
+	_, _ = io.WriteString(conn, get("/held/1")+get("/2")+get("/3"))
+	await(t, "three requests run", func() bool { return s.numStarted() == 3 })
+	s.stopping.Store(true)
+	_, _ = io.WriteString(conn, get("/4"))
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(s.numStarted(), 3) // none is started any more
+	s.open("/held/1")
+	for i, path := range []string{"/held/1", "/2", "/3"} {
+		res, err := http.ReadResponse(r, nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(res.Body)
+		is.NoErr(err)
+		is.Equal(string(body), "GET "+path+" ")
+		is.Equal(res.Close, i == 2) // the last one closes the connection
+	}
+	is.Equal(s.numStarted(), 3) // the one behind has not run
+}
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -78,13 +78,14 @@
 	return s, nil
 }
 
-// newPipeline returns the pipeline of the requests of callers. A node that is stopping
-// starts none early, since its next answer closes the connection.
+// newPipeline returns the pipeline of the requests of callers. While the node is stopping,
+// its responses ask callers to close their connection.
 func (n *Node) newPipeline() *ahead.Pipeline {
 	return ahead.New(ahead.Config{
-		Handler:  n.closeConnsWhenStopping(n.proxy.Ingress(n.callerOrigin())),
+		Handler:  n.proxy.Ingress(n.callerOrigin()),
 		Depth:    n.cfg.Settings.PipelineDepth,
-		Eligible: func(r *http.Request) bool { return !n.stopping.Load() && n.proxy.MayStartEarly(r) },
+		Eligible: n.proxy.MayStartEarly,
+		Stopping: n.stopping.Load,
 		OnStart:  n.metrics.CountPipelined,
 	})
 }
@@ -125,17 +126,6 @@
 	n.attached = append(n.attached, attachedHandler{addr, h})
 }
 
-// closeConnsWhenStopping wraps next. While the node is stopping, its responses
-// ask callers to close their connection.
-func (n *Node) closeConnsWhenStopping(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // callerTimeouts returns the timeouts for connections of callers that the
 // version in force sets.
 func (n *Node) callerTimeouts() link.ReadTimeouts {
