proxy: a request may start early if its call is idempotent

Cause: MayStartEarly asked for the mark of the route, which only the configuration of another source sets. The resend of calls also takes GET without at_most_once as idempotent, so pipelined lookups of a configuration of our own never started early. Change: the same question is asked of the call. Only GET without a body comes this far.

--- a/io/proxy/early.go
+++ b/io/proxy/early.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "net/http"
+import (
+	"net/http"
+
+	"tanagerchute/core/call"
+)
 
 // MayStartEarly reports whether a request of a caller may be started before the ones in
 // front of it on its connection are answered. That holds for idempotent requests, whose
@@ -11,5 +15,9 @@
 		return false
 	}
 	rt, rej := p.classify(snapshot.Table, r, Origin{})
-	return rej == nil && rt.Idempotent && !rt.AtMostOnce && !rt.LargeResponse
+	if rej != nil {
+		return false
+	}
+	c := call.Call{Method: r.Method, AtMostOnce: rt.AtMostOnce, MarkedIdempotent: rt.Idempotent}
+	return c.Idempotent() && !rt.LargeResponse
 }
