--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -66,6 +66,7 @@
 	NoHedge         bool                   // disables hedging, which sends an unanswered idempotent call to a second upstream
 	NoSeeds         bool                   // leaves seeds out of the settings, so that nodes find each other through the store only
 	NoBackends      bool                   // runs nodes without backend servers
+	PipelineDepth   int                    // pipelined requests of a caller that run at once (setting pipeline_depth)
 	CrashDowntime   time.Duration          // time until a backend server that has crashed starts again, see server.Faults.Crash
 }
 
@@ -186,7 +187,7 @@
 	hedge := !m.cfg.NoHedge
 	n := setup.Node{
 		Name: s.Name, Deployment: m.doc.Deployment, DataCentre: s.DataCentre, DataCentres: m.dataCentres,
-		Service: s.Service, Listen: l, Store: []string{m.StoreURL}, Hedge: &hedge,
+		Service: s.Service, Listen: l, Store: []string{m.StoreURL}, Hedge: &hedge, PipelineDepth: m.cfg.PipelineDepth,
 	}
 	if !m.cfg.NoSeeds {
 		n.Seeds = m.seeds
