--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -69,6 +69,7 @@
 	NoSeeds         bool                       // leaves seeds out of the settings, so that nodes find each other through the store only
 	NoBackends      bool                       // runs nodes without backend servers
 	RevokeWithin    time.Duration              // setting keys.revoke_within of the nodes
+	PipelineDepth   int                        // pipelined requests of a caller that run at once (setting pipeline_depth)
 	CrashDowntime   time.Duration              // time until a backend server that has crashed starts again, see server.Faults.Crash
 }
 
@@ -191,7 +192,7 @@
 	hedge := !m.cfg.NoHedge
 	n := setup.Node{
 		Name: s.Name, Deployment: m.doc.Deployment, DataCentre: s.DataCentre, DataCentres: m.dataCentres,
-		Service: s.Service, Listen: l, Store: []string{m.StoreURL}, Hedge: &hedge,
+		Service: s.Service, Listen: l, Store: []string{m.StoreURL}, Hedge: &hedge, PipelineDepth: m.cfg.PipelineDepth,
 	}
 	if !m.cfg.LinkUnstated {
 		n.Link.MbitPerSecond = m.linkMbit(s)
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"tanagerchute/io/admin"
+	"tanagerchute/io/ahead"
 	"tanagerchute/io/link"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/proxy"
@@ -21,6 +22,7 @@
 	bound                         []boundServer // all except the one for callers
 	serveErrs                     chan error    // of servers that stopped unexpectedly
 	callerConns                   *connTracker
+	pipeline                      *ahead.Pipeline
 	cancelCalls                   context.CancelFunc             // cancels the calls from callers
 	callersListener               atomic.Pointer[activeListener] // nil until it is opened
 }
@@ -42,14 +44,17 @@
 // serveCallers. If one of them fails, it closes the others.
 func (n *Node) listen() (*servers, error) {
 	control := peer.Handler(peerServer{n}, n.deploymentID(), n.recordDroppedFrame, wire.NewProofsServer(n.feed))
+	pipeline := n.newPipeline()
 	s := &servers{
-		callers:     peer.NewServer(n.closeConnsWhenStopping(n.proxy.Ingress(n.callerOrigin()))),
+		pipeline:    pipeline,
+		callers:     peer.NewServer(pipeline.Handler()),
 		egress:      peer.NewServer(n.proxy.Ingress(proxy.Origin{Service: n.cfg.Settings.Service, Backend: true})),
 		peers:       peer.NewServer(n.proxy.Peer(control)),
 		admin:       peer.NewServer(admin.Handler(admin.Config{Node: adminNode{n}, Vars: n.vars})),
 		callerConns: newConnTracker(),
 	}
 	s.callers.ConnState = s.callerConns.track
+	s.callers.ConnContext = ahead.ConnContext
 	// HTTP/1 connections have the timeouts of callerTimeouts instead.
 	s.callers.ReadHeaderTimeout, s.callers.IdleTimeout = 0, http2IdleTimeout
 	baseCtx, cancelCalls := context.WithCancel(context.Background())
@@ -74,6 +79,18 @@
 	return s, nil
 }
 
+// newPipeline returns the pipeline of the requests of callers. While the node is stopping,
+// its responses ask callers to close their connection.
+func (n *Node) newPipeline() *ahead.Pipeline {
+	return ahead.New(ahead.Config{
+		Handler:  n.proxy.Ingress(n.callerOrigin()),
+		Depth:    n.cfg.Settings.PipelineDepth,
+		Eligible: n.proxy.MayStartEarly,
+		Stopping: n.stopping.Load,
+		OnStart:  n.metrics.CountPipelined,
+	})
+}
+
 // add adds a server that will listen at addr. It is ignored if addr is empty.
 func (s *servers) add(addr string, srv *http.Server) {
 	if addr != "" {
@@ -110,17 +127,6 @@
 	n.attached = append(n.attached, attachedHandler{addr, h})
 }
 
-// closeConnsWhenStopping wraps next. While the node is stopping, its responses
-// ask callers to close their connection.
-func (n *Node) closeConnsWhenStopping(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // callerTimeouts returns the timeouts for connections of callers that the
 // version in force sets.
 func (n *Node) callerTimeouts() link.ReadTimeouts {
@@ -136,7 +142,7 @@
 	}
 	active := &activeListener{listener: ln, done: make(chan struct{})}
 	s.callersListener.Store(active)
-	s.serve(link.WithReadTimeouts(ln, timeouts), s.callers, active.done)
+	s.serve(s.pipeline.Listener(link.WithReadTimeouts(ln, timeouts)), s.callers, active.done)
 	return nil
 }
 
