core/canary: stages, judgement and exposure of a roll-out

The decisions of a roll-out as state machines without I/O: Rollout at the holder, Judge (Page's CUSUM for each route and all routes together), Table at each node.

--- /dev/null
+++ b/core/canary/judge.go
@@ -0,0 +1,234 @@
+package canary
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Parameters of the test.
+const (
+	// slowFactor is the multiple of the old version's median from which an answer is slow.
+	slowFactor = 2.5
+	// minExcess is the share of the otherwise good answers that are bad at a bad version.
+	minExcess = 0.12
+	// minBadRate bounds the estimate of the old version's share of bad answers from below,
+	// so that a few bad answers of the other version are no evidence.
+	minBadRate = 0.01
+	maxBadRate = 0.9
+	// answersPerFalseAlarm is the mean number of answers of a version that is as good as
+	// the old one until it is found bad.
+	answersPerFalseAlarm = 1e6
+	// serverWeight is the part of the evidence that one server can provide.
+	serverWeight = 0.6
+	// minBaseline is the number of answers of the old version on a route below which the
+	// route is judged by the answers on all routes.
+	minBaseline = 20
+	// baselineSpan is the time after which answers of the old version no longer count,
+	// and half of the time for which they count at most.
+	baselineSpan = 3 * time.Second
+)
+
+// alarmLevel is the evidence at which a version is bad.
+var alarmLevel = math.Log(answersPerFalseAlarm)
+
+// defaultSlowAfter is used for the time after which an answer is slow while there is no
+// answer of the old version.
+const defaultSlowAfter = time.Second
+
+// baseline holds the recent counts of the old version on a route.
+type baseline struct {
+	recent, earlier RouteCounts // of the present span of time, and of the one before
+}
+
+func (b *baseline) counts() RouteCounts { return b.recent.plus(b.earlier) }
+
+// cusum is the cumulative sum of the evidence that a version is worse than the old one.
+type cusum struct {
+	sum      float64
+	byServer map[string]float64 // contributions since sum was 0
+}
+
+// add adds the evidence of a server.
+func (c *cusum) add(server string, llr float64) {
+	c.sum = max(c.sum+llr, 0)
+	if c.sum == 0 {
+		clear(c.byServer)
+		return
+	}
+	c.byServer[server] = max(c.byServer[server]+llr, 0)
+}
+
+// level returns the evidence. No server provides more than serverWeight of an alarm, unless
+// it is the only one.
+func (c *cusum) level(servers int) float64 {
+	if servers < 2 {
+		return c.sum
+	}
+	excess := 0.0
+	for _, v := range c.byServer {
+		excess = max(excess, v-serverWeight*alarmLevel)
+	}
+	return c.sum - excess
+}
+
+// allRoutes is the name of the test over the answers on all routes.
+const allRoutes = "all routes"
+
+// Judge compares the answers of the target version with those of the old one.
+type Judge struct {
+	baselines  map[string]*baseline // by route
+	spanEnd    time.Time
+	tests      map[string]*cusum // by route, and of allRoutes
+	servers    map[string]bool   // of the target version, that have answered
+	answers    map[string]int    // of the target version that were judged, by route
+	bad        int               // of these
+	targetTime Histogram
+}
+
+// NewJudge returns a judge without answers.
+func NewJudge(now time.Time) *Judge {
+	return &Judge{
+		baselines: map[string]*baseline{}, spanEnd: now.Add(baselineSpan), tests: map[string]*cusum{},
+		servers: map[string]bool{}, answers: map[string]int{},
+	}
+}
+
+// Old adds answers of the old version.
+func (j *Judge) Old(now time.Time, route string, c RouteCounts) {
+	if now.After(j.spanEnd) {
+		j.spanEnd = now.Add(baselineSpan)
+		for _, b := range j.baselines {
+			b.earlier, b.recent = b.recent, RouteCounts{}
+		}
+	}
+	for _, name := range []string{route, allRoutes} {
+		b := j.baselines[name]
+		if b == nil {
+			b = &baseline{}
+			j.baselines[name] = b
+		}
+		b.recent = b.recent.plus(c)
+	}
+}
+
+// Ready reports whether there are enough answers of the old version to compare others with.
+func (j *Judge) Ready() bool {
+	b := j.baselines[allRoutes]
+	return b != nil && b.counts().Calls >= minBaseline
+}
+
+// Target adds answers of the target version that a server has given.
+func (j *Judge) Target(server, route string, c RouteCounts) {
+	total := c.Failures + c.Times.Count()
+	if total == 0 {
+		return
+	}
+	j.servers[server] = true
+	ref := j.reference(route)
+	bad := c.Failures
+	if ref.slowBucket < numBuckets {
+		bad += c.Times.countFrom(ref.slowBucket)
+	}
+	j.targetTime = j.targetTime.plus(c.Times)
+	j.answers[route] += total
+	j.bad += bad
+	worse := ref.badRate + (1-ref.badRate)*minExcess
+	ifBad := math.Log(worse / ref.badRate)
+	ifGood := math.Log((1 - worse) / (1 - ref.badRate))
+	for _, name := range []string{route, allRoutes} {
+		t := j.tests[name]
+		if t == nil {
+			t = &cusum{byServer: map[string]float64{}}
+			j.tests[name] = t
+		}
+		t.add(server, float64(total-bad)*ifGood)
+		t.add(server, float64(bad)*ifBad)
+	}
+}
+
+// reference is what the answers on a route are compared with.
+type reference struct {
+	slowBucket int     // first bucket of slow answers, numBuckets if times can't be compared
+	badRate    float64 // share of bad answers of the old version
+}
+
+// reference returns the reference of a route.
+func (j *Judge) reference(route string) reference {
+	own := RouteCounts{}
+	if b := j.baselines[route]; b != nil {
+		own = b.counts()
+	}
+	ref := reference{slowBucket: numBuckets, badRate: badRate(own, numBuckets)}
+	if own.Times.Count() >= minBaseline {
+		ref.slowBucket = slowBucket(own.Times)
+		ref.badRate = badRate(own, ref.slowBucket)
+	} else if b := j.baselines[allRoutes]; b != nil {
+		ref.badRate = badRate(b.counts(), numBuckets)
+	}
+	return ref
+}
+
+// slowBucket returns the first bucket of answers that are slow in comparison with times.
+func slowBucket(times Histogram) int {
+	return bucketOf(time.Duration(slowFactor * float64(times.Median())))
+}
+
+// badRate estimates the share of bad answers.
+func badRate(c RouteCounts, slowBucket int) float64 {
+	bad, n := c.Failures, c.Failures+c.Times.Count()
+	if slowBucket < numBuckets {
+		bad += c.Times.countFrom(slowBucket)
+	}
+	return min(max(float64(bad+1)/float64(n+2), minBadRate), maxBadRate)
+}
+
+// Alarm returns why the target version is bad. ok is false if it is not found bad.
+func (j *Judge) Alarm() (reason string, ok bool) {
+	for _, name := range slices.Sorted(maps.Keys(j.tests)) {
+		if level := j.tests[name].level(len(j.servers)); level >= alarmLevel {
+			return fmt.Sprintf("bad answers on %s: evidence %.1f of %.1f, %d of %d answers bad in all", name, level, alarmLevel, j.bad, j.Answers()), true
+		}
+	}
+	return "", false
+}
+
+// Evidence returns the highest evidence of a test as a share of an alarm.
+func (j *Judge) Evidence() float64 {
+	e := 0.0
+	for _, t := range j.tests {
+		e = max(e, t.level(len(j.servers))/alarmLevel)
+	}
+	return e
+}
+
+// Answers returns the number of answers of the target version that were judged.
+func (j *Judge) Answers() int {
+	n := 0
+	for _, a := range j.answers {
+		n += a
+	}
+	return n
+}
+
+// Bad returns the number of bad answers of the target version.
+func (j *Judge) Bad() int { return j.bad }
+
+// SlowAfter returns the longest time, of all routes, after which an answer is slow.
+func (j *Judge) SlowAfter() time.Duration {
+	var d time.Duration
+	for name, b := range j.baselines {
+		if times := b.counts().Times; name != allRoutes && times.Count() >= minBaseline {
+			d = max(d, time.Duration(slowFactor*float64(times.Median())))
+		}
+	}
+	if d == 0 {
+		return defaultSlowAfter
+	}
+	return d
+}
+
+// TargetMean returns the mean time of the answers of the target version.
+func (j *Judge) TargetMean() time.Duration { return j.targetTime.Mean() }
--- /dev/null
+++ b/core/canary/table.go
@@ -0,0 +1,153 @@
+package canary
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Split tells how the calls to a service are divided between the versions of its servers.
+type Split struct {
+	Known  string  // version that gets all other calls
+	Target string  // version that gets the share, empty for any but Known
+	Share  float64 // 0 to 1
+	// Servers is the number of servers of the target that get the share, 0 for all.
+	Servers int
+	// Barred is set if the target must get no call as long as there are other servers.
+	Barred bool
+}
+
+// Versions holds the slots of the servers of one service that accept calls, by version.
+type Versions map[string]int
+
+// maxServices bounds the services of a Table.
+const maxServices = 256
+
+// entry is what a Table knows of a service.
+type entry struct {
+	stage       Stage     // zero if there was no order
+	confirmedBy time.Time // until when the holder has confirmed the stage
+	known       string    // version in use, where there is no stage; empty if there is none yet
+}
+
+// Table holds the newest stages that a node knows. Nodes exchange their stages; Merge is
+// commutative and idempotent. It is not safe for concurrent use.
+type Table struct {
+	unorderedShare float64
+	entries        map[string]*entry
+}
+
+// NewTable returns an empty table. A version that nobody has ordered gets the given share of
+// the calls to a service.
+func NewTable(unorderedShare float64) *Table {
+	return &Table{unorderedShare: unorderedShare, entries: map[string]*entry{}}
+}
+
+// get returns the entry of a service, nil if the table is full.
+func (t *Table) get(service string) *entry {
+	e := t.entries[service]
+	if e == nil && len(t.entries) < maxServices {
+		e = &entry{}
+		t.entries[service] = e
+	}
+	return e
+}
+
+// Merge adds a stage and reports whether it is newer than the one that is known. It is valid
+// until the given time unless its holder confirms it later.
+func (t *Table) Merge(s Stage, until time.Time) bool {
+	e := t.get(s.Service)
+	if e == nil || !s.Validate() || e.stage.Service != "" && !s.NewerThan(e.stage) {
+		return false
+	}
+	e.stage, e.confirmedBy = s, until
+	return true
+}
+
+// Confirm records that the holder of a service's stage confirms it until the given time.
+func (t *Table) Confirm(s Stage, until time.Time) {
+	if e := t.entries[s.Service]; e != nil && !e.stage.NewerThan(s) && !s.NewerThan(e.stage) {
+		e.confirmedBy = until
+	}
+}
+
+// Stage returns the newest stage of a service.
+func (t *Table) Stage(service string) (Stage, bool) {
+	e := t.entries[service]
+	if e == nil || e.stage.Service == "" {
+		return Stage{}, false
+	}
+	return e.stage, true
+}
+
+// Stages returns all stages, in the order of their services.
+func (t *Table) Stages() []Stage {
+	var out []Stage
+	for _, name := range slices.Sorted(maps.Keys(t.entries)) {
+		if s, ok := t.Stage(name); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Running returns the stages that are not the last of their order.
+func (t *Table) Running() []Stage {
+	return slices.DeleteFunc(t.Stages(), func(s Stage) bool { return s.Phase.Ended() })
+}
+
+// ConfirmedBy returns until when the holder has confirmed the stage of a service.
+func (t *Table) ConfirmedBy(service string) time.Time {
+	if e := t.entries[service]; e != nil {
+		return e.confirmedBy
+	}
+	return time.Time{}
+}
+
+// Known returns the version of a service that is in use without an order, given the versions
+// of its servers. It stays the same until its servers hold less than half of the slots.
+func (t *Table) Known(service string, vs Versions) string {
+	e := t.get(service)
+	if e == nil {
+		return ""
+	}
+	if e.stage.Service != "" {
+		e.known = e.stage.Baseline
+		if e.stage.Phase >= Committed {
+			e.known = e.stage.Target
+		}
+	}
+	total, most := 0, ""
+	for _, v := range slices.SortedFunc(maps.Keys(vs), naturalOrder) {
+		total += vs[v]
+		if most == "" || vs[v] > vs[most] {
+			most = v
+		}
+	}
+	if _, ok := vs[e.known]; !ok || 2*vs[e.known] < total && e.stage.Service == "" {
+		e.known = most
+	}
+	return e.known
+}
+
+// naturalOrder compares versions such as v9 and v10 by their length first.
+func naturalOrder(a, b string) int { return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)) }
+
+// Split returns the split of the calls to a service at now.
+func (t *Table) Split(now time.Time, service string, vs Versions) Split {
+	known := t.Known(service, vs)
+	s, ok := t.Stage(service)
+	if !ok || s.Phase == Complete {
+		return Split{Known: known, Share: t.unorderedShare}
+	}
+	split := Split{Known: s.Baseline, Target: s.Target, Barred: s.Phase == RolledBack}
+	confirmed := now.Before(t.entries[service].confirmedBy)
+	switch {
+	case s.Phase == Committed, s.Phase == Full && confirmed:
+		split.Share = 1
+	case s.Phase == Canary && confirmed:
+		split.Share, split.Servers = s.Share, s.Servers
+	}
+	return split
+}
