--- a/core/beat/tracker.go
+++ b/core/beat/tracker.go
@@ -27,6 +27,7 @@
 	// WarmupEnd is when the warm-up period of the server ends. It is slow until
 	// then. Zero means that there is no warm-up.
 	WarmupEnd time.Time
+	Version   string // of its software, empty if not announced
 }
 
 // Verdict classifies a heartbeat by comparison with the last accepted one.
--- a/core/canary/order.go
+++ b/core/canary/order.go
@@ -15,8 +15,8 @@
 	Within  time.Duration // from the order to its deadline
 }
 
-// maxWithin bounds the time of an order.
-const maxWithin = 24 * time.Hour
+// MaxWithin bounds the time of an order.
+const MaxWithin = 24 * time.Hour
 
 // maxNameBytes bounds the names of services and versions.
 const maxNameBytes = 128
@@ -30,8 +30,8 @@
 	if r.Target == "" || len(r.Target) > maxNameBytes {
 		findings = append(findings, "target version is missing or too long")
 	}
-	if r.Within < 0 || r.Within > maxWithin {
-		findings = append(findings, "the time to complete is not between 0 and "+maxWithin.String())
+	if r.Within < 0 || r.Within > MaxWithin {
+		findings = append(findings, "the time to complete is not between 0 and "+MaxWithin.String())
 	}
 	if len(findings) > 0 {
 		return errors.New(strings.Join(findings, "; "))
@@ -41,8 +41,8 @@
 
 // OrderID identifies an order. Later orders have higher ids.
 type OrderID struct {
-	Era      uint64 // of the store in which it was first seen, 0 if unknown
-	Revision int64  // of the store at which it was written
+	Era      uint64 `json:"era,omitempty"` // of the store in which it was first seen, 0 if unknown
+	Revision int64  `json:"revision"`      // of the store at which it was written
 }
 
 // Compare returns a negative number if id is earlier than o, 0 if they are equal, and a
--- a/core/canary/stage.go
+++ b/core/canary/stage.go
@@ -52,16 +52,16 @@
 
 // Stage is a step of a roll-out, as all nodes learn it. It is immutable.
 type Stage struct {
-	Order    OrderID
-	Service  string
-	Target   string // the ordered version
-	Baseline string // the version in use before
-	Step     uint32 // increases with each stage of the order
-	Phase    Phase
-	Share    float64 // of the calls, that goes to the target version in phase Canary
-	Servers  int     // number of the target's servers that get them
-	Reason   string  // for the phase
-	Holder   string  // address of the node that decides
+	Order    OrderID `json:"order"`
+	Service  string  `json:"service"`
+	Target   string  `json:"target"`   // the ordered version
+	Baseline string  `json:"baseline"` // the version in use before
+	Step     uint32  `json:"step"`     // increases with each stage of the order
+	Phase    Phase   `json:"phase"`
+	Share    float64 `json:"share"`            // of the calls, that goes to the target version in phase Canary
+	Servers  int     `json:"servers"`          // number of the target's servers that get them
+	Reason   string  `json:"reason,omitempty"` // for the phase
+	Holder   string  `json:"holder,omitempty"` // address of the node that decides
 }
 
 // With returns the stage after s in the given phase.
--- a/core/canary/tally.go
+++ b/core/canary/tally.go
@@ -101,14 +101,16 @@
 	Route  string
 	Failed bool
 	Took   time.Duration // at the server, without the wait for a slot
-	Warmup bool          // the server was still slow after its start
+	// Unjudged is set if Took says nothing about the version: the server was still slow
+	// after its start, has refused the call, or was left by the caller.
+	Unjudged bool
 }
 
 // RouteCounts counts the outcomes of one route.
 type RouteCounts struct {
 	Calls    int       // that the server got
 	Failures int       // of these
-	Times    Histogram // of the other ones, without those during a warm-up
+	Times    Histogram // of the other ones, without those that are not judged
 }
 
 // plus returns the sum of c and o.
@@ -150,7 +152,7 @@
 	switch {
 	case o.Failed:
 		c.Failures++
-	case !o.Warmup:
+	case !o.Unjudged:
 		c.Times.Add(o.Took)
 	}
 	t.Routes[route] = c
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -75,7 +75,15 @@
 	RequestReplayed    Kind = "request_replayed" // it got the answer recorded for its key
 	StandingLost       Kind = "standing_lost"    // the node has lost the quorum
 	StandingGained     Kind = "standing_gained"  // the node has gained a quorum
-	FrameDropped       Kind = "frame_dropped"    // a message of a peer was malformed or not expected
+	RolloutOrdered     Kind = "rollout_ordered"
+	RolloutRefused     Kind = "rollout_refused" // an order, or its stored state, can't be read
+	RolloutWithdrawn   Kind = "rollout_withdrawn"
+	RolloutClaimed     Kind = "rollout_claimed"     // this node decides about the roll-out
+	RolloutClaimLost   Kind = "rollout_claim_lost"  // this node no longer does
+	RolloutStage       Kind = "rollout_stage"       // another stage is in effect at this node
+	RolloutUnconfirmed Kind = "rollout_unconfirmed" // the holder is silent, so that all calls go to the old version
+	RolloutConfirmed   Kind = "rollout_confirmed"
+	FrameDropped       Kind = "frame_dropped" // a message of a peer was malformed or not expected
 )
 
 // Event is one decision or observation of a node.
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -42,6 +42,8 @@
 	// WarmupEnd is when the warm-up period of its backend server ends. The
 	// server is slow until then. It is zero if there is no warm-up.
 	WarmupEnd time.Time `json:"warm_until,omitzero"`
+	// ServerVersion is the version of its backend server's software, empty if unknown.
+	ServerVersion string `json:"server_version,omitempty"`
 	// LeftServer is its backend server if that has announced its stop, else zero. A
 	// node that restarts learns it from the record of the process before.
 	LeftServer ServerID `json:"left_server,omitzero"`
@@ -77,6 +79,7 @@
 	// WarmupEnd is when its warm-up period ends, zero if there is none.
 	WarmupEnd time.Time
 	Left      ServerID // the server if it has announced its stop, else zero
+	Version   string   // of its software, empty if unknown
 }
 
 // warmupTolerance is how much later WarmupEnd has to become for the change to
@@ -86,7 +89,7 @@
 // Differs reports whether u differs enough from o, the state announced last, to
 // be announced.
 func (u Upstream) Differs(o Upstream) bool {
-	return u.Ready != o.Ready || u.Slots != o.Slots || u.Left != o.Left || u.WarmupEnd.Sub(o.WarmupEnd) > warmupTolerance
+	return u.Ready != o.Ready || u.Slots != o.Slots || u.Left != o.Left || u.Version != o.Version || u.WarmupEnd.Sub(o.WarmupEnd) > warmupTolerance
 }
 
 // WithUpstream returns a copy of r with u as the state of the backend server.
@@ -95,11 +98,14 @@
 	r.Slots = u.Slots
 	r.WarmupEnd = u.WarmupEnd
 	r.LeftServer = u.Left
+	r.ServerVersion = u.Version
 	return r
 }
 
 // Upstream returns the state of the member's backend server.
-func (r Record) Upstream() Upstream { return Upstream{r.Ready, r.Slots, r.WarmupEnd, r.LeftServer} }
+func (r Record) Upstream() Upstream {
+	return Upstream{r.Ready, r.Slots, r.WarmupEnd, r.LeftServer, r.ServerVersion}
+}
 
 // Group returns the name of the membership group that the member belongs to.
 // The members of a group share one table. It is the region, or the data centre
@@ -156,7 +162,7 @@
 	switch {
 	case r.ID == "" || len(r.ID) > maxFieldBytes:
 		return fmt.Errorf("member id has an invalid length of %d bytes", len(r.ID))
-	case len(r.Addr) > maxFieldBytes || len(r.Service) > maxFieldBytes || len(r.DataCentre) > maxFieldBytes || len(r.Region) > maxFieldBytes || len(r.LeftServer.ID) > maxFieldBytes:
+	case len(r.Addr) > maxFieldBytes || len(r.Service) > maxFieldBytes || len(r.DataCentre) > maxFieldBytes || len(r.Region) > maxFieldBytes || len(r.LeftServer.ID) > maxFieldBytes || len(r.ServerVersion) > maxFieldBytes:
 		return fmt.Errorf("record of member %q has an oversized field", r.ID)
 	case r.State < Alive || r.State > Dead:
 		return fmt.Errorf("member %q has unknown state %d", r.ID, r.State)
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -33,6 +33,8 @@
 	Slots  int
 	Remote bool // in another data centre
 	Entry  bool // an entry node, which chooses the upstream itself
+	// Version is the version of its backend server's software, empty if unknown.
+	Version string
 	// WarmupEnd is when the warm-up period of its backend server ends, zero if
 	// there is none. Until then the candidate gets few calls (slow start).
 	WarmupEnd time.Time
--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -183,6 +183,9 @@
 // streamWatch reads the stream of one watch until it ends or ctx does.
 func (c *Client) streamWatch(ctx context.Context, key string, revision int64, ready func(), f func(tanagerchute.Event)) error {
 	req := WatchRequest{Create: WatchCreate{Key: []byte(key), StartRevision: revision}}
+	if strings.HasSuffix(key, "/") {
+		req.Create.RangeEnd = PrefixEnd([]byte(key))
+	}
 	res, _, err := c.post(ctx, PathWatch, req)
 	if err != nil {
 		return errors.Wrapf(err, "watch %s", key)
--- a/io/gate/announce.go
+++ b/io/gate/announce.go
@@ -22,6 +22,8 @@
 	StartMs int64 `json:"-"`
 	// WarmupEnd is the end of the server's warm-up, zero if there is none.
 	WarmupEnd time.Time `json:"-"`
+	// Version is the version of the server's software, empty if it is unknown.
+	Version string `json:"version,omitempty"`
 }
 
 // isOther reports whether b is known to be another backend server than o.
@@ -93,7 +95,7 @@
 	case h.State != beat.Ready:
 		g.markLeaving(h.ID, h.State.String())
 	default:
-		g.setBackend(Backend{Address: h.Address, Slots: h.Slots, ID: h.ID, StartMs: h.StartMs, WarmupEnd: h.WarmupEnd})
+		g.setBackend(Backend{Address: h.Address, Slots: h.Slots, ID: h.ID, StartMs: h.StartMs, WarmupEnd: h.WarmupEnd, Version: h.Version})
 	}
 	return v
 }
--- a/io/gate/discover.go
+++ b/io/gate/discover.go
@@ -5,19 +5,20 @@
 	"time"
 )
 
-// DiscoverBackend sends a health check to addr and uses the server that answers as
-// the backend server until its first heartbeat. A node that restarts while its
+// DiscoverBackend sends a health check to the address of b and uses the server that answers
+// as the backend server until its first heartbeat. b is what is assumed of it until then. A node that restarts while its
 // backend server keeps running would otherwise have to wait for that heartbeat.
-func (g *Gate) DiscoverBackend(ctx context.Context, addr, healthPath string, slots int) {
+func (g *Gate) DiscoverBackend(ctx context.Context, healthPath string, b Backend) {
 	began := time.Now()
-	id, statement, ok := g.client.healthCheck(ctx, addr, healthPath)
+	id, statement, ok := g.client.healthCheck(ctx, b.Address, healthPath)
 	ok = ok && !statement.Leaving
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if _, known := g.heartbeats.Last(); !ok || known || g.backendLeaving || g.backend.Address != "" {
 		return
 	}
-	g.setBackend(Backend{Address: addr, Slots: slots, ID: id})
+	b.ID = id
+	g.setBackend(b)
 	if statement.Limited { // without a limit, the answer to a health check says nothing
 		g.observeLimit(began, "a health check", statement)
 	}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -51,6 +51,8 @@
 	// Crashes is what the nodes know together of the calls under which backend servers
 	// ended. If it is nil, no call is held back.
 	Crashes CrashRegistry
+	// Rollouts counts calls for the roll-outs of versions. If it is nil, there are none.
+	Rollouts Rollouts
 }
 
 // Gate controls access to the backend server of a node. Its methods are safe for
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -110,7 +110,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go g.Run(ctx)
-	g.DiscoverBackend(ctx, strings.TrimPrefix(srv.URL, "http://"), "/health", 8)
+	g.DiscoverBackend(ctx, "/health", gate.Backend{Address: strings.TrimPrefix(srv.URL, "http://"), Slots: 8})
 	now := time.Now()
 	for range 8 {
 		c := call.Call{
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -88,6 +88,9 @@
 	if r := g.refuseHeld(c); r != nil {
 		return admission, nil, r
 	}
+	if r := g.refuseVersion(); r != nil {
+		return admission, nil, r
+	}
 	if g.backend.Address == "" {
 		r := call.Refuse(call.NotRun, call.CauseUpstreamFailing, time.Second)
 		return admission, nil, &r
@@ -200,7 +203,10 @@
 	if r.Shed && r.RetryAfter == 0 {
 		r.RetryAfter = g.shedRetryAfter()
 	}
-	return g.finish(admission, c, r, time.Since(began))
+	took := time.Since(began)
+	r = g.finish(admission, c, r, took)
+	g.countForRollout(server, c, r, took)
+	return r
 }
 
 // allowResend reports whether a call may be sent again over a new connection,
--- a/io/node/boot.go
+++ b/io/node/boot.go
@@ -9,6 +9,7 @@
 
 	"tanagerchute/core/event"
 	"tanagerchute/core/member"
+	"tanagerchute/io/gate"
 	"tanagerchute/io/timer"
 )
 
@@ -32,6 +33,7 @@
 		return
 	}
 	n.feed.SetJoined()
+	n.rollouts.Boot(ctx)
 	n.observeFormerLeave(ctx)
 	if err := n.feed.Boot(ctx, addrs); err != nil {
 		return // the node is stopping
@@ -64,16 +66,17 @@
 	if !ok || service.HealthPath == "" {
 		return
 	}
-	n.gate.DiscoverBackend(ctx, s.Backend, service.HealthPath, n.previousSlots(ctx))
+	n.gate.DiscoverBackend(ctx, service.HealthPath, n.previousBackend(ctx))
 }
 
-// previousSlots returns the slots of the backend server that the previous node
-// process at this address published, or defaultBackendSlots.
-func (n *Node) previousSlots(ctx context.Context) int {
+// previousBackend returns the backend server as the previous node process at this address
+// published it.
+func (n *Node) previousBackend(ctx context.Context) gate.Backend {
+	b := gate.Backend{Address: n.cfg.Settings.Backend, Slots: defaultBackendSlots}
 	if m, ok := n.fleet.Predecessor(ctx); ok && m.Slots > 0 {
-		return m.Slots
+		b.Slots, b.Version = m.Slots, m.ServerVersion
 	}
-	return defaultBackendSlots
+	return b
 }
 
 // join exchanges member tables with the seeds from the settings, and with those
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -35,6 +35,7 @@
 	"tanagerchute/io/relay"
 	"tanagerchute/io/seeds"
 	"tanagerchute/io/setup"
+	"tanagerchute/io/stage"
 	"tanagerchute/io/trace"
 	"tanagerchute/io/wire"
 )
@@ -51,7 +52,9 @@
 	// Dialect translates the headers and error responses for callers and the
 	// backend server, nil for native.Dialect.
 	Dialect tanagerchute.Dialect
-	Log     *zap.Logger
+	// RolloutFormat is where orders of roll-outs are read, nil for ledger.RolloutFormat.
+	RolloutFormat tanagerchute.RolloutFormat
+	Log           *zap.Logger
 	// WrapDial is put around the opening of connections to other nodes, nil for none.
 	WrapDial func(link.Dial) link.Dial
 	LogSink  tanagerchute.LogSink // receives the lines of Log, nil for a sink that is never congested
@@ -77,6 +80,7 @@
 	relay            *relay.Relay
 	seeds            *seeds.Registry // nil without a store
 	claims           *ledger.Claims  // nil without a store
+	rollouts         *stage.Manager
 	eras             *storeEras
 	byteMeters       byteMeters
 	vars             *expvar.Map
@@ -206,11 +210,13 @@
 		OnPeerStamp: func(addr string, s vers.Stamp) { n.feed.ObserveStamp(addr, s) },
 	})
 	n.buildSeedsAndFeed()
+	n.rollouts = stage.New(n.rolloutConfig())
 	n.gate = gate.New(gate.Config{
 		Node: n.id, Journal: n.journal, MaxAnswerBytes: s.Limits.AnswerBytes, MaxConns: n.maxConns,
 		SpendRetry: func() bool { return n.proxy.SpendRetry(s.Service) },
 		Service:    s.Service, Dialect: n.cfg.Dialect, NoProbe: s.TrustHeartbeats, NestedCallsUntraced: s.LocalCallers,
 		Crashes:          n.fleet.Crashes(),
+		Rollouts:         n.gateRollouts(),
 		OnUpstreamChange: func(u member.Upstream) { n.fleet.SetUpstream(context.Background(), u) },
 	})
 	n.relay = relay.New(relay.Config{
@@ -224,7 +230,7 @@
 		Tracer:   n.tracer.Tracer(), Claims: n.proxyClaims(), Rand: n.newRand("proxy"),
 		MaxBodyBytes: s.Limits.RequestBytes, MaxAnswerBytes: s.Limits.AnswerBytes,
 		NestedCallsUntraced: s.LocalCallers, KeysUnused: s.KeysUnused, Retry: retryLimits(s),
-		Hedge: s.Hedge != nil && *s.Hedge, Policy: n.cfg.Policy, OnCall: n.recordCall, OnAttempt: n.recordAttempt,
+		Hedge: s.Hedge != nil && *s.Hedge, Policy: n.cfg.Policy, Rollouts: n.proxyRollouts(), OnCall: n.recordCall, OnAttempt: n.recordAttempt,
 	})
 }
 
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -12,6 +12,7 @@
 	"tanagerchute/io/link"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/proxy"
+	"tanagerchute/io/wire"
 )
 
 // servers are the HTTP servers of a node and their listeners.
@@ -40,7 +41,7 @@
 // listen opens all listeners except the one for callers, which is opened by
 // serveCallers. If one of them fails, it closes the others.
 func (n *Node) listen() (*servers, error) {
-	control := peer.Handler(peerServer{n}, n.deploymentID(), n.recordDroppedFrame)
+	control := peer.Handler(peerServer{n}, n.deploymentID(), n.recordDroppedFrame, wire.NewRolloutsServer(n.rollouts))
 	s := &servers{
 		callers:     peer.NewServer(n.closeConnsWhenStopping(n.proxy.Ingress(n.callerOrigin()))),
 		egress:      peer.NewServer(n.proxy.Ingress(proxy.Origin{Service: n.cfg.Settings.Service, Backend: true})),
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -49,6 +49,7 @@
 	startedAt := time.Now()
 	n.recordEvent(event.NodeDraining, "planned stop")
 	n.stopping.Store(true)
+	go n.rollouts.Close(ctx)
 	drain := n.drainSettings()
 	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(drain.Timeout.Std()+drain.Linger.Std()))
 	defer cancel()
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -81,6 +81,11 @@
 	return p
 }
 
+// RolloutsTo returns a client for the roll-outs of the node at addr.
+func (c *Client) RolloutsTo(addr string) wire.Rollouts {
+	return wire.NewRolloutsProtobufClient("http://"+addr, c.http)
+}
+
 // DedicatedTo returns a client of the node at addr that uses a connection of its
 // own, and a function that closes the connection. A new connection can work
 // while an existing one no longer responds.
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -36,6 +36,7 @@
 			Incarnation: r.Incarnation, State: int32(r.State), Ready: r.Ready,
 			Slots: int32(r.Slots), Since: r.StartMs, Accuser: r.Accuser, Left: r.Left, Keeper: r.CanBeHome,
 			Region: r.Region, WarmLeft: warmupLeft(r), LeftServer: r.LeftServer.ID, LeftServerStart: r.LeftServer.StartMs,
+			ServerVersion: r.ServerVersion,
 		}
 	})
 }
@@ -64,7 +65,7 @@
 			Incarnation: m.GetIncarnation(), State: member.State(m.GetState()), Ready: m.GetReady(),
 			Slots: int(m.GetSlots()), StartMs: m.GetSince(), Accuser: m.GetAccuser(), Left: m.GetLeft(), CanBeHome: m.GetKeeper(),
 			Region: m.GetRegion(), WarmupEnd: warmupEnd(m.GetWarmLeft()),
-			LeftServer: member.ServerID{ID: m.GetLeftServer(), StartMs: m.GetLeftServerStart()},
+			LeftServer: member.ServerID{ID: m.GetLeftServer(), StartMs: m.GetLeftServerStart()}, ServerVersion: m.GetServerVersion(),
 		}
 	})
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -10,10 +10,14 @@
 // maxRequestBytes bounds the body of a control request.
 const maxRequestBytes = 2 << 20
 
-// Handler serves the control protocol. It calls onDrop with the sender's address
-// and the cause for each request that it rejects without reading the body.
-func Handler(s wire.Peer, deployment string, onDrop func(from, cause string)) http.Handler {
-	next := wire.NewPeerServer(s)
+// Handler serves the control protocol, which consists of s and the given further
+// services. It calls onDrop with the sender's address and the cause for each request that
+// it rejects without reading the body.
+func Handler(s wire.Peer, deployment string, onDrop func(from, cause string), services ...wire.TwirpServer) http.Handler {
+	next := http.NewServeMux()
+	for _, svc := range append(services, wire.NewPeerServer(s)) {
+		next.Handle(svc.PathPrefix(), svc)
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d := r.Header.Get(HeaderDeployment); d != deployment {
 			onDrop(r.RemoteAddr, "request of deployment \""+truncate(d)+"\"")
--- a/io/proxy/candidates.go
+++ b/io/proxy/candidates.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 
+	"tanagerchute/core/canary"
 	"tanagerchute/core/pick"
 	"tanagerchute/io/fleet"
 )
@@ -14,6 +15,7 @@
 	upstream []pick.Candidate // all upstreams of the service that are known one by one
 	entries  []pick.Candidate // entry nodes of other data centres
 	isSubset bool             // subset lacks some of upstream
+	versions canary.Versions  // slots by version of the upstreams, nil if there is one version only
 }
 
 // used returns the candidates that this node normally uses. If local is set, they
@@ -38,10 +40,11 @@
 	mu        sync.Mutex
 	view      *fleet.View
 	byService map[string]candidates
+	bySide    map[side]candidates
 }
 
 func newCandidateCache(node string) *candidateCache {
-	return &candidateCache{node: node, byService: map[string]candidates{}}
+	return &candidateCache{node: node, byService: map[string]candidates{}, bySide: map[side]candidates{}}
 }
 
 // get returns the candidates for calls to a service in the given view.
@@ -51,6 +54,7 @@
 	if cc.view != view {
 		cc.view = view
 		clear(cc.byService)
+		clear(cc.bySide)
 	}
 	c, ok := cc.byService[service]
 	if !ok {
@@ -64,12 +68,18 @@
 	var c candidates
 	for _, m := range view.Upstreams(service) {
 		c.upstream = append(c.upstream, pick.Candidate{
-			ID: m.ID, Addr: m.Addr, Slots: m.Slots, Remote: m.DataCentre != view.Self.DataCentre, WarmupEnd: m.WarmupEnd,
+			ID: m.ID, Addr: m.Addr, Slots: m.Slots, Remote: m.DataCentre != view.Self.DataCentre, WarmupEnd: m.WarmupEnd, Version: m.ServerVersion,
 		})
 	}
 	for _, e := range view.Remote.Entries(service) {
 		c.entries = append(c.entries, pick.Candidate{ID: e.Addr, Addr: e.Addr, Slots: e.Slots, Remote: true, Entry: true})
 	}
+	c.versions = countVersions(c.upstream)
+	return c.withSubset(node)
+}
+
+// withSubset returns c with the upstreams that a node uses.
+func (c candidates) withSubset(node string) candidates {
 	c.subset = pick.Subset(node, c.upstream)
 	c.isSubset = len(c.subset) < len(c.upstream)
 	return c
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -41,6 +41,9 @@
 	tracker    *resend.Tracker
 	summary    AttemptSummary
 	paidResend *choice // where to resend to, nil if the retry budget has not been charged
+	// versionChosen is set once it is decided whether the call goes to a version that gets
+	// a share of the calls.
+	versionChosen bool
 }
 
 // choice is a chosen upstream with the reason for choosing it.
@@ -136,7 +139,7 @@
 		return *c, true
 	}
 	criteria := pick.Criteria{Exclude: d.tried, LargeResponse: d.call.LargeResponse, Target: d.call.Target}
-	cs := d.p.candidates.get(d.p.cfg.Fleet.View(), d.call.Service)
+	cs := d.selectVersion(d.p.candidates.get(d.p.cfg.Fleet.View(), d.call.Service))
 	if d.trialNode != "" {
 		target, cause, ok := d.p.chooseCandidate(onlyNode(cs.all(d.local), d.trialNode), criteria)
 		return choice{target, cause}, ok
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -47,6 +47,7 @@
 	Retry               RetryLimits
 	NestedCallsUntraced bool // see gate.Config
 	Policy              Policy
+	Rollouts            Rollouts                           // nil if versions of backend servers don't matter
 	OnCall              func(CallResult)                   // called at the end of each call from a caller
 	OnAttempt           func(service string, r call.Reply) // called at the end of each attempt
 }
--- /dev/null
+++ b/io/stage/hold.go
@@ -0,0 +1,509 @@
+package stage
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"tanagerchute"
+	"tanagerchute/core/canary"
+	"tanagerchute/core/event"
+	"tanagerchute/core/member"
+	"tanagerchute/io/peer"
+	"tanagerchute/io/timer"
+	"tanagerchute/io/wire"
+)
+
+// Times of a claim.
+const (
+	claimTTL        = 3 * time.Second
+	claimMargin     = 300 * time.Millisecond // before the end of the lease, in which the holder decides nothing
+	renewInterval   = time.Second
+	claimInterval   = 200 * time.Millisecond // of checks whether to claim
+	claimRankDelay  = 400 * time.Millisecond // for each rank among the readers
+	holderSilence   = 1500 * time.Millisecond
+	storeTimeout    = 800 * time.Millisecond
+	decideInterval  = 100 * time.Millisecond
+	reannounceAfter = 300 * time.Millisecond
+	silentAfter     = 1500 * time.Millisecond // without a report, a node gets the stage again
+)
+
+// hold is this node's part in deciding about one order.
+type hold struct {
+	m      *Manager
+	order  canary.Order
+	cancel context.CancelFunc
+	done   chan struct{} // closed when run has ended
+
+	// The following fields are guarded by Manager.mu.
+	rollout      *canary.Rollout // nil while this node is not the holder
+	claimedUntil time.Time
+	withdrawn    bool
+	announcedAt  map[string]time.Time // by node
+}
+
+// record is the stored state of a roll-out.
+type record struct {
+	Stage      canary.Stage `json:"stage"`
+	WithinMs   int64        `json:"within_ms"`
+	DeadlineMs int64        `json:"deadline_ms"` // Unix milliseconds
+}
+
+// claim is a claim in the store.
+type claim struct {
+	lease    tanagerchute.Lease
+	revision int64 // of the claim's key
+	until    time.Time
+}
+
+func (m *Manager) claimKey(service string) string  { return m.cfg.Prefix + "claim/" + service }
+func (m *Manager) recordKey(service string) string { return m.cfg.Prefix + "state/" + service }
+
+// startHold begins to decide about an order, unless that goes on already. The caller holds
+// mu.
+func (m *Manager) startHold(ctx context.Context, o canary.Order) {
+	before := m.holds[o.Service]
+	if before != nil && before.order.ID == o.ID {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	h := &hold{m: m, order: o, cancel: cancel, done: make(chan struct{}), announcedAt: map[string]time.Time{}}
+	m.holds[o.Service] = h
+	m.spawn(func() {
+		defer close(h.done)
+		defer cancel()
+		if before != nil {
+			before.cancel()
+			<-before.done
+		}
+		h.run(ctx)
+	})
+}
+
+// Close gives up the claims of this node, so that others go on at once.
+func (m *Manager) Close(ctx context.Context) {
+	m.mu.Lock()
+	holds := make([]*hold, 0, len(m.holds))
+	for _, h := range m.holds {
+		holds = append(holds, h)
+	}
+	m.mu.Unlock()
+	for _, h := range holds {
+		h.cancel()
+		select {
+		case <-h.done:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// run claims the roll-out when nobody else holds it, and decides about it, until it has
+// ended or ctx does.
+func (h *hold) run(ctx context.Context) {
+	since := time.Now()
+	if h.isStored(ctx) {
+		return
+	}
+	for timer.Sleep(ctx, claimInterval) {
+		if !h.claimDue(time.Now(), since) {
+			continue
+		}
+		if h.m.hasEnded(h.order) && h.isStored(ctx) {
+			return
+		}
+		c, ok := h.claim(ctx)
+		if !ok {
+			since = time.Now() // somebody else may have claimed it
+			continue
+		}
+		if h.lead(ctx, c) {
+			return
+		}
+	}
+}
+
+// hasEnded reports whether this node knows that the roll-out of an order has ended.
+func (m *Manager) hasEnded(o canary.Order) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, ok := m.table.Stage(o.Service)
+	return ok && (s.Order == o.ID && s.Phase.Ended() || s.Order.Compare(o.ID) > 0)
+}
+
+// isStored reports whether the store has the end of the roll-out. This node then knows it
+// as well.
+func (h *hold) isStored(ctx context.Context) bool {
+	rec, ok, err := h.readRecord(ctx)
+	if err != nil || !ok || !rec.Stage.Phase.Ended() {
+		return false
+	}
+	h.m.learn(time.Now(), []canary.Stage{rec.Stage}, false)
+	return true
+}
+
+// claimDue reports whether this node should claim the roll-out: no holder has been heard of
+// for long enough, and the readers of lower rank have had the time to claim it.
+func (h *hold) claimDue(now, since time.Time) bool {
+	view := h.m.cfg.Fleet.View()
+	rank := view.GroupReaderRank(maxRank)
+	if rank < 0 {
+		rank = maxRank
+	}
+	if !h.m.cfg.Fleet.HasQuorum(now) {
+		return false
+	}
+	quiet := time.Duration(rank) * claimRankDelay
+	h.m.mu.Lock()
+	defer h.m.mu.Unlock()
+	if s, ok := h.m.table.Stage(h.order.Service); ok && s.Order == h.order.ID && s.Holder != "" && !s.Phase.Ended() {
+		quiet += holderSilence
+		if by := h.m.table.ConfirmedBy(h.order.Service); by.After(since) {
+			since = by
+		}
+	}
+	return now.Sub(since) >= quiet
+}
+
+// maxRank is the number of readers that claim one after the other.
+const maxRank = 3
+
+// claim tries to claim the roll-out. It succeeds only if nobody has claimed it.
+func (h *hold) claim(ctx context.Context) (claim, bool) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	m, key := h.m, h.m.claimKey(h.order.Service)
+	kv, _, err := m.cfg.Store.Get(ctx, key)
+	if err != nil || kv.ModRevision != 0 {
+		return claim{}, false
+	}
+	grantedAt := time.Now()
+	lease, err := m.cfg.Store.Grant(ctx, claimTTL)
+	if err != nil {
+		return claim{}, false
+	}
+	self := m.cfg.Fleet.View().Self
+	put := tanagerchute.Put{Key: key, Value: []byte(self.ID), Lease: lease}
+	_, err = m.cfg.Store.Commit(ctx, tanagerchute.Txn{Era: lease.Era, Conds: []tanagerchute.Cond{{Key: key}}, Puts: []tanagerchute.Put{put}})
+	if err != nil && !errors.Is(err, tanagerchute.ErrOutcomeUnknown) {
+		return claim{}, false
+	}
+	kv, rev, err := m.cfg.Store.Get(ctx, key)
+	if err != nil || kv.Lease != lease.ID || kv.ModRevision == 0 || rev.Era != lease.Era {
+		return claim{}, false
+	}
+	m.recordEvent(time.Now(), event.RolloutClaimed, h.order.Service, fmt.Sprintf("version %s, lease %d", h.order.Target, lease.ID))
+	return claim{lease: lease, revision: kv.ModRevision, until: grantedAt.Add(claimTTL - claimMargin)}, true
+}
+
+// readRecord reads the stored state of the order. ok is false if there is none.
+func (h *hold) readRecord(ctx context.Context) (rec record, ok bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	kv, _, err := h.m.cfg.Store.Get(ctx, h.m.recordKey(h.order.Service))
+	if err != nil || kv.ModRevision == 0 {
+		return record{}, false, err
+	}
+	if err := json.Unmarshal(kv.Value, &rec); err != nil || !rec.Stage.Validate() {
+		h.m.recordEvent(time.Now(), event.RolloutRefused, h.order.Service, "the stored state can't be read and is replaced")
+		return record{}, false, nil
+	}
+	same := rec.Stage.Order.Revision == h.order.ID.Revision && rec.Stage.Target == h.order.Target && rec.WithinMs == h.order.Within.Milliseconds()
+	return rec, same, nil
+}
+
+// write stores a stage with the status of the roll-out, on condition that the claim is
+// still this node's.
+func (h *hold) write(ctx context.Context, c claim, s canary.Stage) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	value, err := json.Marshal(record{Stage: s, WithinMs: h.order.Within.Milliseconds(), DeadlineMs: h.order.Deadline.UnixMilli()})
+	if err != nil {
+		return errors.Wrap(err, "encode record")
+	}
+	statusKey, status, err := h.m.cfg.Format.FormatStatus(s)
+	if err != nil {
+		return errors.Wrap(err, "encode status")
+	}
+	ok, err := h.m.cfg.Store.Commit(ctx, tanagerchute.Txn{
+		Era:   c.lease.Era,
+		Conds: []tanagerchute.Cond{{Key: h.m.claimKey(s.Service), ModRevision: c.revision}},
+		Puts:  []tanagerchute.Put{{Key: h.m.recordKey(s.Service), Value: value}, {Key: statusKey, Value: status}},
+	})
+	switch {
+	case errors.Is(err, tanagerchute.ErrOutcomeUnknown):
+		if rec, same, readErr := h.readRecord(ctx); readErr == nil && same && rec.Stage == s {
+			return nil
+		}
+		return err
+	case err != nil:
+		return err
+	case !ok:
+		return errClaimLost
+	}
+	return nil
+}
+
+// errClaimLost means that another node holds the roll-out.
+var errClaimLost = errors.New("another node holds the roll-out")
+
+// lead decides about the roll-out under a claim. It returns true if the roll-out has ended,
+// and false if the claim is lost or ctx has ended.
+func (h *hold) lead(ctx context.Context, c claim) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	rec, stored, err := h.readRecord(ctx)
+	if err != nil {
+		h.release(c)
+		return false
+	}
+	if stored {
+		h.order = h.order.WithDeadline(time.UnixMilli(rec.DeadlineMs))
+	}
+	h.begin(c, rec.Stage, stored)
+	defer h.end(c)
+	renewed := make(chan struct{})
+	go func() {
+		defer close(renewed)
+		h.renew(ctx, c, cancel)
+	}()
+	defer func() { cancel(); <-renewed }()
+	if h.stage().Phase.Ended() {
+		return h.write(ctx, c, h.stage()) == nil
+	}
+	return h.decide(ctx, c)
+}
+
+// begin makes this node the holder. last is the stored stage, if there is one.
+func (h *hold) begin(c claim, last canary.Stage, stored bool) {
+	m := h.m
+	versions := m.versions(h.order.Service)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !stored {
+		last = canary.Stage{}
+	}
+	if s, ok := m.table.Stage(h.order.Service); ok && s.Order == h.order.ID && (!stored || s.NewerThan(last)) {
+		last = s
+	}
+	baseline := m.table.Known(h.order.Service, versions)
+	cfg := canary.Config{Share: m.cfg.Settings.CanaryShare, Slack: m.cfg.Settings.CanarySlack}
+	h.rollout = canary.New(cfg, time.Now(), h.order, baseline, last)
+	h.claimedUntil = c.until
+	clear(h.announcedAt)
+}
+
+// end makes this node no longer the holder, and lets others claim the roll-out at once.
+func (h *hold) end(c claim) {
+	h.m.mu.Lock()
+	s := h.rollout.Stage()
+	h.rollout = nil
+	h.m.mu.Unlock()
+	h.release(c)
+	if s.Phase.Ended() {
+		return
+	}
+	s = s.WithHolder("")
+	h.m.learn(time.Now(), []canary.Stage{s}, false)
+	h.m.announce(context.Background(), h.m.others(), &wire.AnnounceStagesRequest{Stages: []*wire.RolloutStage{peer.ToStage(s)}})
+}
+
+// release ends the lease of a claim.
+func (h *hold) release(c claim) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if err := h.m.cfg.Store.Revoke(ctx, c.lease); err != nil && !errors.Is(err, tanagerchute.ErrLeaseExpired) {
+		h.m.recordEvent(time.Now(), event.RolloutClaimLost, h.order.Service, "the claim could not be given up, it ends with its lease: "+err.Error())
+	}
+}
+
+// renew renews the lease of a claim. It calls lost when that has ended.
+func (h *hold) renew(ctx context.Context, c claim, lost func()) {
+	for timer.Sleep(ctx, renewInterval) {
+		sentAt := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		err := h.m.cfg.Store.KeepAlive(callCtx, c.lease)
+		cancel()
+		if err == nil {
+			h.m.mu.Lock()
+			h.claimedUntil = sentAt.Add(claimTTL - claimMargin)
+			h.m.mu.Unlock()
+			continue
+		}
+		if errors.Is(err, tanagerchute.ErrLeaseExpired) {
+			h.m.recordEvent(time.Now(), event.RolloutClaimLost, h.order.Service, err.Error())
+			lost()
+			return
+		}
+	}
+}
+
+func (h *hold) stage() canary.Stage {
+	h.m.mu.Lock()
+	defer h.m.mu.Unlock()
+	return h.rollout.Stage()
+}
+
+// pendingWrite is a stage that is being stored before it takes effect.
+type pendingWrite struct {
+	stage canary.Stage
+	done  chan error
+}
+
+// decide takes the roll-out from stage to stage. It returns as lead does.
+func (h *hold) decide(ctx context.Context, c claim) bool {
+	pending := h.startWrite(ctx, c, h.stage().WithHolder(h.m.cfg.Fleet.View().Self.Addr))
+	unwritten := canary.Stage{} // a stage that has taken effect, and is not stored yet
+	for timer.Sleep(ctx, decideInterval) {
+		now := time.Now()
+		if pending != nil {
+			select {
+			case err := <-pending.done:
+				if errors.Is(err, errClaimLost) || errors.Is(err, tanagerchute.ErrEraChanged) {
+					h.m.recordEvent(now, event.RolloutClaimLost, h.order.Service, err.Error())
+					return false
+				}
+				if err == nil && h.takeEffect(ctx, now, pending.stage) && pending.stage.Phase.Ended() {
+					return true
+				}
+				pending = nil
+			default:
+			}
+		}
+		next, claimed, changed := h.next(now)
+		if !claimed {
+			h.m.recordEvent(now, event.RolloutClaimLost, h.order.Service, "the lease could not be renewed in time")
+			return false
+		}
+		if changed && !next.StoredFirst() {
+			h.takeEffect(ctx, now, next)
+			unwritten = next
+		}
+		if unwritten.Service != "" && pending == nil {
+			pending = h.startWrite(ctx, c, unwritten)
+			continue
+		}
+		if changed && pending == nil {
+			pending = h.startWrite(ctx, c, next)
+		}
+		h.announceAgain(ctx, now)
+	}
+	return false
+}
+
+// startWrite stores a stage in the background.
+func (h *hold) startWrite(ctx context.Context, c claim, s canary.Stage) *pendingWrite {
+	p := &pendingWrite{stage: s, done: make(chan error, 1)}
+	go func() { p.done <- h.write(ctx, c, s) }()
+	return p
+}
+
+// next returns the stage that follows the present one. claimed is false if the claim may
+// have ended.
+func (h *hold) next(now time.Time) (s canary.Stage, claimed, changed bool) {
+	servers := h.servers()
+	h.m.mu.Lock()
+	defer h.m.mu.Unlock()
+	if !now.Before(h.claimedUntil) {
+		return canary.Stage{}, false, false
+	}
+	if h.withdrawn {
+		h.rollout.Withdraw()
+	}
+	s, changed = h.rollout.Next(now, servers)
+	s.Holder = h.m.cfg.Fleet.View().Self.Addr
+	return s, true, changed
+}
+
+// servers returns what this node knows of the servers of the order's service.
+func (h *hold) servers() canary.Servers {
+	view := h.m.cfg.Fleet.View()
+	s := canary.Servers{Nodes: view.UpIDs(), ReportInterval: h.m.reportInterval(canary.Full), Known: h.m.cfg.HasService(h.order.Service)}
+	for _, r := range view.Upstreams(h.order.Service) {
+		s.Known = true
+		if r.ServerVersion == h.order.Target {
+			s.TargetServers++
+			s.TargetSlots += r.Slots
+			continue
+		}
+		s.OldServers++
+		s.OldSlots += r.Slots
+	}
+	return s
+}
+
+// takeEffect makes s the stage of the roll-out, unless that has gone back meanwhile, and
+// sends it to all nodes.
+func (h *hold) takeEffect(ctx context.Context, now time.Time, s canary.Stage) bool {
+	h.m.mu.Lock()
+	cur := h.rollout.Stage()
+	ok := cur == s || s.NewerThan(cur)
+	if ok {
+		h.rollout.Enter(now, s)
+		clear(h.announcedAt)
+	}
+	h.m.mu.Unlock()
+	if !ok || cur == s {
+		return ok
+	}
+	h.m.learn(now, []canary.Stage{s}, true)
+	h.announceAgain(ctx, now)
+	return true
+}
+
+// announceAgain sends the stage to the nodes that have not reported in it, and to a relay
+// of each other group.
+func (h *hold) announceAgain(ctx context.Context, now time.Time) {
+	view := h.m.cfg.Fleet.View()
+	h.m.mu.Lock()
+	s := h.rollout.Stage()
+	if s.Holder == "" {
+		h.m.mu.Unlock()
+		return // it has not taken effect yet
+	}
+	var to []member.Record
+	for _, r := range h.m.others() {
+		last := h.announcedAt[r.ID]
+		if last.IsZero() || now.Sub(h.rollout.Heard(r.ID)) > silentAfter && now.Sub(last) > reannounceAfter {
+			h.announcedAt[r.ID] = now
+			to = append(to, r)
+		}
+	}
+	var relays []member.Record
+	for group, addrs := range view.Remote.Relays {
+		if len(addrs) > 0 && now.Sub(h.announcedAt[group]) > silentAfter {
+			h.announcedAt[group] = now
+			relays = append(relays, member.Record{Addr: addrs[0]})
+		}
+	}
+	h.m.mu.Unlock()
+	stages := []*wire.RolloutStage{peer.ToStage(s)}
+	h.m.announce(ctx, to, &wire.AnnounceStagesRequest{Stages: stages})
+	h.m.announce(ctx, relays, &wire.AnnounceStagesRequest{Stages: stages, Forward: true})
+}
+
+// takeReport takes the report of a node in stage theirs. A stage that this holder has not
+// heard of was decided by the one before. The caller holds Manager.mu.
+func (h *hold) takeReport(now time.Time, theirs canary.Stage, req *wire.ReportTallyRequest) {
+	mine := h.rollout.Stage()
+	if theirs.Order != mine.Order {
+		return
+	}
+	if theirs.NewerThan(mine) && theirs.Step < maxStep {
+		adopted := mine
+		if theirs.Phase.IsVerdict() {
+			adopted = theirs
+		}
+		adopted.Step, adopted.Holder = theirs.Step+1, mine.Holder
+		h.rollout.Enter(now, adopted)
+		clear(h.announcedAt)
+	}
+	h.rollout.Report(now, canary.Report{
+		Node: req.GetFrom(), Order: theirs.Order, Phase: theirs.Phase, Quiet: req.GetQuiet(), Tallies: peer.FromTallies(req.GetTallies()),
+	})
+}
+
+// maxStep bounds the steps of an order, so that a faulty node can't exhaust them.
+const maxStep = 1 << 20
--- /dev/null
+++ b/io/stage/reader.go
@@ -0,0 +1,130 @@
+package stage
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"tanagerchute"
+	"tanagerchute/core/canary"
+	"tanagerchute/core/event"
+	"tanagerchute/io/timer"
+)
+
+const (
+	readerCheckInterval = 200 * time.Millisecond // of checks whether the node is a reader
+	rereadDelay         = time.Second            // before the orders are read again after a failure
+)
+
+// runReader watches the orders while this node is a reader, until ctx ends.
+func (m *Manager) runReader(ctx context.Context) {
+	for timer.Sleep(ctx, readerCheckInterval) {
+		if !m.cfg.IsReader() {
+			continue
+		}
+		readCtx, stop := context.WithCancel(ctx)
+		m.spawn(func() { m.stopWhenNoReader(readCtx, stop) })
+		err := m.followOrders(readCtx, ctx)
+		stop()
+		if errors.Is(err, tanagerchute.ErrEraChanged) {
+			continue // the store can be read
+		}
+		timer.Sleep(ctx, rereadDelay)
+	}
+}
+
+// stopWhenNoReader calls stop when this node is no longer a reader.
+func (m *Manager) stopWhenNoReader(ctx context.Context, stop context.CancelFunc) {
+	for timer.Sleep(ctx, readerCheckInterval) {
+		if !m.cfg.IsReader() {
+			stop()
+			return
+		}
+	}
+}
+
+// followOrders reads all orders and then watches for changes until that fails. Roll-outs go
+// on after that, until runCtx ends.
+func (m *Manager) followOrders(ctx, runCtx context.Context) error {
+	prefix := m.cfg.Format.OrderPrefix()
+	kvs, rev, err := m.cfg.Store.List(ctx, prefix, tanagerchute.Latest)
+	if err != nil {
+		return err
+	}
+	present := map[string]bool{}
+	for _, kv := range kvs {
+		present[strings.TrimPrefix(kv.Key, prefix)] = true
+		m.observeOrder(runCtx, rev, kv)
+	}
+	m.withdrawMissing(rev, present)
+	return m.cfg.Store.Watch(ctx, prefix, rev.Next(), func() {}, func(e tanagerchute.Event) {
+		if e.Deleted {
+			m.withdraw(strings.TrimPrefix(e.KV.Key, prefix))
+			return
+		}
+		m.observeOrder(runCtx, rev, e.KV)
+	})
+}
+
+// eraNumber returns the number of the era of a revision, 0 if it is unknown.
+func eraNumber(rev tanagerchute.Revision) uint64 {
+	n, err := strconv.ParseUint(rev.Era.String(), 10, 64)
+	if err != nil {
+		return 0 // the store names no eras
+	}
+	return n
+}
+
+// observeOrder takes an order from the store, and begins to perform it unless it is known.
+func (m *Manager) observeOrder(ctx context.Context, rev tanagerchute.Revision, kv tanagerchute.KV) {
+	now := time.Now()
+	r, err := m.cfg.Format.ParseOrder(kv.Key, kv.Value)
+	if err != nil {
+		m.recordEvent(now, event.RolloutRefused, strings.TrimPrefix(kv.Key, m.cfg.Format.OrderPrefix()), err.Error())
+		return
+	}
+	o := canary.NewOrder(r, canary.OrderID{Era: eraNumber(rev), Revision: kv.ModRevision}, now)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s, ok := m.table.Stage(r.Service); ok && s.Order.Revision == o.ID.Revision && s.Target == o.Target {
+		o.ID = s.Order // the same order, read from a store that was restored from a copy
+	}
+	if last, ok := m.orders[r.Service]; ok && (o.Repeats(last) || o.ID.Compare(last.ID) <= 0) {
+		o = last
+	} else {
+		m.orders[r.Service] = o
+		m.recordEvent(now, event.RolloutOrdered, r.Service, "version "+r.Target+" within "+r.Within.String())
+	}
+	m.startHold(ctx, o)
+}
+
+// withdraw records that the order for a service was withdrawn.
+func (m *Manager) withdraw(service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.holds[service]
+	if h == nil {
+		return
+	}
+	h.withdrawn = true
+	m.recordEvent(time.Now(), event.RolloutWithdrawn, service, "version "+h.order.Target)
+}
+
+// withdrawMissing withdraws the orders that are not in the store any more. One that a store
+// has lost since it was restored from a copy is not withdrawn.
+func (m *Manager) withdrawMissing(rev tanagerchute.Revision, present map[string]bool) {
+	m.mu.Lock()
+	var missing []string
+	for service, h := range m.holds {
+		if !present[service] && h.order.ID.Era == eraNumber(rev) {
+			missing = append(missing, service)
+		}
+	}
+	m.mu.Unlock()
+	for _, service := range missing {
+		m.withdraw(service)
+	}
+}
--- a/io/wire/doc.go
+++ b/io/wire/doc.go
@@ -1,7 +1,7 @@
-// Package wire defines the protocol between nodes: the twirp service Peer and the
+// Package wire defines the protocol between nodes: the twirp services Peer and Rollouts and the
 // metadata of proxied calls and their answers.
 //
-// The Go code is generated from wire.proto and committed. To regenerate it,
+// The Go code is generated from the .proto files and committed. To regenerate it,
 // install protoc, protoc-gen-go and protoc-gen-twirp, and run go generate in
 // this directory.
 //
@@ -11,4 +11,4 @@
 //	reply, err := c.Probe(ctx, &wire.ProbeRequest{From: "hafnar-1"})
 package wire
 
-//go:generate protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative wire.proto
+//go:generate protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative wire.proto rollout.proto
--- a/store.go
+++ b/store.go
@@ -139,7 +139,8 @@
 	// Revoke ends a lease and deletes the keys attached to it.
 	Revoke(ctx context.Context, lease Lease) error
 	// Watch calls f for each change of key from revision on, in order, until
-	// ctx ends or the connection fails. It calls ready once the watch is
+	// ctx ends or the connection fails. A key that ends with a slash stands for all keys
+	// that begin with it. It calls ready once the watch is
 	// established. It returns ErrEraChanged when any answer of the store shows that
 	// its era is not that of revision any more.
 	Watch(ctx context.Context, key string, revision Revision, ready func(), f func(Event)) error
