--- a/cmd/tanagerchute/common.go
+++ b/cmd/tanagerchute/common.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/subcommands"
 
+	"tanagerchute"
 	"tanagerchute/core/config"
 	"tanagerchute/core/vers"
 	"tanagerchute/io/etcd"
@@ -54,8 +55,12 @@
 	if deployment == "" {
 		return nil, errors.New("no deployment is named, use -deployment")
 	}
-	store := etcd.New(etcd.Config{Endpoints: strings.Split(s.store, ",")})
-	return ledger.New(ledger.Config{Store: store, Deployment: deployment}), nil
+	return ledger.New(ledger.Config{Store: s.openStore(), Deployment: deployment}), nil
+}
+
+// openStore returns the store.
+func (s *storeFlags) openStore() tanagerchute.Store {
+	return etcd.New(etcd.Config{Endpoints: strings.Split(s.store, ",")})
 }
 
 // noLookup is a VersionLookup that finds no version. It makes the ledger read the
--- a/cmd/tanagerchute/main.go
+++ b/cmd/tanagerchute/main.go
@@ -34,13 +34,13 @@
 var groupOf = map[string]string{
 	"node": groupProcesses, "demo": groupTrials, "platform": groupTrials, "upstream": groupTrials, "load": groupTrials, "measure": groupTrials,
 	"validate": groupOperators, "apply": groupOperators, "get": groupOperators, "diff": groupOperators,
-	"history": groupOperators, "status": groupOperators, "explain": groupOperators, "drain": groupOperators,
+	"history": groupOperators, "status": groupOperators, "explain": groupOperators, "drain": groupOperators, "rollout": groupOperators,
 }
 
 // commands returns all commands except those for help.
 func commands() []subcommands.Command {
 	return []subcommands.Command{
-		&validateCmd{}, &applyCmd{}, &getCmd{}, &diffCmd{}, &historyCmd{}, &statusCmd{}, &explainCmd{}, &drainCmd{},
+		&validateCmd{}, &applyCmd{}, &getCmd{}, &diffCmd{}, &historyCmd{}, &statusCmd{}, &explainCmd{}, &drainCmd{}, &rolloutCmd{},
 		&nodeCmd{}, &demoCmd{}, &platformCmd{}, &upstreamCmd{}, &loadCmd{}, &measureCmd{},
 	}
 }
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -269,12 +269,15 @@
 // if it has about that load already.
 func (r *Rollout) loadTestDue(now time.Time, s Servers) bool {
 	share, hold := r.loadShare(s), r.reaction(s)+minHold
-	if s.TargetServers == 0 || share < 1.2*r.stage.Share || r.order.Deadline.Sub(now) > r.finish()+hold {
+	if s.TargetServers == 0 || r.underTest() || share < 1.2*r.stage.Share || r.judge.Evidence() > maxEvidence || r.order.Deadline.Sub(now) > r.finish()+hold {
 		return false
 	}
 	return r.exposureOf(share, hold)+r.exposureOf(1, r.reaction(s)) <= r.Room(now)
 }
 
+// underTest reports whether the servers of the canary get the load of all calls.
+func (r *Rollout) underTest() bool { return r.stage.Share > canaryPart*r.cfg.Share }
+
 // finish returns the time before the deadline at which all calls are moved.
 func (r *Rollout) finish() time.Duration {
 	return min(maxFinish, time.Duration(finishPart*float64(r.order.Within)))
@@ -287,7 +290,7 @@
 	switch {
 	case left > r.finish():
 		return fmt.Sprintf("all calls are moved %v before the deadline", r.finish()), true
-	case r.stage.Share > canaryPart*r.cfg.Share && now.Sub(r.enteredAt) < r.reaction(s)+minHold:
+	case r.underTest() && now.Sub(r.enteredAt) < r.reaction(s)+minHold:
 		return "its servers have not had the load of all calls for long enough", true
 	case r.judge.Evidence() > maxEvidence:
 		return "the version is not known to be good: " + r.Progress(), true
--- a/io/node/vars.go
+++ b/io/node/vars.go
@@ -32,6 +32,8 @@
 		{"journal_dropped", "Events that fell out of the journal.", func() int64 { return int64(n.journal.Dropped()) }},
 		{"store_era_changes", "Restarts of the store from an older copy that this node has noticed.", n.eras.changes.Load},
 		{"store_eras_ignored", "Answers of the store whose era was missing, malformed or not credible.", n.eras.ignoredTotal.Load},
+		{"rollouts_running", "Roll-outs that have not ended.", n.rollouts.Running},
+		{"rollout_target_calls", "Calls that this node has given to a version with a share of the calls.", n.rollouts.TargetCalls},
 		{"goroutines", "Goroutines.", func() int64 { return int64(runtime.NumGoroutine()) }},
 		{"log_lines_skipped", "Lines of requests that were left out.", func() int64 { return int64(n.requests.Skipped()) }},
 		{"log_lines_dropped", "Lines that were not written, since nobody read the output fast enough.", func() int64 { return int64(n.cfg.LogSink.Dropped()) }},
--- a/io/stage/hold.go
+++ b/io/stage/hold.go
@@ -42,6 +42,7 @@
 	rollout      *canary.Rollout // nil while this node is not the holder
 	claimedUntil time.Time
 	withdrawn    bool
+	handOver     bool                 // the claim is to be given up, so that others need not wait for the end of its lease
 	announcedAt  map[string]time.Time // by node
 }
 
@@ -66,8 +67,11 @@
 // mu.
 func (m *Manager) startHold(ctx context.Context, o canary.Order) {
 	before := m.holds[o.Service]
-	if before != nil && before.order.ID == o.ID {
-		return
+	if before != nil {
+		if before.order.ID == o.ID {
+			return
+		}
+		before.handOver = true
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	h := &hold{m: m, order: o, cancel: cancel, done: make(chan struct{}), announcedAt: map[string]time.Time{}}
@@ -88,6 +92,7 @@
 	m.mu.Lock()
 	holds := make([]*hold, 0, len(m.holds))
 	for _, h := range m.holds {
+		h.handOver = true
 		holds = append(holds, h)
 	}
 	m.mu.Unlock()
@@ -252,18 +257,15 @@
 // lead decides about the roll-out under a claim. It returns true if the roll-out has ended,
 // and false if the claim is lost or ctx has ended.
 func (h *hold) lead(ctx context.Context, c claim) bool {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	rec, stored, err := h.readRecord(ctx)
 	if err != nil {
 		h.release(c)
 		return false
 	}
-	if stored {
-		h.order = h.order.WithDeadline(time.UnixMilli(rec.DeadlineMs))
-	}
-	h.begin(c, rec.Stage, stored)
-	defer h.end(c)
+	h.begin(c, rec, stored)
+	defer h.end(ctx, c)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	renewed := make(chan struct{})
 	go func() {
 		defer close(renewed)
@@ -276,14 +278,16 @@
 	return h.decide(ctx, c)
 }
 
-// begin makes this node the holder. last is the stored stage, if there is one.
-func (h *hold) begin(c claim, last canary.Stage, stored bool) {
+// begin makes this node the holder. rec is the stored state, if there is one.
+func (h *hold) begin(c claim, rec record, stored bool) {
 	m := h.m
 	versions := m.versions(h.order.Service)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !stored {
-		last = canary.Stage{}
+	last := canary.Stage{}
+	if stored {
+		last = rec.Stage
+		h.order = h.order.WithDeadline(time.UnixMilli(rec.DeadlineMs))
 	}
 	if s, ok := m.table.Stage(h.order.Service); ok && s.Order == h.order.ID && (!stored || s.NewerThan(last)) {
 		last = s
@@ -295,12 +299,17 @@
 	clear(h.announcedAt)
 }
 
-// end makes this node no longer the holder, and lets others claim the roll-out at once.
-func (h *hold) end(c claim) {
+// end makes this node no longer the holder. It lets others claim the roll-out at once, unless
+// the process is about to end without a planned stop.
+func (h *hold) end(ctx context.Context, c claim) {
 	h.m.mu.Lock()
 	s := h.rollout.Stage()
 	h.rollout = nil
+	abandoned := ctx.Err() != nil && !h.handOver && !s.Phase.Ended()
 	h.m.mu.Unlock()
+	if abandoned {
+		return
+	}
 	h.release(c)
 	if s.Phase.Ended() {
 		return
