--- a/io/stage/hold.go
+++ b/io/stage/hold.go
@@ -489,8 +489,10 @@
 	}
 	h.m.mu.Unlock()
 	stages := []*wire.RolloutStage{peer.ToStage(s)}
-	h.m.announce(ctx, to, &wire.AnnounceStagesRequest{Stages: stages})
-	h.m.announce(ctx, relays, &wire.AnnounceStagesRequest{Stages: stages, Forward: true})
+	h.m.spawn(func() {
+		h.m.announce(ctx, to, &wire.AnnounceStagesRequest{Stages: stages})
+		h.m.announce(ctx, relays, &wire.AnnounceStagesRequest{Stages: stages, Forward: true})
+	})
 }
 
 // takeReport takes the report of a node in stage theirs. A stage that this holder has not
--- a/io/stage/stage.go
+++ b/io/stage/stage.go
@@ -29,7 +29,7 @@
 
 const (
 	unorderedPart = 0.25 // of the canary share, that goes to a version that nobody ordered
-	maxMessages   = 32   // in flight at once
+	maxMessages   = 64   // in flight at once
 	bootPeers     = 3    // nodes that a node asks for their stages when it starts
 )
 
