Roll-outs: a version that was replaced without an order after a roll-out is in use

Known counted only services without any roll-out as replaced; after a completed one, the servers of a later release would have got the share of an unordered version until the last old server was gone. Reports stay within a sixteenth of rollback_within, so that a node in a large fleet falls back in time.

go test ./core/canary -run 'Unordered|Replaced|Nodes|Faulty|Orders': ok, 0.05 s.

--- a/core/canary/rollout_test.go
+++ b/core/canary/rollout_test.go
@@ -368,6 +368,30 @@
 	is.Equal(tab.Known("a", canary.Versions{"v9": 4, "v10": 10}), "v10")
 }
 
+// TestReplacedAfterRollout checks that a version that has replaced the one of an earlier
+// roll-out without an order is in use, and that one which a roll-out has left is not.
+func TestReplacedAfterRollout(t *testing.T) {
+	s := canary.Stage{Service: "a", Target: "v2", Baseline: "v1", Order: canary.OrderID{Revision: 1}}
+	for _, tc := range []struct {
+		phase canary.Phase
+		vs    canary.Versions
+		known string
+	}{
+		{canary.Complete, canary.Versions{"v1": 12, "v2": 10}, "v2"},
+		{canary.Complete, canary.Versions{"v2": 4, "v3": 8}, "v3"},
+		{canary.RolledBack, canary.Versions{"v1": 4, "v2": 12}, "v1"},
+		{canary.RolledBack, canary.Versions{"v1": 4, "v2": 12, "v3": 8}, "v3"},
+		{canary.RolledBack, canary.Versions{"v2": 12}, "v2"},
+		{canary.Full, canary.Versions{"v1": 4, "v2": 12}, "v1"},
+	} {
+		is := is.New(t)
+		tab := canary.NewTable(0.03)
+		tab.Merge(s.With(tc.phase, ""), time.Time{})
+		is.Equal(tab.Known("a", tc.vs), tc.known)
+		is.Equal(tab.Split(time.Time{}, "a", tc.vs).Known, tc.known)
+	}
+}
+
 // TestOrdersThatCannotBeDone checks that each ends at once or at its deadline, with its reason.
 func TestOrdersThatCannotBeDone(t *testing.T) {
 	start := time.Unix(1000, 0)
--- a/core/canary/table.go
+++ b/core/canary/table.go
@@ -14,8 +14,6 @@
 	Share  float64 // 0 to 1
 	// Servers is the number of servers of the target that get the share, 0 for all.
 	Servers int
-	// Barred is set if the target must get no call as long as there are other servers.
-	Barred bool
 }
 
 // Versions holds the slots of the servers of one service that accept calls, by version.
@@ -106,26 +104,33 @@
 }
 
 // Known returns the version of a service that is in use without an order, given the versions
-// of its servers. It stays the same until its servers hold less than half of the slots.
+// of its servers. It stays the same until its servers hold less than half of the slots, not
+// counting those of a version that a roll-out has left.
 func (t *Table) Known(service string, vs Versions) string {
 	e := t.get(service)
 	if e == nil {
 		return ""
 	}
-	if e.stage.Service != "" {
-		e.known = e.stage.Baseline
-		if e.stage.Phase >= Committed {
-			e.known = e.stage.Target
-		}
+	left, wasLeft := "", false
+	switch s := e.stage; {
+	case s.Service == "":
+	case s.Phase >= Committed:
+		e.known, left, wasLeft = s.Target, s.Baseline, s.Target != s.Baseline
+	default:
+		e.known, left, wasLeft = s.Baseline, s.Target, s.Phase == RolledBack
 	}
 	total, most := 0, ""
 	for _, v := range slices.SortedFunc(maps.Keys(vs), naturalOrder) {
+		if wasLeft && v == left && len(vs) > 1 {
+			continue
+		}
 		total += vs[v]
 		if most == "" || vs[v] > vs[most] {
 			most = v
 		}
 	}
-	if _, ok := vs[e.known]; !ok || 2*vs[e.known] < total && e.stage.Service == "" {
+	replaced := 2*vs[e.known] < total && (e.stage.Service == "" || e.stage.Phase.Ended())
+	if _, ok := vs[e.known]; !ok || replaced {
 		e.known = most
 	}
 	return e.known
@@ -141,7 +146,10 @@
 	if !ok || s.Phase == Complete {
 		return Split{Known: known, Share: t.unorderedShare}
 	}
-	split := Split{Known: s.Baseline, Target: s.Target, Barred: s.Phase == RolledBack}
+	split := Split{Known: s.Baseline, Target: s.Target}
+	if s.Phase == RolledBack {
+		split.Known = known
+	}
 	confirmed := now.Before(t.entries[service].confirmedBy)
 	switch {
 	case s.Phase == Committed, s.Phase == Full && confirmed:
--- a/io/stage/report.go
+++ b/io/stage/report.go
@@ -67,7 +67,7 @@
 	h.takeReport(now, theirs, req)
 	s := h.rollout.Stage()
 	if req.GetFrom() == m.cfg.Fleet.View().Self.ID {
-		m.table.Confirm(s, now.Add(s.Phase.ConfirmedFor(m.reportInterval(s.Phase))))
+		m.table.Confirm(s, now.Add(m.confirmedFor(s.Phase)))
 	}
 	return &wire.ReportTallyReply{Stage: peer.ToStage(s), Confirmed: true}
 }
--- a/io/stage/stage.go
+++ b/io/stage/stage.go
@@ -22,7 +22,8 @@
 	tickInterval   = 50 * time.Millisecond
 	minReportEvery = 250 * time.Millisecond // in phase Full
 	reportPerNode  = 2500 * time.Microsecond
-	canaryFactor   = 2 // on the interval between reports outside of phase Full
+	maxReportPart  = 16 // of the bound on the time of going back
+	canaryFactor   = 2  // on the interval between reports outside of phase Full
 	messageTimeout = 300 * time.Millisecond
 	bootTimeout    = 300 * time.Millisecond
 )
@@ -217,7 +218,7 @@
 	for _, s := range stages {
 		var until time.Time
 		if confirmed {
-			until = now.Add(s.Phase.ConfirmedFor(m.reportInterval(s.Phase)))
+			until = now.Add(m.confirmedFor(s.Phase))
 		}
 		if m.table.Merge(s, until) {
 			m.entered(now, s)
@@ -259,15 +260,25 @@
 }
 
 // reportInterval returns the time between two reports of a node. It grows with the number of
-// nodes, so that the holder gets no more of them.
+// nodes, so that the holder gets no more of them, as far as the bound on the time of going
+// back allows it.
 func (m *Manager) reportInterval(p canary.Phase) time.Duration {
-	every := max(minReportEvery, time.Duration(len(m.cfg.Fleet.View().UpIDs()))*reportPerNode)
+	every := time.Duration(len(m.cfg.Fleet.View().UpIDs())) * reportPerNode
+	if within := m.cfg.Settings.RollbackWithin.Std(); within > 0 {
+		every = min(every, within/maxReportPart)
+	}
+	every = max(every, minReportEvery)
 	if p == canary.Full {
 		return every
 	}
 	return canaryFactor * every
 }
 
+// confirmedFor returns how long a stage in phase p may be used after a confirmation.
+func (m *Manager) confirmedFor(p canary.Phase) time.Duration {
+	return p.ConfirmedFor(m.reportInterval(p))
+}
+
 // refresh updates what depends on the stages. The caller holds mu.
 func (m *Manager) refresh() {
 	if s, ok := m.table.Stage(m.cfg.Service); ok {
