--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -37,6 +37,8 @@
 	// second. It is 0 if the link is not known to be bounded, and for the picker's own
 	// node, to which calls take no link.
 	LinkRate float64
+	// Version is the version of its backend server's software, empty if unknown.
+	Version string
 	// WarmupEnd is when the warm-up period of its backend server ends, zero if
 	// there is none. Until then the candidate gets few calls (slow start).
 	WarmupEnd time.Time
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -43,7 +43,7 @@
 // listen opens all listeners except the one for callers, which is opened by
 // serveCallers. If one of them fails, it closes the others.
 func (n *Node) listen() (*servers, error) {
-	control := peer.Handler(peerServer{n}, n.deploymentID(), n.recordDroppedFrame, wire.NewProofsServer(n.feed))
+	control := peer.Handler(peerServer{n}, n.deploymentID(), n.recordDroppedFrame, n.services()...)
 	pipeline := n.newPipeline()
 	s := &servers{
 		pipeline:    pipeline,
@@ -79,6 +79,11 @@
 	return s, nil
 }
 
+// services returns the services between nodes that are served beside wire.Peer.
+func (n *Node) services() []wire.TwirpServer {
+	return []wire.TwirpServer{wire.NewProofsServer(n.feed), wire.NewRolloutsServer(n.rollouts)}
+}
+
 // newPipeline returns the pipeline of the requests of callers. While the node is stopping,
 // its responses ask callers to close their connection.
 func (n *Node) newPipeline() *ahead.Pipeline {
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -50,6 +50,7 @@
 	n.recordEvent(event.NodeDraining, "planned stop")
 	n.stopping.Store(true)
 	n.checkHomeCandidacy(ctx)
+	go n.rollouts.Close(ctx)
 	drain := n.drainSettings()
 	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(drain.Timeout.Std()+drain.Linger.Std()))
 	defer cancel()
--- a/io/node/vars.go
+++ b/io/node/vars.go
@@ -38,6 +38,8 @@
 		{"key_proof_reads_failed", "Reads for a proof that failed.", func() int64 { return n.feed.ProofStats().FailedReads }},
 		{"key_proof_asks", "Requests to other nodes for a proof.", func() int64 { return n.feed.ProofStats().Asked }},
 		{"key_proof_asks_answered", "Requests to other nodes for a proof that were answered with one.", func() int64 { return n.feed.ProofStats().Answered }},
+		{"rollouts_running", "Roll-outs that have not ended.", n.rollouts.Running},
+		{"rollout_target_calls", "Calls that this node has given to a version with a share of the calls.", n.rollouts.TargetCalls},
 		{"goroutines", "Goroutines.", func() int64 { return int64(runtime.NumGoroutine()) }},
 		{"log_lines_skipped", "Lines of requests that were left out.", func() int64 { return int64(n.requests.Skipped()) }},
 		{"log_lines_dropped", "Lines that were not written, since nobody read the output fast enough.", func() int64 { return int64(n.cfg.LogSink.Dropped()) }},
--- a/io/proxy/candidates.go
+++ b/io/proxy/candidates.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 
+	"tanagerchute/core/canary"
 	"tanagerchute/core/pick"
 	"tanagerchute/io/fleet"
 )
@@ -14,6 +15,7 @@
 	upstream []pick.Candidate // all upstreams of the service that are known one by one
 	entries  []pick.Candidate // entry nodes of other data centres
 	isSubset bool             // subset lacks some of upstream
+	versions canary.Versions  // slots by version of the upstreams, nil if there is one version only
 }
 
 // used returns the candidates that this node normally uses. If local is set, they
@@ -38,11 +40,12 @@
 	mu        sync.Mutex
 	view      *fleet.View
 	byService map[string]candidates
+	bySide    map[side]candidates
 	linkRates map[string]float64 // of the members whose links are bounded, by address
 }
 
 func newCandidateCache(node string) *candidateCache {
-	return &candidateCache{node: node, byService: map[string]candidates{}, linkRates: map[string]float64{}}
+	return &candidateCache{node: node, byService: map[string]candidates{}, bySide: map[side]candidates{}, linkRates: map[string]float64{}}
 }
 
 // linkRate returns the rate of the link of the member at addr in bytes a second, 0 if it is
@@ -69,6 +72,7 @@
 	}
 	cc.view = view
 	clear(cc.byService)
+	clear(cc.bySide)
 	clear(cc.linkRates)
 	for _, m := range view.Members {
 		if m.LinkRate > 0 && m.IsUp() {
@@ -94,7 +98,7 @@
 	var c candidates
 	for _, m := range view.Upstreams(service) {
 		u := pick.Candidate{
-			ID: m.ID, Addr: m.Addr, Slots: m.Slots, Remote: m.DataCentre != view.Self.DataCentre, WarmupEnd: m.WarmupEnd,
+			ID: m.ID, Addr: m.Addr, Slots: m.Slots, Remote: m.DataCentre != view.Self.DataCentre, WarmupEnd: m.WarmupEnd, Version: m.ServerVersion,
 		}
 		if m.ID != node {
 			u.LinkRate = m.LinkRate
@@ -104,6 +108,12 @@
 	for _, e := range view.Remote.Entries(service) {
 		c.entries = append(c.entries, pick.Candidate{ID: e.Addr, Addr: e.Addr, Slots: e.Slots, Remote: true, Entry: true})
 	}
+	c.versions = countVersions(c.upstream)
+	return c.withSubset(node)
+}
+
+// withSubset returns c with the upstreams that a node uses.
+func (c candidates) withSubset(node string) candidates {
 	c.subset = pick.Subset(node, c.upstream)
 	c.isSubset = len(c.subset) < len(c.upstream)
 	return c
