--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -283,9 +283,13 @@
 
 // Predecessor returns the record of the latest earlier process at the address of this
 // node. Unlike View it knows all that Join has learned.
-func (f *Fleet) Predecessor(ctx context.Context) (r member.Record, ok bool) {
-	f.do(ctx, func(time.Time) { r, ok = f.table.Predecessor() })
-	return r, ok
+func (f *Fleet) Predecessor(ctx context.Context) (member.Record, bool) {
+	var r member.Record
+	var known bool
+	if !f.do(ctx, func(time.Time) { r, known = f.table.Predecessor() }) {
+		return member.Record{}, false
+	}
+	return r, known
 }
 
 // BecomeHomeCandidate publishes that this node can be the home of a key. Its tenure
@@ -322,7 +326,9 @@
 // wait for those that are busy.
 func (f *Fleet) Stop(ctx context.Context) {
 	var messages []member.Action
-	f.do(ctx, func(now time.Time) { messages = f.table.Stop(now) })
+	if !f.do(ctx, func(now time.Time) { messages = f.table.Stop(now) }) {
+		return
+	}
 	targets := 0
 	for _, m := range messages {
 		targets += len(m.Targets)
