acct: the findings of a version do not depend on the version before

Cause: an invalid version was compared with the accounts of the version before, so that findings named other accounts than those of a node that starts with it. Change: the findings come from the definitions alone.

--- a/core/acct/acct_test.go
+++ b/core/acct/acct_test.go
@@ -113,3 +113,16 @@
 		}
 	})
 }
+
+// TestFindingsDoNotDependOnVersionBefore guards against findings that name the accounts
+// which the version before did not have, in place of those that stand later in the document.
+func TestFindingsDoNotDependOnVersionBefore(t *testing.T) {
+	is := is.New(t)
+	var c, anew Compiler
+	_, findings := c.Compile([]Source{source("a"), source("b", "k4")})
+	is.Equal(len(findings), 0)
+	invalid := []Source{source("a", "k4"), source("a"), source("a"), source("b", "k4")}
+	_, findings = c.Compile(invalid)
+	_, want := anew.Compile(invalid)
+	is.Equal(findings, want)
+}
--- a/core/acct/compile.go
+++ b/core/acct/compile.go
@@ -76,21 +76,35 @@
 			e.remove(s)
 		}
 	}
+	valid := len(findings) == 0
 	for i, s := range order {
 		if s == nil || c.specs[sources[i].Content] == s {
 			continue
 		}
-		for _, p := range e.add(s) {
-			findings = appendOnce(findings, Finding{i, p})
-		}
+		valid = len(e.add(s)) == 0 && valid
 	}
-	if len(findings) > 0 {
-		return nil, findings
+	if !valid {
+		return nil, addAll(order, findings)
 	}
 	c.dir, c.specs = e.d, specs
 	return e.d, nil
 }
 
+// addAll adds to findings what is wrong with the given definitions together, apart from
+// what is wrong with each. The result does not depend on the version before.
+func addAll(order []*Spec, findings []Finding) []Finding {
+	e := (&Directory{byName: map[string]*Account{}}).edit()
+	for i, s := range order {
+		if s == nil {
+			continue
+		}
+		for _, p := range e.add(s) {
+			findings = appendOnce(findings, Finding{i, p})
+		}
+	}
+	return findings
+}
+
 // appendOnce appends f unless there is a finding about the same place.
 func appendOnce(findings []Finding, f Finding) []Finding {
 	same := func(o Finding) bool { return o.Index == f.Index && o.Field == f.Field && o.Key == f.Key }
