Roll-outs: without an order, calls are not divided by version

A release that replaces servers one after the other without an order lost up to half of its capacity. Also, with as many new servers as old ones, the version in use changed as soon as one old server was away; an order for the new version was then committed to without a canary. Change: Table.Split divides calls only while an order runs; after one, the version that was left gets none while there are other servers. The version in use stays the same until its servers hold less than a third of the slots. Tests: TestUnorderedVersion, TestReplacedAfterRollout and TestCandidatesBySide expected the share of unordered versions, and the part of a half; they now expect the above, and compare the whole Split. Run: go test ./core/canary ./io/proxy -run 'Unordered|Replaced|BySide|Nodes': ok.

--- a/core/canary/doc.go
+++ b/core/canary/doc.go
@@ -24,5 +24,5 @@
 //		r.Enter(now, next) // once it is stored, see Stage.StoredFirst
 //	}
 //	changed := table.Merge(now, next)
-//	split, ok := table.Split(now, "skraning", versions)
+//	split := table.Split(now, "skraning", versions)
 package canary
--- a/core/canary/table.go
+++ b/core/canary/table.go
@@ -8,10 +8,14 @@
 )
 
 // Split tells how the calls to a service are divided between the versions of its servers.
+// The zero Split does not divide them.
 type Split struct {
 	Known  string  // version that gets all other calls
-	Target string  // version that gets the share, empty for any but Known
+	Target string  // version that gets the share, empty if no roll-out is running
 	Share  float64 // 0 to 1
+	// Left is the version that a roll-out has left, empty for none. Its servers get calls
+	// only if there are no others.
+	Left string
 	// Servers is the number of servers of the target that get the share, 0 for all.
 	Servers int
 }
@@ -32,15 +36,11 @@
 // Table holds the newest stages that a node knows. Nodes exchange their stages; Merge is
 // commutative and idempotent. It is not safe for concurrent use.
 type Table struct {
-	unorderedShare float64
-	entries        map[string]*entry
+	entries map[string]*entry
 }
 
-// NewTable returns an empty table. A version that nobody has ordered gets the given share of
-// the calls to a service.
-func NewTable(unorderedShare float64) *Table {
-	return &Table{unorderedShare: unorderedShare, entries: map[string]*entry{}}
-}
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{entries: map[string]*entry{}} }
 
 // get returns the entry of a service, nil if the table is full.
 func (t *Table) get(service string) *entry {
@@ -104,8 +104,9 @@
 }
 
 // Known returns the version of a service that is in use without an order, given the versions
-// of its servers. It stays the same until its servers hold less than half of the slots, not
-// counting those of a version that a roll-out has left.
+// of its servers. It stays the same until its servers hold less than 1/replacedPart of the
+// slots, not counting those of a version that a roll-out has left. So it is still the old one
+// when some of the old servers are away as an order comes.
 func (t *Table) Known(service string, vs Versions) string {
 	e := t.get(service)
 	if e == nil {
@@ -119,37 +120,57 @@
 	default:
 		e.known, left, wasLeft = s.Baseline, s.Target, s.Phase == RolledBack
 	}
-	total, most := 0, ""
+	var names []string
+	total := 0
 	for _, v := range slices.SortedFunc(maps.Keys(vs), naturalOrder) {
 		if wasLeft && v == left && len(vs) > 1 {
 			continue
 		}
+		names = append(names, v)
 		total += vs[v]
-		if most == "" || vs[v] > vs[most] {
-			most = v
-		}
 	}
-	replaced := 2*vs[e.known] < total && (e.stage.Service == "" || e.stage.Phase.Ended())
+	replaced := replacedPart*vs[e.known] < total && (e.stage.Service == "" || e.stage.Phase.Ended())
 	if _, ok := vs[e.known]; !ok || replaced {
-		e.known = most
+		e.known = firstInUse(names, vs, total)
 	}
 	return e.known
 }
 
+// replacedPart is the divisor of the slots of a service: a version with less than that part
+// has been replaced.
+const replacedPart = 3
+
+// firstInUse returns the first of names that has not been replaced, and the one with the most
+// slots if there is none.
+func firstInUse(names []string, vs Versions, total int) string {
+	most := ""
+	for i, v := range names {
+		if replacedPart*vs[v] >= total {
+			return v
+		}
+		if i == 0 || vs[v] > vs[most] {
+			most = v
+		}
+	}
+	return most
+}
+
 // naturalOrder compares versions such as v9 and v10 by their length first.
 func naturalOrder(a, b string) int { return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)) }
 
 // Split returns the split of the calls to a service at now.
 func (t *Table) Split(now time.Time, service string, vs Versions) Split {
-	known := t.Known(service, vs)
+	t.Known(service, vs) // an order that comes later replaces this version
 	s, ok := t.Stage(service)
-	if !ok || s.Phase == Complete {
-		return Split{Known: known, Share: t.unorderedShare}
+	switch {
+	case !ok, s.Phase.Ended() && s.Target == s.Baseline:
+		return Split{}
+	case s.Phase == Complete:
+		return Split{Left: s.Baseline}
+	case s.Phase == RolledBack:
+		return Split{Left: s.Target}
 	}
 	split := Split{Known: s.Baseline, Target: s.Target}
-	if s.Phase == RolledBack {
-		split.Known = known
-	}
 	confirmed := now.Before(t.entries[service].confirmedBy)
 	switch {
 	case s.Phase == Committed, s.Phase == Full && confirmed:
--- a/io/proxy/rollout.go
+++ b/io/proxy/rollout.go
@@ -50,6 +50,9 @@
 		return cs
 	}
 	split := d.p.cfg.Rollouts.Split(d.call.Service, cs.versions)
+	if split == (canary.Split{}) {
+		return cs
+	}
 	target := split.Share >= 1 || split.Share > 0 && !d.versionChosen && d.p.cfg.Rollouts.TakeTarget(d.call.Service, split.Share)
 	d.versionChosen = true
 	split.Share = 0
@@ -71,12 +74,15 @@
 // onSide returns the candidates on one side of a split. If there are none, it returns those
 // on the other side.
 func (c candidates) onSide(node string, s side) candidates {
+	if s.split.Target == "" {
+		return c.without(node, s.split.Left)
+	}
 	var known, target, others []pick.Candidate
 	for _, u := range c.upstream {
 		switch {
 		case u.Version == s.split.Known:
 			known = append(known, u)
-		case s.split.Target == "" || u.Version == s.split.Target:
+		case u.Version == s.split.Target:
 			target = append(target, u)
 		default:
 			others = append(others, u)
@@ -99,6 +105,21 @@
 	return c.withSubset(node)
 }
 
+// without returns c without the upstreams of a version, unless it has no others.
+func (c candidates) without(node, version string) candidates {
+	var kept []pick.Candidate
+	for _, u := range c.upstream {
+		if u.Version != version {
+			kept = append(kept, u)
+		}
+	}
+	if len(kept) == 0 {
+		return c
+	}
+	c.upstream = kept
+	return c.withSubset(node)
+}
+
 // topServers returns the servers of the canary: the same at all nodes, so that each of them
 // gets enough load.
 func topServers(s side, cs []pick.Candidate) []pick.Candidate {
--- a/io/stage/stage.go
+++ b/io/stage/stage.go
@@ -29,9 +29,8 @@
 )
 
 const (
-	unorderedPart = 0.25 // of the canary share, that goes to a version that nobody ordered
-	maxMessages   = 64   // in flight at once
-	bootPeers     = 3    // nodes that a node asks for their stages when it starts
+	maxMessages = 64 // in flight at once
+	bootPeers   = 3  // nodes that a node asks for their stages when it starts
 )
 
 // Config configures a Manager.
@@ -77,7 +76,7 @@
 func New(cfg Config) *Manager {
 	return &Manager{
 		cfg: cfg, wake: make(chan struct{}, 1), slots: make(chan struct{}, maxMessages),
-		table:    canary.NewTable(unorderedPart * cfg.Settings.CanaryShare),
+		table:    canary.NewTable(),
 		counters: map[string]float64{}, tallies: map[string]*canary.Tally{}, reportedAt: map[string]time.Time{},
 		fallenBack: map[string]bool{}, holds: map[string]*hold{}, orders: map[string]canary.Order{},
 	}
