core/canary: counts of restarted nodes and of a late successor

Cause: a node that restarts counts from 0 again; its answers were ignored until there were more than before the restart. A holder that takes over took all calls since the order for calls of its first two seconds; at that rate there was no room for the move, and a good version went back at its deadline. Change: a report says since when it counts (since_ns). The first tally of a node doesn't count for the rate. Tests: TestRestartedNodeIsCounted, TestSuccessorMovesAllCalls failed before.

--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -65,6 +65,7 @@
 // Report is what a node reports to the holder.
 type Report struct {
 	Node    string
+	Since   time.Time // when the tallies began; a process that restarts begins new ones
 	Order   OrderID
 	Phase   Phase // that the node is in
 	Tallies []*Tally
@@ -76,6 +77,7 @@
 // nodeState is what a node has reported.
 type nodeState struct {
 	at      time.Time
+	since   time.Time // Report.Since
 	phase   Phase
 	quiet   bool
 	tallies map[string]*Tally // by version
@@ -131,14 +133,21 @@
 	r.stage = s
 }
 
-// Report takes the report of a node. Its tallies count from the order on, so a lost or
-// repeated report does no harm.
+// Report takes the report of a node. Its tallies count from the order on, or from the start of
+// its process, so a lost or repeated report does no harm.
 func (r *Rollout) Report(now time.Time, rep Report) {
 	n := r.nodes[rep.Node]
 	if n == nil {
 		n = &nodeState{tallies: map[string]*Tally{}}
 		r.nodes[rep.Node] = n
 	}
+	switch {
+	case rep.Since.Before(n.since):
+		return // of a process that has ended
+	case rep.Since.After(n.since):
+		n.since = rep.Since
+		clear(n.tallies)
+	}
 	n.at, n.phase, n.quiet = now, rep.Phase, rep.Quiet
 	for _, t := range rep.Tallies {
 		r.addTally(now, rep.Node, n, t)
@@ -152,14 +161,18 @@
 		return
 	}
 	last := n.tallies[t.Version]
-	if last == nil {
+	timed := last != nil // else nobody knows when the calls were
+	if !timed {
 		last = NewTally(t.Version)
+		r.rate.begin(now)
 	}
 	n.tallies[t.Version] = t
 	for route, c := range t.Routes {
 		d := c.since(last.Routes[route])
 		r.calls += d.Calls
-		r.rate.add(now, d.Calls)
+		if timed {
+			r.rate.add(now, d.Calls)
+		}
 		if t.Version == r.stage.Target {
 			r.exposed += d.Calls
 			r.judge.Target(node, route, d)
@@ -406,6 +419,13 @@
 	now          time.Time
 }
 
+// begin starts the measurement at now, unless events have been counted.
+func (m *rateMeter) begin(now time.Time) {
+	if m.count == 0 && !m.lastComplete {
+		m.since = now
+	}
+}
+
 // add counts n events.
 func (m *rateMeter) add(now time.Time, n int) {
 	if span := now.Sub(m.since); span >= rateSpan {
--- a/core/canary/rollout_test.go
+++ b/core/canary/rollout_test.go
@@ -475,3 +475,53 @@
 	_, bad = j.Alarm()
 	is.True(bad)
 }
+
+// readTally returns a tally of n good answers on one route.
+func readTally(version string, n int) *canary.Tally {
+	t := canary.NewTally(version)
+	for range n {
+		t.Add(canary.Outcome{Route: "read", Took: 100 * time.Millisecond})
+	}
+	return t
+}
+
+// TestRestartedNodeIsCounted checks that the answers of a node count whose process has
+// restarted, and so begins to count again, and that a late report of the former one does not.
+func TestRestartedNodeIsCounted(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	o := canary.NewOrder(canary.Request{Service: "a", Target: "v2", Within: 10 * time.Second}, canary.OrderID{Revision: 1}, now)
+	r := canary.New(canary.Config{Share: share, Slack: slack}, now, o, "v1", canary.Stage{})
+	r.Report(now, canary.Report{Node: "old", Since: now, Tallies: []*canary.Tally{readTally("v1", 100)}})
+	r.Report(now, canary.Report{Node: "new", Since: now, Tallies: []*canary.Tally{readTally("v2", 50)}})
+	is.Equal(r.Judge().Answers(), 50)
+	restarted := now.Add(time.Second)
+	r.Report(now, canary.Report{Node: "new", Since: restarted, Tallies: []*canary.Tally{readTally("v2", 30)}})
+	is.Equal(r.Judge().Answers(), 80)
+	r.Report(now, canary.Report{Node: "new", Since: now, Tallies: []*canary.Tally{readTally("v2", 50)}})
+	r.Report(now, canary.Report{Node: "new", Since: restarted, Tallies: []*canary.Tally{readTally("v2", 31)}})
+	is.Equal(r.Judge().Answers(), 81)
+}
+
+// TestSuccessorMovesAllCalls checks that a holder that takes over late does not take the calls
+// counted before for a high rate, for which there would be no room.
+func TestSuccessorMovesAllCalls(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	o := canary.NewOrder(canary.Request{Service: "a", Target: "v2", Within: 16 * time.Second}, canary.OrderID{Revision: 1}, start)
+	last := canary.Stage{Order: o.ID, Service: "a", Target: "v2", Baseline: "v1"}.With(canary.Canary, "").WithHolder("a")
+	last.Share, last.Servers = 0.025, 2
+	took := 11 * time.Second
+	r := canary.New(canary.Config{Share: share, Slack: slack}, start.Add(took), o, "v1", last)
+	servers := canary.Servers{Known: true, OldServers: 12, OldSlots: 144, TargetServers: 12, TargetSlots: 144, ReportInterval: reportEvery, Nodes: []string{"n"}}
+	for d := took; d < o.Within && !r.Stage().Phase.Ended(); d += holderTick {
+		calls := int(500 * d.Seconds())
+		tallies := []*canary.Tally{readTally("v1", calls), readTally("v2", calls/40)}
+		r.Report(start.Add(d), canary.Report{Node: "n", Phase: r.Stage().Phase, Quiet: r.Stage().Phase == canary.Committed, Tallies: tallies})
+		if next, ok := r.Next(start.Add(d), servers); ok {
+			r.Enter(start.Add(d), next)
+		}
+	}
+	t.Log(r.Stage().Reason)
+	is.Equal(r.Stage().Phase, canary.Complete)
+}
--- a/io/stage/hold.go
+++ b/io/stage/hold.go
@@ -512,7 +512,7 @@
 		clear(h.announcedAt)
 	}
 	h.rollout.Report(now, canary.Report{
-		Node: req.GetFrom(), Order: theirs.Order, Phase: theirs.Phase, Quiet: req.GetQuiet(), Tallies: peer.FromTallies(req.GetTallies()),
+		Node: req.GetFrom(), Since: time.Unix(0, req.GetSinceNs()), Order: theirs.Order, Phase: theirs.Phase, Quiet: req.GetQuiet(), Tallies: peer.FromTallies(req.GetTallies()),
 	})
 }
 
--- a/io/stage/report.go
+++ b/io/stage/report.go
@@ -17,7 +17,7 @@
 
 // buildReport returns the report of this node in stage s. The caller holds mu.
 func (m *Manager) buildReport(s canary.Stage) *wire.ReportTallyRequest {
-	req := &wire.ReportTallyRequest{From: m.cfg.Fleet.View().Self.ID, Stage: peer.ToStage(s), Quiet: true}
+	req := &wire.ReportTallyRequest{From: m.cfg.Fleet.View().Self.ID, Stage: peer.ToStage(s), Quiet: true, SinceNs: m.tallySince.UnixNano()}
 	if s.Service != m.cfg.Service {
 		return req
 	}
--- a/io/stage/stage.go
+++ b/io/stage/stage.go
@@ -66,6 +66,7 @@
 	counters   map[string]float64 // part of a call that is due to the target version, by service
 	tallies    map[string]*canary.Tally
 	tallyOrder canary.OrderID
+	tallySince time.Time
 	reportedAt map[string]time.Time // by service
 	fallenBack map[string]bool      // services whose stage is not confirmed
 	holds      map[string]*hold     // by service
@@ -78,6 +79,7 @@
 		cfg: cfg, wake: make(chan struct{}, 1), slots: make(chan struct{}, maxMessages),
 		table:    canary.NewTable(),
 		counters: map[string]float64{}, tallies: map[string]*canary.Tally{}, reportedAt: map[string]time.Time{},
+		tallySince: time.Now(),
 		fallenBack: map[string]bool{}, holds: map[string]*hold{}, orders: map[string]canary.Order{},
 	}
 }
@@ -233,7 +235,7 @@
 // entered records that s is the newest stage of its service. The caller holds mu.
 func (m *Manager) entered(now time.Time, s canary.Stage) {
 	if s.Service == m.cfg.Service && s.Order != m.tallyOrder {
-		m.tallyOrder = s.Order
+		m.tallyOrder, m.tallySince = s.Order, now
 		clear(m.tallies)
 	}
 	m.counters[s.Service] = m.counterStart()
