Roll-outs: a node without a server doesn't hold up the end

Cause: a node whose server had ended, or had a third version, never reported that no call was in progress at an old server, so the roll-out ended only 0.3 s before its deadline. A report from before the verdict could count as a confirmation for nodes of other versions. Change: such a node confirms when no call is in progress; reports count from Committed on. Run: go test ./core/canary: ok. No test of the report itself.

--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -394,7 +394,7 @@
 
 // nextCommitted decides whether the roll-out is complete.
 func (r *Rollout) nextCommitted(now time.Time, s Servers) (Stage, bool) {
-	busy := r.count(now, s, func(n *nodeState) bool { return !n.quiet })
+	busy := r.count(now, s, func(n *nodeState) bool { return !n.quiet || n.phase < Committed })
 	switch {
 	case now.Sub(r.enteredAt) < spreadTime:
 	case busy == 0:
--- a/io/stage/report.go
+++ b/io/stage/report.go
@@ -26,13 +26,23 @@
 		tallies = append(tallies, t)
 	}
 	req.Tallies = peer.ToTallies(tallies)
-	version := m.cfg.Fleet.View().Self.ServerVersion
-	if version != s.Target {
-		req.Quiet = m.Refuses(version) && m.cfg.Busy() == 0
-	}
+	req.Quiet = m.isQuiet(s)
 	return req
 }
 
+// isQuiet reports whether this node's server has another version than the old one of s, or
+// gets no calls any more. A node without a server has no version.
+func (m *Manager) isQuiet(s canary.Stage) bool {
+	self := m.cfg.Fleet.View().Self
+	switch {
+	case self.ServerVersion == s.Target:
+		return true
+	case self.ServerVersion != s.Baseline, self.ServerVersion == "" && !self.Ready:
+		return m.cfg.Busy() == 0
+	}
+	return m.Refuses(self.ServerVersion) && m.cfg.Busy() == 0 // in this order: no call comes after the refusal
+}
+
 // sendReport sends a report to the holder and takes its reply.
 func (m *Manager) sendReport(ctx context.Context, holder string, req *wire.ReportTallyRequest) {
 	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
