proxy: the side of an old view isn't kept

Cause: a call that had read the candidates of one view stored their side after another call had moved the cache to the next view; the side then had servers that were gone until the view after that. Test: TestSideOfAnOldView fails without the check. Run: go test ./io/proxy: ok.

--- a/io/proxy/candidates.go
+++ b/io/proxy/candidates.go
@@ -16,6 +16,7 @@
 	entries  []pick.Candidate // entry nodes of other data centres
 	isSubset bool             // subset lacks some of upstream
 	versions canary.Versions  // slots by version of the upstreams, nil if there is one version only
+	view     *fleet.View      // that the candidates are of
 }
 
 // used returns the candidates that this node normally uses. If local is set, they
@@ -95,7 +96,7 @@
 }
 
 func newCandidates(node string, view *fleet.View, service string) candidates {
-	var c candidates
+	c := candidates{view: view}
 	for _, m := range view.Upstreams(service) {
 		u := pick.Candidate{
 			ID: m.ID, Addr: m.Addr, Slots: m.Slots, Remote: m.DataCentre != view.Self.DataCentre, WarmupEnd: m.WarmupEnd, Version: m.ServerVersion,
--- a/io/proxy/rollout.go
+++ b/io/proxy/rollout.go
@@ -60,9 +60,13 @@
 }
 
 // getSide returns those of cs, the candidates of a service, that are on one side of a split.
+// It keeps the result only if cs is of the view that the cache holds.
 func (cc *candidateCache) getSide(cs candidates, s side) candidates {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
+	if cs.view != cc.view {
+		return cs.onSide(cc.node, s)
+	}
 	out, ok := cc.bySide[s]
 	if !ok {
 		out = cs.onSide(cc.node, s)
--- a/io/proxy/rollout_test.go
+++ b/io/proxy/rollout_test.go
@@ -7,6 +7,7 @@
 
 	"tanagerchute/core/canary"
 	"tanagerchute/core/pick"
+	"tanagerchute/io/fleet"
 )
 
 // TestCandidatesBySide checks which upstreams each side of a split has.
@@ -44,3 +45,15 @@
 		})
 	}
 }
+
+// TestSideOfAnOldView checks that candidates of a former view are not kept for later calls.
+func TestSideOfAnOldView(t *testing.T) {
+	is := is.New(t)
+	before, after := &fleet.View{}, &fleet.View{}
+	cc := newCandidateCache("self")
+	cc.update(after)
+	s := side{service: "a", split: canary.Split{Known: "v1", Target: "v2"}}
+	upstream := []pick.Candidate{{ID: "o1", Version: "v1"}, {ID: "o2", Version: "v1"}, {ID: "n", Version: "v2"}}
+	is.Equal(len(cc.getSide(candidates{view: before, upstream: upstream}, s).upstream), 2)
+	is.Equal(len(cc.getSide(candidates{view: after, upstream: upstream[1:]}, s).upstream), 1)
+}
