Roll-outs: a holder's first write is repeated

Cause: if the store failed the write by which a holder makes itself known, it was not repeated until the next stage; no node reported to it and the order ended by its deadline. Change: the write is repeated while the stage names another holder. No test of its own.

--- a/io/stage/hold.go
+++ b/io/stage/hold.go
@@ -363,7 +363,8 @@
 
 // decide takes the roll-out from stage to stage. It returns as lead does.
 func (h *hold) decide(ctx context.Context, c claim) bool {
-	pending := h.startWrite(ctx, c, h.stage().WithHolder(h.m.cfg.Fleet.View().Self.Addr))
+	self := h.m.cfg.Fleet.View().Self.Addr
+	pending := h.startWrite(ctx, c, h.stage().WithHolder(self))
 	unwritten := canary.Stage{} // a stage that has taken effect, and is not stored yet
 	for timer.Sleep(ctx, decideInterval) {
 		now := time.Now()
@@ -394,8 +395,12 @@
 			pending = h.startWrite(ctx, c, unwritten)
 			continue
 		}
-		if changed && pending == nil {
+		switch {
+		case pending != nil:
+		case changed:
 			pending = h.startWrite(ctx, c, next)
+		case h.stage().Holder != self: // the first write has failed, so no node reports here
+			pending = h.startWrite(ctx, c, h.stage().WithHolder(self))
 		}
 		h.announceAgain(ctx, now)
 	}
