Roll-outs: servers of a left version get calls again when there are no others

Cause: whether there are other servers was decided when the stage was learned. After the end it was not looked at again, so a later return to the old version without an order was refused for good. Change: it is looked at with each call to such a server. No test of its own.

--- a/io/stage/stage.go
+++ b/io/stage/stage.go
@@ -208,7 +208,18 @@
 // Refuses implements gate.Rollouts.
 func (m *Manager) Refuses(version string) bool {
 	v := m.refused.Load()
-	return v != nil && *v == version
+	return v != nil && *v == version && m.hasOtherVersion(version)
+}
+
+// hasOtherVersion reports whether servers of the node's service accept calls that have
+// another version than the given one.
+func (m *Manager) hasOtherVersion(version string) bool {
+	for _, r := range m.cfg.Fleet.View().Upstreams(m.cfg.Service) {
+		if r.ServerVersion != version {
+			return true
+		}
+	}
+	return false
 }
 
 // learn adds stages from another node. confirmed tells whether they come from their holder,
@@ -293,7 +304,7 @@
 }
 
 // refusedVersion returns the version of this node's service whose servers get no calls any
-// more after stage s, nil if there is none or no other server.
+// more after stage s, nil if there is none.
 func (m *Manager) refusedVersion(s canary.Stage) *string {
 	var left string
 	switch s.Phase {
@@ -304,9 +315,7 @@
 	default:
 		return nil
 	}
-	vs := m.versions(s.Service)
-	delete(vs, left)
-	if len(vs) == 0 || left == "" || s.Target == s.Baseline {
+	if left == "" || s.Target == s.Baseline {
 		return nil
 	}
 	return &left
