Roll-outs: an order holds the version back at once

Cause: without an order the servers of the version get calls as all others do, and the first stage came only after the claim and three calls of the store. Change: a reader that sees a new order in its watch tells all nodes that the version waits. An order that it finds when it begins to read may have ended, and is not told.

--- a/io/stage/reader.go
+++ b/io/stage/reader.go
@@ -11,7 +11,9 @@
 	"tanagerchute"
 	"tanagerchute/core/canary"
 	"tanagerchute/core/event"
+	"tanagerchute/io/peer"
 	"tanagerchute/io/timer"
+	"tanagerchute/io/wire"
 )
 
 const (
@@ -57,7 +59,7 @@
 	present := map[string]bool{}
 	for _, kv := range kvs {
 		present[strings.TrimPrefix(kv.Key, prefix)] = true
-		m.observeOrder(runCtx, rev, kv)
+		m.observeOrder(runCtx, rev, kv) // it may have ended long ago
 	}
 	m.withdrawMissing(rev, present)
 	return m.cfg.Store.Watch(ctx, prefix, rev.Next(), func() {}, func(e tanagerchute.Event) {
@@ -65,7 +67,9 @@
 			m.withdraw(strings.TrimPrefix(e.KV.Key, prefix))
 			return
 		}
-		m.observeOrder(runCtx, rev, e.KV)
+		if o, isNew := m.observeOrder(runCtx, rev, e.KV); isNew {
+			m.holdTargetBack(runCtx, o)
+		}
 	})
 }
 
@@ -78,15 +82,32 @@
 	return n
 }
 
+// holdTargetBack tells all nodes about an order that was given just now, so that the ordered
+// version gets no calls until a holder has begun with it.
+func (m *Manager) holdTargetBack(ctx context.Context, o canary.Order) {
+	versions := m.versions(o.Service)
+	m.mu.Lock()
+	s := canary.Stage{
+		Order: o.ID, Service: o.Service, Target: o.Target, Baseline: m.table.Known(o.Service, versions),
+		Phase: canary.Waiting, Reason: "no node has begun with the order",
+	}
+	m.mu.Unlock()
+	m.learn(time.Now(), []canary.Stage{s}, false)
+	m.spawn(func() {
+		m.announce(ctx, m.others(), &wire.AnnounceStagesRequest{Stages: []*wire.RolloutStage{peer.ToStage(s)}})
+	})
+}
+
 // observeOrder takes an order from the store, and begins to perform it unless it is known.
-func (m *Manager) observeOrder(ctx context.Context, rev tanagerchute.Revision, kv tanagerchute.KV) {
+// It returns the order and whether it is new to this node.
+func (m *Manager) observeOrder(ctx context.Context, rev tanagerchute.Revision, kv tanagerchute.KV) (o canary.Order, isNew bool) {
 	now := time.Now()
 	r, err := m.cfg.Format.ParseOrder(kv.Key, kv.Value)
 	if err != nil {
 		m.recordEvent(now, event.RolloutRefused, strings.TrimPrefix(kv.Key, m.cfg.Format.OrderPrefix()), err.Error())
-		return
+		return canary.Order{}, false
 	}
-	o := canary.NewOrder(r, canary.OrderID{Era: eraNumber(rev), Revision: kv.ModRevision}, now)
+	o = canary.NewOrder(r, canary.OrderID{Era: eraNumber(rev), Revision: kv.ModRevision}, now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if s, ok := m.table.Stage(r.Service); ok && s.Order.Revision == o.ID.Revision && s.Target == o.Target {
@@ -95,10 +116,12 @@
 	if last, ok := m.orders[r.Service]; ok && (o.Repeats(last) || o.ID.Compare(last.ID) <= 0) {
 		o = last
 	} else {
+		isNew = true
 		m.orders[r.Service] = o
 		m.recordEvent(now, event.RolloutOrdered, r.Service, "version "+r.Target+" within "+r.Within.String())
 	}
 	m.startHold(ctx, o)
+	return o, isNew
 }
 
 // withdraw records that the order for a service was withdrawn.
