Roll-outs: a holder waits for its write before it ends

Cause: a write in progress read the order while the next claim of the same node changed its deadline. Found by reading, after one run of TestSecondOrder with -race reported a data race of which the place was not kept; 5 later runs reported none. Change: the write is canceled and waited for.

--- a/io/stage/hold.go
+++ b/io/stage/hold.go
@@ -358,13 +358,20 @@
 // pendingWrite is a stage that is being stored before it takes effect.
 type pendingWrite struct {
 	stage canary.Stage
-	done  chan error
+	done  chan error // receives the outcome and is closed
 }
 
 // decide takes the roll-out from stage to stage. It returns as lead does.
 func (h *hold) decide(ctx context.Context, c claim) bool {
+	ctx, cancel := context.WithCancel(ctx)
 	self := h.m.cfg.Fleet.View().Self.Addr
 	pending := h.startWrite(ctx, c, h.stage().WithHolder(self))
+	defer func() { // the next holder changes the order that the write reads
+		cancel()
+		if pending != nil {
+			<-pending.done
+		}
+	}()
 	unwritten := canary.Stage{} // a stage that has taken effect, and is not stored yet
 	for timer.Sleep(ctx, decideInterval) {
 		now := time.Now()
@@ -410,7 +417,10 @@
 // startWrite stores a stage in the background.
 func (h *hold) startWrite(ctx context.Context, c claim, s canary.Stage) *pendingWrite {
 	p := &pendingWrite{stage: s, done: make(chan error, 1)}
-	go func() { p.done <- h.write(ctx, c, s) }()
+	go func() {
+		defer close(p.done)
+		p.done <- h.write(ctx, c, s)
+	}()
 	return p
 }
 
