--- a/core/canary/rollout_test.go
+++ b/core/canary/rollout_test.go
@@ -525,3 +525,33 @@
 	t.Log(r.Stage().Reason)
 	is.Equal(r.Stage().Phase, canary.Complete)
 }
+
+// TestShortPauseIsNotSlow checks that pauses of a few milliseconds of a host don't condemn a
+// version whose answers take less than that, and that several times the usual time does.
+func TestShortPauseIsNotSlow(t *testing.T) {
+	for _, tc := range []struct {
+		usual, taken time.Duration
+		bad          bool
+	}{
+		{2 * time.Millisecond, 15 * time.Millisecond, false},
+		{2 * time.Millisecond, 40 * time.Millisecond, true},
+		{30 * time.Millisecond, 90 * time.Millisecond, true},
+	} {
+		is := is.New(t)
+		now := time.Unix(1000, 0)
+		j := canary.NewJudge(now)
+		for range 50 {
+			j.Old(now, "read", oneAnswer(tc.usual))
+			j.Target("a", "read", oneAnswer(tc.taken))
+		}
+		_, bad := j.Alarm()
+		is.Equal(bad, tc.bad)
+	}
+}
+
+// oneAnswer returns the counts of one answer.
+func oneAnswer(took time.Duration) canary.RouteCounts {
+	c := canary.RouteCounts{Calls: 1}
+	c.Times.Add(took)
+	return c
+}
