--- a/io/stage/stage.go
+++ b/io/stage/stage.go
@@ -29,9 +29,8 @@
 )
 
 const (
-	unorderedPart = 0.25 // of the canary share, that goes to a version that nobody ordered
-	maxMessages   = 64   // in flight at once
-	bootPeers     = 3    // nodes that a node asks for their stages when it starts
+	maxMessages = 64 // in flight at once
+	bootPeers   = 3  // nodes that a node asks for their stages when it starts
 )
 
 // Config configures a Manager.
@@ -67,6 +66,7 @@
 	counters   map[string]float64 // part of a call that is due to the target version, by service
 	tallies    map[string]*canary.Tally
 	tallyOrder canary.OrderID
+	tallySince time.Time
 	reportedAt map[string]time.Time // by service
 	fallenBack map[string]bool      // services whose stage is not confirmed
 	holds      map[string]*hold     // by service
@@ -77,8 +77,9 @@
 func New(cfg Config) *Manager {
 	return &Manager{
 		cfg: cfg, wake: make(chan struct{}, 1), slots: make(chan struct{}, maxMessages),
-		table:    canary.NewTable(unorderedPart * cfg.Settings.CanaryShare),
+		table:    canary.NewTable(),
 		counters: map[string]float64{}, tallies: map[string]*canary.Tally{}, reportedAt: map[string]time.Time{},
+		tallySince: time.Now(),
 		fallenBack: map[string]bool{}, holds: map[string]*hold{}, orders: map[string]canary.Order{},
 	}
 }
@@ -207,7 +208,18 @@
 // Refuses implements gate.Rollouts.
 func (m *Manager) Refuses(version string) bool {
 	v := m.refused.Load()
-	return v != nil && *v == version
+	return v != nil && *v == version && m.hasOtherVersion(version)
+}
+
+// hasOtherVersion reports whether servers of the node's service accept calls that have
+// another version than the given one.
+func (m *Manager) hasOtherVersion(version string) bool {
+	for _, r := range m.cfg.Fleet.View().Upstreams(m.cfg.Service) {
+		if r.ServerVersion != version {
+			return true
+		}
+	}
+	return false
 }
 
 // learn adds stages from another node. confirmed tells whether they come from their holder,
@@ -234,7 +246,7 @@
 // entered records that s is the newest stage of its service. The caller holds mu.
 func (m *Manager) entered(now time.Time, s canary.Stage) {
 	if s.Service == m.cfg.Service && s.Order != m.tallyOrder {
-		m.tallyOrder = s.Order
+		m.tallyOrder, m.tallySince = s.Order, now
 		clear(m.tallies)
 	}
 	m.counters[s.Service] = m.counterStart()
@@ -292,7 +304,7 @@
 }
 
 // refusedVersion returns the version of this node's service whose servers get no calls any
-// more after stage s, nil if there is none or no other server.
+// more after stage s, nil if there is none.
 func (m *Manager) refusedVersion(s canary.Stage) *string {
 	var left string
 	switch s.Phase {
@@ -303,9 +315,7 @@
 	default:
 		return nil
 	}
-	vs := m.versions(s.Service)
-	delete(vs, left)
-	if len(vs) == 0 || left == "" || s.Target == s.Baseline {
+	if left == "" || s.Target == s.Baseline {
 		return nil
 	}
 	return &left
