--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -81,6 +81,11 @@
 	return p
 }
 
+// ProofsOf returns the client of the node at addr for proofs.
+func (c *Client) ProofsOf(addr string) wire.Proofs {
+	return wire.NewProofsProtobufClient("http://"+addr, c.http)
+}
+
 // RolloutsTo returns a client for the roll-outs of the node at addr.
 func (c *Client) RolloutsTo(addr string) wire.Rollouts {
 	return wire.NewRolloutsProtobufClient("http://"+addr, c.http)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -10,13 +10,14 @@
 // maxRequestBytes bounds the body of a control request.
 const maxRequestBytes = 2 << 20
 
-// Handler serves the control protocol, which consists of s and the given further
-// services. It calls onDrop with the sender's address and the cause for each request that
-// it rejects without reading the body.
+// Handler serves the control protocol, with further services. It calls onDrop with the
+// sender's address and the cause for each request that it rejects without reading the
+// body.
 func Handler(s wire.Peer, deployment string, onDrop func(from, cause string), services ...wire.TwirpServer) http.Handler {
 	next := http.NewServeMux()
-	for _, svc := range append(services, wire.NewPeerServer(s)) {
-		next.Handle(svc.PathPrefix(), svc)
+	next.Handle("/", wire.NewPeerServer(s))
+	for _, service := range services {
+		next.Handle(service.PathPrefix(), service)
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d := r.Header.Get(HeaderDeployment); d != deployment {
--- a/io/wire/rollout.twirp.go
+++ b/io/wire/rollout.twirp.go
@@ -1065,7 +1065,7 @@
 }
 
 func (s *rolloutsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *rolloutsServer) ProtocGenTwirpVersion() string {
@@ -1079,7 +1079,7 @@
 	return baseServicePath(s.pathPrefix, "tanagerchute.wire", "Rollouts")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 567 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x94, 0xdb, 0x6e, 0x13, 0x3d,
 	0x10, 0xc7, 0xe5, 0xe6, 0x3c, 0x6d, 0xbe, 0xaf, 0x75, 0x0f, 0xb2, 0x22, 0x10, 0xab, 0xe5, 0xa0,
