--- /dev/null
+++ b/core/tokens/keeper.go
@@ -0,0 +1,304 @@
+package tokens
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"tanagerchute/core/acct"
+	"tanagerchute/core/rank"
+)
+
+const (
+	// joinDelay is how long a process that has joined the group grants no tokens,
+	// since it may not know all members yet.
+	joinDelay = 500 * time.Millisecond
+	// raiseDelay is how long the part of the quota that a keeper gives out stays low after
+	// members have come back, since another keeper may not know it yet.
+	raiseDelay = 500 * time.Millisecond
+	// pauseGap is the gap between two ticks after which others may have taken over.
+	pauseGap = time.Second
+)
+
+// KeeperConfig configures a Keeper.
+type KeeperConfig struct {
+	Self   string // id of this node
+	Bounds Bounds
+	// Part is the part of each quota that belongs to this group of members, 0 for all
+	// of it.
+	Part float64
+	// Quota returns the quota of an account by the version in force. An account that
+	// does not exist has none.
+	Quota func(account string) acct.Quota
+}
+
+// Keeper gives out the tokens of the accounts that this node is the keeper of.
+type Keeper struct {
+	cfg      KeeperConfig
+	members  Members
+	part     float64   // of each quota, which this keeper gives out
+	raiseAt  time.Time // when part may rise to that of members
+	readyAt  time.Time // zero before the node has joined
+	since    time.Time // no account has come to this node since then
+	tickedAt time.Time
+	accounts map[string]*bucket
+	lastSeq  map[string]uint64 // by node
+}
+
+// bucket is the token bucket of one account.
+type bucket struct {
+	level     float64
+	updatedAt time.Time
+	holdings  map[string]*holding // by node
+	backlog   float64             // refused requests that are expected to return
+}
+
+// holding is what a node has of an account.
+type holding struct {
+	stint   uint64
+	spent   int64
+	tokens  int // that it may still spend
+	expires time.Time
+}
+
+// NewKeeper returns a keeper that gives out nothing before Join.
+func NewKeeper(cfg KeeperConfig) *Keeper {
+	if cfg.Part == 0 {
+		cfg.Part = 1
+	}
+	return &Keeper{cfg: cfg, accounts: map[string]*bucket{}, lastSeq: map[string]uint64{}}
+}
+
+// Join records that the node has joined the group.
+func (k *Keeper) Join(now time.Time) {
+	k.readyAt = now.Add(joinDelay)
+	k.since = k.readyAt
+}
+
+// Keeps reports whether this node is the keeper of an account in its own view.
+func (k *Keeper) Keeps(account string) bool {
+	return keeperOf(account, k.members.Candidates) == k.cfg.Self
+}
+
+// keeperOf returns the keeper of an account among the candidates.
+func keeperOf(account string, candidates []string) string {
+	return rank.Best("quota/"+account, candidates)
+}
+
+// SetMembers sets the members. The buckets of accounts that have another keeper now
+// are dropped: if they come back, they start anew.
+func (k *Keeper) SetMembers(now time.Time, m Members) {
+	for account, b := range k.accounts {
+		b.refill(now, k.plan(account)) // by the part that was valid until now
+	}
+	changed := !slices.Equal(m.Candidates, k.members.Candidates)
+	k.members = m
+	k.setPart(now)
+	if !changed {
+		return
+	}
+	if k.since.Before(now) {
+		k.since = now
+	}
+	maps.DeleteFunc(k.accounts, func(account string, _ *bucket) bool { return !k.Keeps(account) })
+	up := map[string]bool{}
+	for _, id := range m.Candidates {
+		up[id] = true
+	}
+	maps.DeleteFunc(k.lastSeq, func(id string, _ uint64) bool { return !up[id] })
+}
+
+// setPart sets the part of each quota that this keeper gives out. A lower one applies
+// at once.
+func (k *Keeper) setPart(now time.Time) {
+	part := k.cfg.Part * k.members.Part()
+	if part <= k.part || k.part == 0 {
+		k.part, k.raiseAt = part, time.Time{}
+		return
+	}
+	if k.raiseAt.IsZero() {
+		k.raiseAt = now.Add(raiseDelay)
+	}
+	if !now.Before(k.raiseAt) {
+		k.part, k.raiseAt = part, time.Time{}
+	}
+}
+
+// Tick must be called several times in pauseGap. A process that has been stopped for
+// longer empties its buckets.
+func (k *Keeper) Tick(now time.Time) {
+	if !k.tickedAt.IsZero() && now.Sub(k.tickedAt) > pauseGap {
+		k.since = now
+		for _, b := range k.accounts {
+			b.level = 0
+			b.updatedAt = now
+		}
+	}
+	k.tickedAt = now
+	k.setPart(now)
+}
+
+// Answer handles a message. It returns an empty reply to one that is older than
+// another one of the same node.
+func (k *Keeper) Answer(now time.Time, m Message) Reply {
+	k.Tick(now)
+	if m.Seq <= k.lastSeq[m.From] {
+		return Reply{}
+	}
+	k.lastSeq[m.From] = m.Seq
+	r := Reply{Grants: make([]Grant, 0, len(m.Asks))}
+	for _, a := range m.Asks {
+		r.Grants = append(r.Grants, k.grant(now, m.From, a))
+	}
+	return r
+}
+
+// grant handles what a message asks for one account.
+func (k *Keeper) grant(now time.Time, from string, a Ask) Grant {
+	g := Grant{Account: a.Account}
+	if k.readyAt.IsZero() || now.Before(k.readyAt) || !k.Keeps(a.Account) {
+		g.Elsewhere = true
+		return g
+	}
+	p := k.plan(a.Account)
+	if p.rate <= 0 {
+		g.Tokens = a.Needed // the quota has ended
+		return g
+	}
+	b := k.bucket(now, a.Account, p)
+	b.refill(now, p)
+	h := b.account(now, from, a)
+	b.cap(p)
+	g.Tokens = b.take(float64(a.Needed))
+	b.addReturns(a.Refused, p, k.cfg.Bounds.Window)
+	if refused := a.Needed - g.Tokens; refused > 0 {
+		g.Wait, g.Interval = b.refuse(refused, p, k.cfg.Bounds.Window)
+	}
+	g.Tokens += b.take(min(float64(a.Ahead), b.level/2, p.ahead-b.held()))
+	h.tokens += g.Tokens
+	g.Word = Word{Rate: p.rate, Depth: p.depth, Level: b.level, Part: k.part}
+	return g
+}
+
+// plan returns how the bucket of an account is filled. Its rate is 0 if the account
+// has no quota.
+func (k *Keeper) plan(account string) plan {
+	q := k.cfg.Quota(account)
+	if !q.Limited() {
+		return plan{}
+	}
+	return k.cfg.Bounds.plan(q, k.part)
+}
+
+// bucket returns the bucket of an account. A new one has filled since the last change
+// of the members, since only at such a change can an account have come from another
+// keeper.
+func (k *Keeper) bucket(now time.Time, account string, p plan) *bucket {
+	b, ok := k.accounts[account]
+	if !ok {
+		b = &bucket{level: p.initial, updatedAt: k.since, holdings: map[string]*holding{}}
+		k.accounts[account] = b
+	}
+	return b
+}
+
+// refill adds the tokens since the last call.
+func (b *bucket) refill(now time.Time, p plan) {
+	if added := p.rate * now.Sub(b.updatedAt).Seconds(); added > 0 {
+		b.level += added
+		b.backlog = max(b.backlog-added, 0)
+		b.updatedAt = now
+	}
+	for id, h := range b.holdings {
+		if now.After(h.expires) {
+			delete(b.holdings, id) // what it had counts as spent
+		}
+	}
+	b.cap(p)
+}
+
+// cap removes the tokens that exceed the depth together with those at the nodes.
+func (b *bucket) cap(p plan) { b.level = min(b.level, max(p.depth-b.held(), 0)) }
+
+// account takes in what a node says it has spent and holds. What it was granted
+// beyond that comes back.
+func (b *bucket) account(now time.Time, from string, a Ask) *holding {
+	h, ok := b.holdings[from]
+	if !ok {
+		h = &holding{stint: a.Stint, spent: a.Spent, tokens: a.Held}
+		b.holdings[from] = h
+	}
+	if h.stint != a.Stint {
+		h.stint, h.spent, h.tokens = a.Stint, a.Spent, a.Held
+	}
+	if back := h.tokens - int(a.Spent-h.spent) - a.Held; back > 0 {
+		b.level += float64(back)
+	}
+	h.spent, h.tokens, h.expires = a.Spent, a.Held, now.Add(Lease)
+	return h
+}
+
+// held returns the number of tokens at all nodes.
+func (b *bucket) held() float64 {
+	n := 0
+	for _, h := range b.holdings {
+		n += h.tokens
+	}
+	return float64(n)
+}
+
+// take takes up to n whole tokens out and returns their number.
+func (b *bucket) take(n float64) int {
+	taken := max(math.Floor(min(n, b.level)), 0)
+	b.level -= taken
+	return int(taken)
+}
+
+// refuse returns when n requests that get no token could pass, which is behind those
+// refused before. No time is longer than the window.
+func (b *bucket) refuse(n int, p plan, window time.Duration) (wait, interval time.Duration) {
+	missing := max(b.backlog+1-b.level, 0)
+	b.addReturns(n, p, window)
+	wait = min(secondsOf(missing/p.rate), window)
+	return wait, min(secondsOf(1/p.rate), window)
+}
+
+// addReturns adds n refused requests to those that are expected to return. There are
+// no more than can return within the window.
+func (b *bucket) addReturns(n int, p plan, window time.Duration) {
+	b.backlog = min(b.backlog+float64(n), p.rate*window.Seconds())
+}
+
+// secondsOf converts a number of seconds, which may be infinite, to a duration.
+func secondsOf(s float64) time.Duration {
+	return time.Duration(min(s, time.Hour.Seconds()) * float64(time.Second))
+}
+
+// Kept is the state of one account at its keeper.
+type Kept struct {
+	Account string
+	Quota   acct.Quota
+	Word    Word
+	Held    int // tokens at the nodes
+	Nodes   int // that hold some
+}
+
+// Kept returns the state of the accounts that this node keeps and that were in use
+// since it became their keeper, in any order.
+func (k *Keeper) Kept(now time.Time) []Kept {
+	var out []Kept
+	for account, b := range k.accounts {
+		p := k.plan(account)
+		b.refill(now, p)
+		x := Kept{Account: account, Quota: k.cfg.Quota(account), Held: int(b.held())}
+		x.Word = Word{Rate: p.rate, Depth: p.depth, Level: b.level, Part: k.part}
+		for _, h := range b.holdings {
+			if h.tokens > 0 {
+				x.Nodes++
+			}
+		}
+		out = append(out, x)
+	}
+	return out
+}
