quotas: requests of client accounts are admitted by tokens

io/quotas runs keeper and holder and carries their messages (wire.Quotas); ingress admits a call once its account is known, and gives the token of a call that has not run back. 429 with Retry-After over the quota, 503 if the keeper did not answer in time. Only where the settings have quota.window.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -152,6 +152,8 @@
 	CauseCrashesServers    = "crashes_servers"      // backend servers end when they run it, see package crash
 	CauseKeysUnproved      = "keys_unproved"        // the node can't tell whether the key has been withdrawn
 	CauseSilent            = "silent"               // the node did not acknowledge the call in time
+	CauseQuotaExceeded     = "quota_exceeded"       // the client account is over its quota
+	CauseQuotaUnknown      = "quota_unknown"        // the keeper of the quota of the client account did not answer in time
 )
 
 // Reply is the reply to a call, or to one attempt at it.
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -56,6 +56,9 @@
 	UpstreamLeaving    Kind = "upstream_leaving"
 	UpstreamLimited    Kind = "upstream_limited"   // it named a rate limit, or another one than before
 	UpstreamUnlimited  Kind = "upstream_unlimited" // it names no rate limit any more
+	QuotaExceeded      Kind = "quota_exceeded"     // requests of a client account are refused, see package tokens
+	QuotaUnanswered    Kind = "quota_unanswered"   // the keeper of the quota of a client account did not answer in time
+	QuotaKept          Kind = "quota_kept"         // the node is the keeper of the quota of a client account
 	StatementMalformed Kind = "upstream_statement_malformed"
 	HeartbeatStale     Kind = "heartbeat_stale" // it is older than the last one and ignored
 	HeartbeatMalformed Kind = "heartbeat_malformed"
--- a/core/tokens/holder.go
+++ b/core/tokens/holder.go
@@ -53,6 +53,7 @@
 	lapse   time.Time // when the held tokens lapse
 	waiters []waiter  // oldest first
 	askAt   time.Time // when tokens for them may be asked for
+	returns bool      // tokens were given back since the last message
 	demand  demand
 	closed  closed
 }
@@ -99,7 +100,8 @@
 	Exceeded   bool
 	RetryAfter time.Duration // if Exceeded
 	Keeper     string
-	Word       Word // of the keeper, if Exceeded
+	Word       Word      // of the keeper, if Exceeded
+	HeardAt    time.Time // when it was received
 }
 
 // NewHolder returns a holder without tokens.
@@ -111,7 +113,7 @@
 // false if it waits for a token until the given time, under the ticket in the outcome.
 func (h *Holder) Admit(now time.Time, account string, until time.Time) (Outcome, bool) {
 	s := h.stock(now, account)
-	s.demand.observe(now)
+	s.demand.add(now, 1)
 	s.expire(now)
 	h.activate(s)
 	if s.held > 0 && len(s.waiters) == 0 {
@@ -145,6 +147,8 @@
 		return // the keeper has changed
 	}
 	s.spent--
+	s.returns = true
+	h.activate(s)
 }
 
 // Forget ends the wait of a request, whose caller has left.
@@ -263,6 +267,8 @@
 	switch {
 	case len(s.waiters) > 0:
 		return latest(s.askAt, l.sentAt)
+	case s.returns:
+		return latest(l.sentAt.Add(refillInterval), s.askAt)
 	case target == 0:
 		return time.Time{}
 	case 2*s.held <= target:
@@ -280,7 +286,7 @@
 	m := Message{From: h.cfg.Self, To: id, Seq: h.seq}
 	for account, s := range l.stocks {
 		s.expire(now)
-		if len(s.waiters) == 0 && s.held == 0 && s.target(now) == 0 {
+		if len(s.waiters) == 0 && s.held == 0 && !s.returns && s.target(now) == 0 {
 			delete(l.stocks, account)
 			continue
 		}
@@ -306,6 +312,7 @@
 			s.waiters[i].asked = seq
 		}
 	}
+	s.returns = false
 	refused := s.closed.refused
 	s.closed.refused = 0
 	return Ask{
@@ -359,7 +366,7 @@
 	var out []Outcome
 	token := now.Add(g.Wait) // when the next one is expected
 	s.askAt = now
-	word := Outcome{Account: s.account, Exceeded: true, Keeper: s.keeper, Word: g.Word}
+	word := Outcome{Account: s.account, Exceeded: true, Keeper: s.keeper, Word: g.Word, HeardAt: now}
 	kept := s.waiters[:0]
 	for _, w := range s.waiters {
 		if w.asked != seq {
@@ -447,15 +454,15 @@
 	}
 }
 
-// demand is the average number of requests of the node in demandPeriod.
+// demand is the average number of requests in demandPeriod.
 type demand struct {
 	value float64
 	at    time.Time // when value was valid
 }
 
-// observe counts a request.
-func (d *demand) observe(now time.Time) {
-	d.value = d.perPeriod(now) + 1
+// add counts n requests.
+func (d *demand) add(now time.Time, n float64) {
+	d.value = d.perPeriod(now) + n
 	d.at = now
 }
 
@@ -467,6 +474,19 @@
 	return d.value * math.Exp(-float64(now.Sub(d.at))/float64(demandPeriod))
 }
 
+// The wait of a request for a token is bounded by maxWait, and by the part waitPart of
+// the time until it should be answered.
+const (
+	maxWait  = 250 * time.Millisecond
+	waitPart = 4
+)
+
+// WaitUntil returns until when a request that arrives at now may wait for a token.
+// target is when it should be answered.
+func WaitUntil(now, target time.Time) time.Time {
+	return now.Add(max(min(target.Sub(now)/waitPart, maxWait), 0))
+}
+
 // earliest returns the earlier of two times, ignoring a zero time.
 func earliest(a, b time.Time) time.Time {
 	if a.IsZero() || !b.IsZero() && b.Before(a) {
--- a/core/tokens/keeper.go
+++ b/core/tokens/keeper.go
@@ -17,6 +17,9 @@
 	// raiseDelay is how long the part of the quota that a keeper gives out stays low after
 	// members have come back, since another keeper may not know it yet.
 	raiseDelay = 500 * time.Millisecond
+	// forgetHolding is how long after its tokens have expired a node can still give back
+	// the tokens of requests that have not run.
+	forgetHolding = 10 * time.Second
 	// pauseGap is the gap between two ticks after which others may have taken over.
 	pauseGap = time.Second
 )
@@ -31,6 +34,9 @@
 	// Quota returns the quota of an account by the version in force. An account that
 	// does not exist has none.
 	Quota func(account string) acct.Quota
+	// OnKept, if set, is called when the bucket of an account is created. It must not
+	// block.
+	OnKept func(Kept)
 }
 
 // Keeper gives out the tokens of the accounts that this node is the keeper of.
@@ -52,13 +58,14 @@
 	updatedAt time.Time
 	holdings  map[string]*holding // by node
 	backlog   float64             // refused requests that are expected to return
+	use       demand              // tokens given out
 }
 
 // holding is what a node has of an account.
 type holding struct {
 	stint   uint64
-	spent   int64
-	tokens  int // that it may still spend
+	spent   int64 // by what it has said, or because the lease has ended
+	tokens  int   // that it may still spend
 	expires time.Time
 }
 
@@ -133,6 +140,7 @@
 		for _, b := range k.accounts {
 			b.level = 0
 			b.updatedAt = now
+			clear(b.holdings) // what comes back from them would fill it
 		}
 	}
 	k.tickedAt = now
@@ -177,6 +185,7 @@
 	}
 	g.Tokens += b.take(min(float64(a.Ahead), b.level/2, p.ahead-b.held()))
 	h.tokens += g.Tokens
+	b.use.add(now, float64(g.Tokens))
 	g.Word = Word{Rate: p.rate, Depth: p.depth, Level: b.level, Part: k.part}
 	return g
 }
@@ -199,6 +208,10 @@
 	if !ok {
 		b = &bucket{level: p.initial, updatedAt: k.since, holdings: map[string]*holding{}}
 		k.accounts[account] = b
+		b.refill(now, p)
+		if k.cfg.OnKept != nil {
+			k.cfg.OnKept(k.kept(now, account, b))
+		}
 	}
 	return b
 }
@@ -212,7 +225,11 @@
 	}
 	for id, h := range b.holdings {
 		if now.After(h.expires) {
-			delete(b.holdings, id) // what it had counts as spent
+			h.spent += int64(h.tokens) // until the node says otherwise
+			h.tokens = 0
+		}
+		if now.After(h.expires.Add(forgetHolding)) {
+			delete(b.holdings, id)
 		}
 	}
 	b.cap(p)
@@ -260,7 +277,7 @@
 func (b *bucket) refuse(n int, p plan, window time.Duration) (wait, interval time.Duration) {
 	missing := max(b.backlog+1-b.level, 0)
 	b.addReturns(n, p, window)
-	wait = min(secondsOf(missing/p.rate), window)
+	wait = max(min(secondsOf(missing/p.rate), window), time.Millisecond)
 	return wait, min(secondsOf(1/p.rate), window)
 }
 
@@ -280,25 +297,33 @@
 	Account string
 	Quota   acct.Quota
 	Word    Word
-	Held    int // tokens at the nodes
-	Nodes   int // that hold some
+	Use     float64 // tokens given out in the last second, an average
+	Held    int     // tokens at the nodes
+	Nodes   int     // that hold some
+	Since   time.Time
 }
 
-// Kept returns the state of the accounts that this node keeps and that were in use
-// since it became their keeper, in any order.
-func (k *Keeper) Kept(now time.Time) []Kept {
-	var out []Kept
-	for account, b := range k.accounts {
-		p := k.plan(account)
-		b.refill(now, p)
-		x := Kept{Account: account, Quota: k.cfg.Quota(account), Held: int(b.held())}
-		x.Word = Word{Rate: p.rate, Depth: p.depth, Level: b.level, Part: k.part}
-		for _, h := range b.holdings {
-			if h.tokens > 0 {
-				x.Nodes++
-			}
+// Kept returns the state of an account. It returns false if this node has given out
+// no tokens for it since it became its keeper.
+func (k *Keeper) Kept(now time.Time, account string) (Kept, bool) {
+	b, ok := k.accounts[account]
+	if !ok {
+		return Kept{}, false
+	}
+	b.refill(now, k.plan(account))
+	return k.kept(now, account, b), true
+}
+
+func (k *Keeper) kept(now time.Time, account string, b *bucket) Kept {
+	p := k.plan(account)
+	x := Kept{
+		Account: account, Quota: k.cfg.Quota(account), Held: int(b.held()), Use: b.use.perPeriod(now), Since: k.since,
+		Word: Word{Rate: p.rate, Depth: p.depth, Level: b.level, Part: k.part},
+	}
+	for _, h := range b.holdings {
+		if h.tokens > 0 {
+			x.Nodes++
 		}
-		out = append(out, x)
 	}
-	return out
+	return x
 }
--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -21,6 +21,7 @@
 	latency  *prometheus.HistogramVec
 	attempts *prometheus.CounterVec
 	events   *prometheus.CounterVec
+	quotas   *prometheus.CounterVec
 }
 
 // New returns a Set with all counters at zero.
@@ -41,7 +42,10 @@
 			Namespace: namespace, Name: "events_total", Help: "Decisions in the journal of this node, by kind.",
 		}, []string{"kind"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.events)
+	m.quotas = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "quota_total", Help: "Requests and messages about the quotas of client accounts at this node, by outcome.",
+	}, []string{"outcome"})
+	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.events, m.quotas)
 	return m
 }
 
@@ -59,6 +63,10 @@
 // CountEvent counts a journal event, see package event.
 func (m *Set) CountEvent(kind string) { m.events.WithLabelValues(kind).Inc() }
 
+// CountQuota counts an outcome of a request or a message about quotas, see package
+// quotas.
+func (m *Set) CountQuota(outcome string) { m.quotas.WithLabelValues(outcome).Inc() }
+
 // AddGauge adds a gauge whose value is computed whenever the metrics are read.
 func (m *Set) AddGauge(name, help string, value func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
--- a/io/native/native.go
+++ b/io/native/native.go
@@ -116,6 +116,8 @@
 	switch {
 	case r.Cause == call.CauseDeadline:
 		return http.StatusGatewayTimeout
+	case r.Cause == call.CauseQuotaExceeded:
+		return http.StatusTooManyRequests
 	case r.Fate == call.NotRun:
 		return http.StatusServiceUnavailable
 	case r.Cause == call.CauseKeyTooOld || r.Cause == call.CauseHomeNotInStanding || r.Cause == call.CauseHomeUnreachable:
--- a/io/node/boot.go
+++ b/io/node/boot.go
@@ -37,6 +37,9 @@
 		return // the node is stopping
 	}
 	n.recordEvent(event.NodeReady, "version in force")
+	if n.quotas != nil {
+		n.quotas.Join()
+	}
 	n.discoverBackend(ctx)
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -17,10 +17,12 @@
 	"go.uber.org/zap"
 
 	"tanagerchute"
+	"tanagerchute/core/acct"
 	"tanagerchute/core/beat"
 	"tanagerchute/core/call"
 	"tanagerchute/core/event"
 	"tanagerchute/core/member"
+	"tanagerchute/core/tokens"
 	"tanagerchute/core/vers"
 	"tanagerchute/io/feed"
 	"tanagerchute/io/fleet"
@@ -32,6 +34,7 @@
 	"tanagerchute/io/native"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/proxy"
+	"tanagerchute/io/quotas"
 	"tanagerchute/io/relay"
 	"tanagerchute/io/seeds"
 	"tanagerchute/io/setup"
@@ -75,6 +78,7 @@
 	gate             *gate.Gate
 	proxy            *proxy.Proxy
 	relay            *relay.Relay
+	quotas           *quotas.Quotas  // nil if the settings have no bounds of quotas
 	seeds            *seeds.Registry // nil without a store
 	claims           *ledger.Claims  // nil without a store
 	eras             *storeEras
@@ -219,8 +223,10 @@
 		DataCentre: s.Group(), DataCentres: s.Groups(), Seeds: s.Seeds,
 		Fleet: n.fleet, Feed: n.feed, Client: n.client, Journal: n.journal,
 	})
+	n.buildQuotas()
 	n.proxy = proxy.New(proxy.Config{
-		Node: n.id, DataCentre: s.Group(), DataCentres: s.Groups(), Deployment: n.deploymentID(), Dialect: n.cfg.Dialect,
+		Quotas: n.quotas,
+		Node:   n.id, DataCentre: s.Group(), DataCentres: s.Groups(), Deployment: n.deploymentID(), Dialect: n.cfg.Dialect,
 		Fleet: n.fleet, Feed: n.feed, Gate: n.gate, Client: n.client, Journal: n.journal,
 		WrapDial: func(d link.Dial) link.Dial { return n.byteMeters.calls.Dial(n.cfg.WrapDial(d), n.isRemoteAddr) },
 		Tracer:   n.tracer.Tracer(), Claims: n.proxyClaims(), Rand: n.newRand("proxy"),
@@ -230,6 +236,35 @@
 	})
 }
 
+// buildQuotas creates the quotas of client accounts, if the settings have bounds for
+// them.
+func (n *Node) buildQuotas() {
+	s := n.cfg.Settings
+	if s.Quota.Window <= 0 {
+		return
+	}
+	n.quotas = quotas.New(quotas.Config{
+		Self:   n.id,
+		Bounds: tokens.Bounds{Window: s.Quota.Window.Std(), Overshoot: s.Quota.Overshoot, Slack: s.Quota.Slack},
+		Groups: len(s.Groups()), Addrs: s.Seeds[s.Group()],
+		View: n.fleet.View, Quota: n.accountQuota, Client: n.client, Journal: n.journal, Count: n.metrics.CountQuota,
+	})
+}
+
+// accountQuota returns the quota of a client account by the version in force. An account
+// that does not exist has none.
+func (n *Node) accountQuota(account string) acct.Quota {
+	v := n.feed.Snapshot()
+	if v == nil || v.Table.Accounts() == nil {
+		return acct.Quota{}
+	}
+	a, ok := v.Table.Accounts().Account(account)
+	if !ok {
+		return acct.Quota{}
+	}
+	return a.Quota
+}
+
 // maxConns returns the maximum number of connections to the node's backend server.
 // The version in force takes precedence over the settings. It returns 0 if
 // neither sets a maximum.
--- a/io/node/report.go
+++ b/io/node/report.go
@@ -127,10 +127,23 @@
 	return out
 }
 
+// findEvents returns the events about subject in the journal. If it is a client account
+// whose quota this node keeps, the last one is about the present state.
+func (n *Node) findEvents(subject string) []event.Event {
+	events := n.journal.Find(subject)
+	if n.quotas == nil {
+		return events
+	}
+	if e, ok := n.quotas.Describe(subject); ok {
+		events = append(events, e)
+	}
+	return events
+}
+
 // explainDataCentre returns the events about subject that the nodes of this data
 // centre have in their journals.
 func (n *Node) explainDataCentre(ctx context.Context, subject string) *wire.ExplainReply {
-	out := &wire.ExplainReply{Events: peer.ToEvents(n.journal.Find(subject))}
+	out := &wire.ExplainReply{Events: peer.ToEvents(n.findEvents(subject))}
 	answers := queryAll(ctx, nodeQueryTimeout, n.peerAddrs(), func(ctx context.Context, addr string) (*wire.ExplainReply, error) {
 		return n.client.To(addr).Explain(ctx, &wire.ExplainRequest{Subject: subject})
 	})
@@ -222,7 +235,7 @@
 	case admin.ScopeDataCentre:
 		r = a.n.explainDataCentre(ctx, subject)
 	default:
-		r = &wire.ExplainReply{Events: peer.ToEvents(a.n.journal.Find(subject))}
+		r = &wire.ExplainReply{Events: peer.ToEvents(a.n.findEvents(subject))}
 	}
 	events := peer.FromEvents(r.GetEvents())
 	slices.SortStableFunc(events, func(x, y event.Event) int { return x.At.Compare(y.At) })
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -116,6 +116,9 @@
 	wg.Go(func() { n.feed.Run(ctx) })
 	wg.Go(func() { n.gate.Run(ctx) })
 	wg.Go(func() { n.relay.Run(ctx) })
+	if n.quotas != nil {
+		wg.Go(func() { n.quotas.Run(ctx) })
+	}
 	if n.seeds != nil {
 		wg.Go(func() { n.seeds.Run(ctx) })
 		wg.Go(func() { n.claims.Run(ctx) })
--- a/io/node/serve.go
+++ b/io/node/serve.go
@@ -63,7 +63,7 @@
 	if r.GetWholeCentre() {
 		return s.n.explainDataCentre(ctx, r.GetSubject()), nil
 	}
-	return &wire.ExplainReply{Events: peer.ToEvents(s.n.journal.Find(r.GetSubject()))}, nil
+	return &wire.ExplainReply{Events: peer.ToEvents(s.n.findEvents(r.GetSubject()))}, nil
 }
 
 // Drain implements wire.Peer.
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -41,7 +41,7 @@
 // listen opens all listeners except the one for callers, which is opened by
 // serveCallers. If one of them fails, it closes the others.
 func (n *Node) listen() (*servers, error) {
-	control := peer.Handler(peerServer{n}, n.deploymentID(), n.recordDroppedFrame, wire.NewProofsServer(n.feed))
+	control := peer.Handler(peerServer{n}, n.deploymentID(), n.recordDroppedFrame, n.services()...)
 	s := &servers{
 		callers:     peer.NewServer(n.closeConnsWhenStopping(n.proxy.Ingress(n.callerOrigin()))),
 		egress:      peer.NewServer(n.proxy.Ingress(proxy.Origin{Service: n.cfg.Settings.Service, Backend: true})),
@@ -74,6 +74,15 @@
 	return s, nil
 }
 
+// services returns the services between nodes that are served beside wire.Peer.
+func (n *Node) services() []wire.TwirpServer {
+	out := []wire.TwirpServer{wire.NewProofsServer(n.feed)}
+	if n.quotas != nil {
+		out = append(out, wire.NewQuotasServer(n.quotas))
+	}
+	return out
+}
+
 // add adds a server that will listen at addr. It is ignored if addr is empty.
 func (s *servers) add(addr string, srv *http.Server) {
 	if addr != "" {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -86,6 +86,12 @@
 	return wire.NewProofsProtobufClient("http://"+addr, c.http)
 }
 
+// Quotas returns the client of the quotas of the node at addr. It shares the
+// connections of To.
+func (c *Client) Quotas(addr string) wire.Quotas {
+	return wire.NewQuotasProtobufClient("http://"+addr, c.http)
+}
+
 // DedicatedTo returns a client of the node at addr that uses a connection of its
 // own, and a function that closes the connection. A new connection can work
 // while an existing one no longer responds.
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -109,7 +109,7 @@
 		if span.IsRecording() {
 			span.SetAttributes(attribute.String("service", c.Service), attribute.String("class", c.Class))
 		}
-		reply, summary, rej := p.handleCall(ctx, c, in.arrivedAt)
+		reply, summary, rej := p.handleWithinQuota(ctx, c, in.arrivedAt)
 		endNested(rej != nil || !reply.Succeeded())
 		if rej != nil {
 			p.reject(w, c, rej)
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -20,6 +20,7 @@
 	"tanagerchute/io/gate"
 	"tanagerchute/io/link"
 	"tanagerchute/io/peer"
+	"tanagerchute/io/quotas"
 	"tanagerchute/io/runner"
 	"tanagerchute/io/timer"
 )
@@ -38,8 +39,9 @@
 	Journal             *event.Journal
 	Tracer              trace.Tracer
 	Dialect             tanagerchute.Dialect
-	Claims              Claims // for opaque idempotency keys, nil if there is no store
-	KeysUnused          bool   // ignore idempotency keys
+	Claims              Claims         // for opaque idempotency keys, nil if there is no store
+	Quotas              *quotas.Quotas // of client accounts, nil if there are none
+	KeysUnused          bool           // ignore idempotency keys
 	Rand                *rand.Rand
 	MaxBodyBytes        int64 // of a request
 	MaxAnswerBytes      int64 // of an answer
--- /dev/null
+++ b/io/quotas/convert.go
@@ -0,0 +1,68 @@
+package quotas
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/twitchtv/twirp"
+
+	"tanagerchute/core/tokens"
+	"tanagerchute/io/wire"
+)
+
+var (
+	errUnknownKeeper = errors.New("keeper is not a member")
+	// errOtherProcess is the answer to a message to an earlier process at the address.
+	errOtherProcess = twirp.NewError(twirp.NotFound, "this address belongs to another node now")
+)
+
+// maxTokens bounds the numbers that a message may hold.
+const maxTokens = 1 << 20
+
+// count converts a number in a message, which is not negative.
+func count(n int64) int { return int(min(max(n, 0), maxTokens)) }
+
+func toRequest(m tokens.Message) *wire.WithdrawRequest {
+	r := &wire.WithdrawRequest{From: m.From, To: m.To, Seq: m.Seq}
+	for _, a := range m.Asks {
+		r.Asks = append(r.Asks, &wire.TokenAsk{
+			Account: a.Account, Stint: a.Stint, Spent: a.Spent, Held: int64(a.Held),
+			Needed: int64(a.Needed), Ahead: int64(a.Ahead), Refused: int64(a.Refused),
+		})
+	}
+	return r
+}
+
+func fromRequest(r *wire.WithdrawRequest) tokens.Message {
+	m := tokens.Message{From: r.GetFrom(), To: r.GetTo(), Seq: r.GetSeq()}
+	for _, a := range r.GetAsks() {
+		m.Asks = append(m.Asks, tokens.Ask{
+			Account: a.GetAccount(), Stint: a.GetStint(), Spent: a.GetSpent(), Held: count(a.GetHeld()),
+			Needed: count(a.GetNeeded()), Ahead: count(a.GetAhead()), Refused: count(a.GetRefused()),
+		})
+	}
+	return m
+}
+
+func toReply(r tokens.Reply) *wire.WithdrawReply {
+	out := &wire.WithdrawReply{}
+	for _, g := range r.Grants {
+		out.Grants = append(out.Grants, &wire.TokenGrant{
+			Account: g.Account, Tokens: int64(g.Tokens), Elsewhere: g.Elsewhere, Wait: int64(g.Wait), Interval: int64(g.Interval),
+			Rate: g.Word.Rate, Depth: g.Word.Depth, Level: g.Word.Level, Part: g.Word.Part,
+		})
+	}
+	return out
+}
+
+func fromReply(r *wire.WithdrawReply) tokens.Reply {
+	var out tokens.Reply
+	for _, g := range r.GetGrants() {
+		out.Grants = append(out.Grants, tokens.Grant{
+			Account: g.GetAccount(), Tokens: count(g.GetTokens()), Elsewhere: g.GetElsewhere(),
+			Wait: time.Duration(max(g.GetWait(), 0)), Interval: time.Duration(max(g.GetInterval(), 0)),
+			Word: tokens.Word{Rate: g.GetRate(), Depth: g.GetDepth(), Level: g.GetLevel(), Part: g.GetPart()},
+		})
+	}
+	return out
+}
--- a/io/wire/doc.go
+++ b/io/wire/doc.go
@@ -1,5 +1,5 @@
-// Package wire defines the protocol between nodes: the twirp service Peer and the
-// metadata of proxied calls and their answers.
+// Package wire defines the protocol between nodes: the twirp services Peer and
+// Quotas, and the metadata of proxied calls and their answers.
 //
 // The Go code is generated from the .proto files and committed. To regenerate it,
 // install protoc, protoc-gen-go and protoc-gen-twirp, and run go generate in
@@ -11,4 +11,4 @@
 //	reply, err := c.Probe(ctx, &wire.ProbeRequest{From: "hafnar-1"})
 package wire
 
-//go:generate protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative wire.proto proof.proto
+//go:generate protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative wire.proto proof.proto quota.proto
