--- a/core/tokens/holder.go
+++ b/core/tokens/holder.go
@@ -474,17 +474,17 @@
 	return d.value * math.Exp(-float64(now.Sub(d.at))/float64(demandPeriod))
 }
 
-// The wait of a request for a token is bounded by maxWait, and by the part waitPart of
-// the time until it should be answered.
+// The wait of a request for a token is bounded by maxWait, and by the waitDivisor-th part
+// of the time until it should be answered, so that its caller can still come back in time.
 const (
-	maxWait  = 250 * time.Millisecond
-	waitPart = 4
+	maxWait     = 250 * time.Millisecond
+	waitDivisor = 8
 )
 
 // WaitUntil returns until when a request that arrives at now may wait for a token.
 // target is when it should be answered.
 func WaitUntil(now, target time.Time) time.Time {
-	return now.Add(max(min(target.Sub(now)/waitPart, maxWait), 0))
+	return now.Add(max(min(target.Sub(now)/waitDivisor, maxWait), 0))
 }
 
 // earliest returns the earlier of two times, ignoring a zero time.
--- a/core/tokens/tokens_test.go
+++ b/core/tokens/tokens_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -70,30 +72,34 @@
 	quotas := map[string]acct.Quota{}
 	f := newFleet(20, 1, quotas)
 	rates := map[string]float64{"a": 250, "b": 20, "c": 2}
+	accounts := slices.Sorted(maps.Keys(rates))
 	for account, perSecond := range rates {
 		quotas[account] = acct.Quota{Rate: 1.6 * perSecond, Burst: 1.6 * perSecond}
 	}
 	f.run(5 * time.Second)
-	for account, perSecond := range rates {
-		f.load(account, perSecond, instances(0, 20), 0, 20*time.Second)
+	for _, account := range accounts {
+		f.load(account, rates[account], instances(0, 20), 0, 20*time.Second)
 	}
 	f.run(20 * time.Second)
-	for account := range rates {
+	for _, account := range accounts {
 		granted, refused := f.served(account)
 		t.Log(account, granted, refused)
 		is.Equal(refused, 0)
 	}
-	for account, perSecond := range rates {
-		f.load(account, perSecond, instances(0, 20), 0, 40*time.Second)
+	for _, account := range accounts {
+		f.load(account, rates[account], instances(0, 20), 0, 40*time.Second)
 	}
 	for i := range 20 {
 		f.stop(i, time.Second)
 		f.run(2 * time.Second)
 	}
-	for account := range rates {
-		granted, refused := f.served(account)
-		t.Log(account, granted, refused)
+	granted, refused := 0, 0
+	for _, account := range accounts {
+		g, r := f.served(account)
+		t.Log(account, g, r)
+		granted, refused = granted+g, refused+r
 	}
+	is.True(refused*200 < granted)
 }
 
 // TestAccountAboveQuota replays an account that sends seven times its usual rate at a
@@ -113,7 +119,31 @@
 	}
 }
 
-// TestMessages counts the messages of a node a second, for the capacity page.
+// TestReturnsPass replays a burst at four times the quota of an account. The requests
+// refused in it come back when they were told to, and pass then.
+func TestReturnsPass(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(60, 1, map[string]acct.Quota{"a": {Rate: 160, Burst: 160}})
+	f.run(5 * time.Second)
+	f.load("a", 640, instances(0, 60), 0, 2*time.Second)
+	f.run(2 * time.Second)
+	end, returns := f.now, 0
+	for _, r := range f.requests {
+		if at := r.at.Add(r.wait); !r.granted && at.After(end) {
+			returns++
+			f.after(at.Sub(end), func() { f.request(f.rng.IntN(60), "a") })
+		}
+	}
+	f.requests = nil
+	f.run(10 * time.Second)
+	granted, _ := f.served("a")
+	t.Logf("%d of %d returns passed", granted, returns)
+	is.True(returns > 300)
+	is.True(granted*10 >= returns*9)
+}
+
+// TestMessages counts the messages of a node a second, for the capacity page. They
+// depend on its requests, and not on the number of nodes.
 func TestMessages(t *testing.T) {
 	for _, nodes := range []int{10, 30, 60, 300} {
 		for _, accounts := range []int{72, 10_000} {
@@ -142,6 +172,9 @@
 					refused++
 				}
 			}
+			if f.sent > (granted+refused)*11/10 {
+				t.Errorf("%d messages for %d requests", f.sent, granted+refused)
+			}
 			t.Logf("%d nodes, %d accounts: %.1f requests and %.1f messages a node a second, %d of %d refused",
 				nodes, accounts, float64(granted+refused)/3/float64(nodes), float64(f.sent)/3/float64(nodes), refused, granted+refused)
 		}
