--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -67,6 +67,7 @@
 	NoSeeds         bool                   // leaves seeds out of the settings, so that nodes find each other through the store only
 	NoBackends      bool                   // runs nodes without backend servers
 	RevokeWithin    time.Duration          // setting keys.revoke_within of the nodes
+	Quota           setup.Quota            // bounds of the quotas of client accounts
 	CrashDowntime   time.Duration          // time until a backend server that has crashed starts again, see server.Faults.Crash
 }
 
@@ -196,6 +197,7 @@
 		n.Drain.Linger = jsonc.Duration(m.cfg.Linger)
 	}
 	n.Keys.RevokeWithin = jsonc.Duration(m.cfg.RevokeWithin)
+	n.Quota = m.cfg.Quota
 	return n.WithDefaults()
 }
 
