--- a/core/tokens/holder.go
+++ b/core/tokens/holder.go
@@ -203,7 +203,7 @@
 	s.askAt = now
 	s.closed = closed{}
 	for i := range s.waiters {
-		s.waiters[i].asked = 0
+		s.waiters[i].asked, s.waiters[i].told = 0, false
 	}
 	if s.held > 0 || len(s.waiters) > 0 {
 		h.activate(s)
