tokens: the standby of a keeper that does not answer serves requests that wait

Cause: requests of accounts below their quota were refused as unknown (503) while their keeper was slow, restarting or dead and not yet declared so. After 30 ms without an answer a node asks the member of the second rank too, which grants what it would start with as the keeper (an eighth of the tolerance), once in a window. A keeper that fails repeatedly is asked each 50 ms instead of each 20 ms.

TestSilentKeeperIsBridged failed before (large: 1 admitted, 3 refused) and passes (4 and 7 admitted, none refused). A trial in which the ask to the standby had no counts of the node failed it: a standby that is the keeper in its own view credited all spent tokens.

--- a/core/tokens/bounds.go
+++ b/core/tokens/bounds.go
@@ -21,9 +21,10 @@
 
 // Parts of the tolerance, which is what Bounds adds to a quota in a window.
 const (
-	// changePart is left to changes of the keeper.
+	// changePart is left to changes of the keeper and to its standby.
 	changePart = 0.5
-	// initialPart is in the bucket of a new keeper.
+	// initialPart is in the bucket of a new keeper, and what the standby may grant in
+	// its place in a window.
 	initialPart = 0.125
 )
 
--- a/core/tokens/holder.go
+++ b/core/tokens/holder.go
@@ -1,6 +1,7 @@
 package tokens
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -17,9 +18,12 @@
 	// demandPeriod is the time over which the demand of a node is averaged, and whose
 	// demand it holds tokens for.
 	demandPeriod = time.Second
-	// elsewhereDelay is the time after which a node that took another one for the
-	// keeper than that itself asks again.
+	// elsewhereDelay is the time after which a node asks again that took another one for
+	// the keeper than that itself, or whose keeper has failed to answer repeatedly.
 	elsewhereDelay = 50 * time.Millisecond
+	// standbyDelay is the time without an answer of the keeper after which the standby
+	// is asked for the tokens of the requests that wait.
+	standbyDelay = 30 * time.Millisecond
 	// closedFor is the longest time for which a node refuses the requests of an account
 	// over its quota without asking its keeper again.
 	closedFor = 200 * time.Millisecond
@@ -47,6 +51,7 @@
 type stock struct {
 	account string
 	keeper  string
+	standby string // member that is asked too, since the keeper has not answered
 	stint   uint64
 	spent   int64
 	held    int
@@ -80,6 +85,7 @@
 type line struct {
 	inFlight uint64 // message that is not answered, 0 if none
 	sentAt   time.Time
+	failures int               // messages without an answer since the last answer
 	stocks   map[string]*stock // those with something to say
 }
 
@@ -95,6 +101,7 @@
 	Account string
 	Granted bool
 	Permit  Permit // if Granted
+	Standby bool   // granted by the standby of the keeper
 	// Exceeded reports that the account is over its quota. Otherwise a request that is
 	// not granted got no word of the keeper in time.
 	Exceeded   bool
@@ -192,6 +199,7 @@
 
 // assign sets the keeper of s.
 func (h *Holder) assign(now time.Time, s *stock) {
+	h.leaveStandby(s) // it may be another one now
 	keeper := keeperOf(s.account, h.candidates)
 	if keeper == s.keeper && s.stint > 0 {
 		return
@@ -213,11 +221,47 @@
 // activate includes s in the next message to its keeper.
 func (h *Holder) activate(s *stock) { h.line(s.keeper).stocks[s.account] = s }
 
-// deactivate leaves s out of the messages to its keeper.
+// deactivate leaves s out of the messages to its keeper and to the standby.
 func (h *Holder) deactivate(s *stock) {
-	if l, ok := h.lines[s.keeper]; ok {
+	for _, id := range []string{s.keeper, s.standby} {
+		if l, ok := h.lines[id]; ok {
+			delete(l.stocks, s.account)
+		}
+	}
+}
+
+// askStandby includes s in the next message to the standby of its keeper, if requests
+// wait and the standby is not asked yet.
+func (h *Holder) askStandby(s *stock) {
+	if len(s.waiters) == 0 || s.standby != "" {
+		return
+	}
+	s.standby = standbyOf(s.account, h.candidates)
+	if s.standby != "" {
+		h.line(s.standby).stocks[s.account] = s
+	}
+}
+
+// leaveStandby ends the messages to the standby about s.
+func (h *Holder) leaveStandby(s *stock) {
+	if l, ok := h.lines[s.standby]; ok {
 		delete(l.stocks, s.account)
 	}
+	s.standby = ""
+}
+
+// askStandbys asks the standbys of the keepers that have not answered for a while.
+func (h *Holder) askStandbys(now time.Time) {
+	for id, l := range maps.Clone(h.lines) {
+		if l.inFlight == 0 || now.Before(l.sentAt.Add(standbyDelay)) {
+			continue
+		}
+		for _, s := range l.stocks {
+			if s.keeper == id {
+				h.askStandby(s)
+			}
+		}
+	}
 }
 
 // line returns the state of the messages to a keeper.
@@ -232,6 +276,7 @@
 
 // Due returns the messages to be sent at now.
 func (h *Holder) Due(now time.Time) []Message {
+	h.askStandbys(now)
 	var out []Message
 	for id, l := range h.lines {
 		if at := h.dueAt(id, l); at.IsZero() || now.Before(at) {
@@ -251,7 +296,11 @@
 	}
 	var due time.Time
 	for _, s := range l.stocks {
-		due = earliest(due, s.dueAt(l))
+		if s.keeper == id {
+			due = earliest(due, s.dueAt(l))
+		} else if len(s.waiters) > 0 {
+			due = earliest(due, l.sentAt.Add(elsewhereDelay))
+		}
 	}
 	if !due.IsZero() && id != h.cfg.Self {
 		due = latest(due, l.sentAt.Add(batchInterval))
@@ -286,6 +335,14 @@
 	m := Message{From: h.cfg.Self, To: id, Seq: h.seq}
 	for account, s := range l.stocks {
 		s.expire(now)
+		if s.keeper != id {
+			if len(s.waiters) == 0 {
+				h.leaveStandby(s)
+			} else {
+				m.Asks = append(m.Asks, Ask{Account: account, Stint: s.stint, Spent: s.spent, Held: s.held, Needed: len(s.waiters)})
+			}
+			continue
+		}
 		if len(s.waiters) == 0 && s.held == 0 && !s.returns && s.target(now) == 0 {
 			delete(l.stocks, account)
 			continue
@@ -328,17 +385,23 @@
 	if !ok || l.inFlight != seq {
 		return nil
 	}
-	l.inFlight = 0
+	l.inFlight, l.failures = 0, 0
 	var out []Outcome
 	for _, g := range r.Grants {
 		s, ok := h.stocks[g.Account]
-		if !ok || s.keeper != keeper {
+		if !ok || s.keeper != keeper && s.standby != keeper {
 			continue
 		}
-		if g.Elsewhere {
+		if s.standby == keeper {
+			out = append(out, s.receiveStandby(now, l.sentAt, g)...)
+			continue
+		}
+		if g.Elsewhere && g.Tokens == 0 {
 			s.askAt = now.Add(elsewhereDelay)
+			h.askStandby(s)
 			continue
 		}
+		h.leaveStandby(s)
 		s.expire(now)
 		s.held += g.Tokens
 		s.lapse = l.sentAt.Add(Lease)
@@ -349,6 +412,22 @@
 	return out
 }
 
+// receiveStandby handles what the standby has granted in reply to a message sent at
+// sentAt.
+func (s *stock) receiveStandby(now, sentAt time.Time, g Grant) []Outcome {
+	if g.Tokens == 0 {
+		return nil
+	}
+	s.expire(now)
+	s.held += g.Tokens
+	s.lapse = latest(s.lapse, sentAt.Add(Lease))
+	out := s.serve()
+	for i := range out {
+		out[i].Standby = true
+	}
+	return out
+}
+
 // serve spends the held tokens for the requests that wait.
 func (s *stock) serve() []Outcome {
 	n := min(s.held, len(s.waiters))
@@ -399,8 +478,16 @@
 		return
 	}
 	l.inFlight = 0
+	l.failures++
+	retryDelay := time.Duration(0)
+	if l.failures > 1 {
+		retryDelay = elsewhereDelay
+	}
 	for _, s := range l.stocks {
-		s.askAt = now
+		if s.keeper == keeper {
+			s.askAt = now.Add(retryDelay)
+			h.askStandby(s)
+		}
 	}
 }
 
@@ -432,6 +519,9 @@
 	for id, l := range h.lines {
 		next = earliest(next, h.dueAt(id, l))
 		for _, s := range l.stocks {
+			if l.inFlight != 0 && s.keeper == id && s.standby == "" && len(s.waiters) > 0 {
+				next = earliest(next, l.sentAt.Add(standbyDelay))
+			}
 			for _, w := range s.waiters {
 				next = earliest(next, w.until)
 			}
--- a/core/tokens/keeper.go
+++ b/core/tokens/keeper.go
@@ -49,9 +49,17 @@
 	since    time.Time // no account has come to this node since then
 	tickedAt time.Time
 	accounts map[string]*bucket
+	reserves map[string]*reserve
 	lastSeq  map[string]uint64 // by node
 }
 
+// reserve is what this node may grant of an account as the standby of its keeper. It
+// is a part of the tolerance, since the keeper may grant tokens at the same time.
+type reserve struct {
+	level     float64
+	updatedAt time.Time
+}
+
 // bucket is the token bucket of one account.
 type bucket struct {
 	level     float64
@@ -74,7 +82,7 @@
 	if cfg.Part == 0 {
 		cfg.Part = 1
 	}
-	return &Keeper{cfg: cfg, accounts: map[string]*bucket{}, lastSeq: map[string]uint64{}}
+	return &Keeper{cfg: cfg, accounts: map[string]*bucket{}, reserves: map[string]*reserve{}, lastSeq: map[string]uint64{}}
 }
 
 // Join records that the node has joined the group.
@@ -93,6 +101,13 @@
 	return rank.Best("quota/"+account, candidates)
 }
 
+// standbyOf returns the member that becomes the keeper of an account if the keeper
+// fails, empty if there is none.
+func standbyOf(account string, candidates []string) string {
+	keeper := keeperOf(account, candidates)
+	return keeperOf(account, slices.DeleteFunc(slices.Clone(candidates), func(id string) bool { return id == keeper }))
+}
+
 // SetMembers sets the members. The buckets of accounts that have another keeper now
 // are dropped: if they come back, they start anew.
 func (k *Keeper) SetMembers(now time.Time, m Members) {
@@ -144,6 +159,7 @@
 		}
 	}
 	k.tickedAt = now
+	k.forgetReserves(now)
 	k.setPart(now)
 }
 
@@ -165,11 +181,16 @@
 // grant handles what a message asks for one account.
 func (k *Keeper) grant(now time.Time, from string, a Ask) Grant {
 	g := Grant{Account: a.Account}
-	if k.readyAt.IsZero() || now.Before(k.readyAt) || !k.Keeps(a.Account) {
+	if k.readyAt.IsZero() || now.Before(k.readyAt) {
 		g.Elsewhere = true
 		return g
 	}
 	p := k.plan(a.Account)
+	if !k.Keeps(a.Account) {
+		g.Elsewhere = true
+		g.Tokens = k.takeReserve(now, a, p)
+		return g
+	}
 	if p.rate <= 0 {
 		g.Tokens = a.Needed // the quota has ended
 		return g
@@ -206,8 +227,9 @@
 func (k *Keeper) bucket(now time.Time, account string, p plan) *bucket {
 	b, ok := k.accounts[account]
 	if !ok {
-		b = &bucket{level: p.initial, updatedAt: k.since, holdings: map[string]*holding{}}
+		b = &bucket{level: k.reserve(now, account, p).level, updatedAt: k.since, holdings: map[string]*holding{}}
 		k.accounts[account] = b
+		k.reserves[account].level = 0 // it is in the bucket
 		b.refill(now, p)
 		if k.cfg.OnKept != nil {
 			k.cfg.OnKept(k.kept(now, account, b))
@@ -216,6 +238,40 @@
 	return b
 }
 
+// takeReserve returns the tokens that this node grants as the standby of the keeper,
+// which may not have answered the node that asks.
+func (k *Keeper) takeReserve(now time.Time, a Ask, p plan) int {
+	if standbyOf(a.Account, k.members.Candidates) != k.cfg.Self {
+		return 0
+	}
+	if p.rate <= 0 {
+		return a.Needed
+	}
+	r := k.reserve(now, a.Account, p)
+	n := max(min(a.Needed, int(r.level)), 0)
+	r.level -= float64(n)
+	return n
+}
+
+// reserve returns the reserve of an account, which fills within a window.
+func (k *Keeper) reserve(now time.Time, account string, p plan) *reserve {
+	r, ok := k.reserves[account]
+	if !ok {
+		r = &reserve{level: p.initial, updatedAt: now}
+		k.reserves[account] = r
+	}
+	if passed := now.Sub(r.updatedAt); passed > 0 {
+		r.level = min(r.level+p.initial*passed.Seconds()/k.cfg.Bounds.Window.Seconds(), p.initial)
+		r.updatedAt = now
+	}
+	return r
+}
+
+// forgetReserves drops the reserves that are full again.
+func (k *Keeper) forgetReserves(now time.Time) {
+	maps.DeleteFunc(k.reserves, func(_ string, r *reserve) bool { return now.Sub(r.updatedAt) >= k.cfg.Bounds.Window })
+}
+
 // refill adds the tokens since the last call.
 func (b *bucket) refill(now time.Time, p plan) {
 	if added := p.rate * now.Sub(b.updatedAt).Seconds(); added > 0 {
