tokens: an exhausted account is refused at once, and asked about every 200 ms

Cause: after each word of the keeper (200 ms at most) the requests of an exhausted account waited for the next message, a round trip, and were refused then; with a slow keeper most of the time. Now a node goes on refusing by the last word, for up to 400 ms, while it asks in the background each 200 ms. The time to return counts the refusals that other nodes have not reported yet, and the nodes that refuse in between.

--- a/core/tokens/fleet_test.go
+++ b/core/tokens/fleet_test.go
@@ -24,6 +24,7 @@
 	nodes    []*process // running, by index of the instance
 	quotas   map[string]acct.Quota
 	cut      map[int]bool // instances that are cut off from the others
+	slow     map[int]bool // instances whose messages take slowDelay more
 	loss     float64
 	started  int
 	requests []request
@@ -32,6 +33,7 @@
 
 const (
 	maxDelay   = 12 * time.Millisecond
+	slowDelay  = 40 * time.Millisecond
 	tickPeriod = 100 * time.Millisecond
 	msgTimeout = 150 * time.Millisecond
 	waitLimit  = 250 * time.Millisecond
@@ -44,6 +46,7 @@
 	at      time.Time // of its admission
 	granted bool
 	wait    time.Duration // Retry-After if it was refused as over the quota
+	waited  time.Duration // for a token
 }
 
 // process is one node process.
@@ -56,7 +59,7 @@
 	keeper      *tokens.Keeper
 	roster      *tokens.Roster
 	records     map[string]member.Record
-	waiting     map[uint64]bool
+	waiting     map[uint64]time.Time // arrival of the requests, by ticket
 	frozenUntil time.Time
 	pumpAt      time.Time // of the next pump, if it is in the future
 	joined      bool
@@ -84,7 +87,7 @@
 	f.started++
 	p := &process{
 		f: f, instance: i, id: fmt.Sprintf("n%03d.%d", i, f.started), startMs: f.now.UnixMilli(),
-		roster: tokens.NewRoster(nil), records: map[string]member.Record{}, waiting: map[uint64]bool{},
+		roster: tokens.NewRoster(nil), records: map[string]member.Record{}, waiting: map[uint64]time.Time{},
 	}
 	p.holder = tokens.NewHolder(tokens.HolderConfig{Self: p.id})
 	p.keeper = tokens.NewKeeper(tokens.KeeperConfig{Self: p.id, Bounds: bounds, Quota: func(a string) acct.Quota { return f.quotas[a] }})
@@ -181,9 +184,9 @@
 // end records the outcomes of requests that waited.
 func (p *process) end(outcomes []tokens.Outcome) {
 	for _, o := range outcomes {
-		if p.waiting[o.Ticket] {
+		if arrivedAt, ok := p.waiting[o.Ticket]; ok {
 			delete(p.waiting, o.Ticket)
-			p.f.requests = append(p.f.requests, request{o.Account, p.f.now, o.Granted, o.RetryAfter})
+			p.f.requests = append(p.f.requests, request{o.Account, p.f.now, o.Granted, o.RetryAfter, p.f.now.Sub(arrivedAt)})
 		}
 	}
 }
@@ -219,7 +222,11 @@
 
 // deliver runs fn at p after the delay of a message, or when p is no longer frozen.
 func (f *fleet) deliver(p *process, fn func()) {
-	f.after(f.within(maxDelay), func() {
+	delay := f.within(maxDelay)
+	if f.slow[p.instance] {
+		delay += slowDelay
+	}
+	f.after(delay, func() {
 		switch {
 		case p.dead:
 		case p.frozen():
@@ -249,9 +256,9 @@
 	}
 	o, ended := p.holder.Admit(f.now, account, f.now.Add(waitLimit))
 	if ended {
-		f.requests = append(f.requests, request{account, f.now, o.Granted, o.RetryAfter})
+		f.requests = append(f.requests, request{account, f.now, o.Granted, o.RetryAfter, 0})
 	} else {
-		p.waiting[o.Ticket] = true
+		p.waiting[o.Ticket] = f.now
 	}
 	p.pump()
 }
--- a/core/tokens/holder.go
+++ b/core/tokens/holder.go
@@ -25,8 +25,9 @@
 	// is asked for the tokens of the requests that wait.
 	standbyDelay = 30 * time.Millisecond
 	// closedFor is the longest time for which a node refuses the requests of an account
-	// over its quota without asking its keeper again.
-	closedFor = 200 * time.Millisecond
+	// over its quota by the same word of the keeper. It asks again before, after
+	// refillInterval.
+	closedFor = 400 * time.Millisecond
 	// forgetAfter is when an account is forgotten that no request came for.
 	forgetAfter = time.Minute
 )
@@ -316,7 +317,7 @@
 	switch {
 	case len(s.waiters) > 0:
 		return latest(s.askAt, l.sentAt)
-	case s.returns:
+	case s.returns, s.closed.refused > 0:
 		return latest(l.sentAt.Add(refillInterval), s.askAt)
 	case target == 0:
 		return time.Time{}
@@ -343,7 +344,7 @@
 			}
 			continue
 		}
-		if len(s.waiters) == 0 && s.held == 0 && !s.returns && s.target(now) == 0 {
+		if len(s.waiters) == 0 && s.held == 0 && !s.returns && s.closed.refused == 0 && s.target(now) == 0 {
 			delete(l.stocks, account)
 			continue
 		}
@@ -372,6 +373,9 @@
 	s.returns = false
 	refused := s.closed.refused
 	s.closed.refused = 0
+	if refused > 0 {
+		target = max(target, 1) // to learn when the account is below its quota again
+	}
 	return Ask{
 		Account: s.account, Stint: s.stint, Spent: s.spent, Held: s.held,
 		Needed: needed, Ahead: max(target-s.held, 0), Refused: refused,
@@ -439,16 +443,18 @@
 	return out
 }
 
-// refuse ends the wait of the requests that the message seq asked for in vain, if no
-// token is expected in time.
+// refuse ends the wait of requests after the reply to the message seq, if no token is
+// expected in time. Requests that have arrived since then are behind those that it asked
+// for.
 func (s *stock) refuse(now time.Time, seq uint64, g Grant) []Outcome {
 	var out []Outcome
+	untold := 0              // refused requests that the keeper does not know of
 	token := now.Add(g.Wait) // when the next one is expected
 	s.askAt = now
 	word := Outcome{Account: s.account, Exceeded: true, Keeper: s.keeper, Word: g.Word, HeardAt: now}
 	kept := s.waiters[:0]
 	for _, w := range s.waiters {
-		if w.asked != seq {
+		if w.asked != seq && g.Wait == 0 {
 			kept = append(kept, w)
 			continue
 		}
@@ -460,14 +466,16 @@
 			o := word
 			o.Ticket, o.RetryAfter = w.ticket, token.Sub(now)
 			out = append(out, o)
+			if w.asked != seq {
+				untold++
+			}
 		}
 		token = token.Add(g.Interval)
 	}
 	s.waiters = kept
 	s.closed.last, s.closed.next, s.closed.interval = word, token, g.Interval
-	if len(out) > 0 {
-		s.closed.until = earliest(now.Add(closedFor), now.Add(g.Wait))
-	}
+	s.closed.refused += untold
+	s.closed.until = earliest(now.Add(closedFor), now.Add(g.Wait))
 	return out
 }
 
--- a/core/tokens/keeper.go
+++ b/core/tokens/keeper.go
@@ -66,6 +66,7 @@
 	updatedAt time.Time
 	holdings  map[string]*holding // by node
 	backlog   float64             // refused requests that are expected to return
+	refusals  demand              // at all nodes
 	use       demand              // tokens given out
 }
 
@@ -201,16 +202,27 @@
 	b.cap(p)
 	g.Tokens = b.take(float64(a.Needed))
 	b.addReturns(a.Refused, p, k.cfg.Bounds.Window)
-	if refused := a.Needed - g.Tokens; refused > 0 {
+	refused := a.Needed - g.Tokens
+	ahead := b.take(min(float64(a.Ahead), b.level*a.levelPart(), p.ahead-b.held()))
+	g.Tokens += ahead
+	if refused > 0 || a.Refused > 0 && ahead < a.Ahead {
 		g.Wait, g.Interval = b.refuse(refused, p, k.cfg.Bounds.Window)
 	}
-	g.Tokens += b.take(min(float64(a.Ahead), b.level/2, p.ahead-b.held()))
 	h.tokens += g.Tokens
 	b.use.add(now, float64(g.Tokens))
 	g.Word = Word{Rate: p.rate, Depth: p.depth, Level: b.level, Part: k.part}
 	return g
 }
 
+// levelPart returns the part of the tokens left that the node may hold ahead. A node
+// that refuses requests needs them at once, while others may need the rest.
+func (a Ask) levelPart() float64 {
+	if a.Refused > 0 {
+		return 1
+	}
+	return 0.5
+}
+
 // plan returns how the bucket of an account is filled. Its rate is 0 if the account
 // has no quota.
 func (k *Keeper) plan(account string) plan {
@@ -331,15 +343,29 @@
 // refuse returns when n requests that get no token could pass, which is behind those
 // refused before. No time is longer than the window.
 func (b *bucket) refuse(n int, p plan, window time.Duration) (wait, interval time.Duration) {
-	missing := max(b.backlog+1-b.level, 0)
+	unreported := b.refusals.perPeriod(b.updatedAt) * (refillInterval / 2).Seconds()
+	missing := max(b.backlog+unreported+1-b.level, 0)
 	b.addReturns(n, p, window)
 	wait = max(min(secondsOf(missing/p.rate), window), time.Millisecond)
-	return wait, min(secondsOf(1/p.rate), window)
+	return wait, min(secondsOf(float64(b.asking())/p.rate), window)
+}
+
+// asking returns the number of nodes that have asked within the lease. Between two of
+// their messages, the requests that they refuse come to the queue in turn.
+func (b *bucket) asking() int {
+	n := 0
+	for _, h := range b.holdings {
+		if b.updatedAt.Before(h.expires) {
+			n++
+		}
+	}
+	return max(n, 1)
 }
 
 // addReturns adds n refused requests to those that are expected to return. There are
 // no more than can return within the window.
 func (b *bucket) addReturns(n int, p plan, window time.Duration) {
+	b.refusals.add(b.updatedAt, float64(n))
 	b.backlog = min(b.backlog+float64(n), p.rate*window.Seconds())
 }
 
--- a/core/tokens/tokens_test.go
+++ b/core/tokens/tokens_test.go
@@ -119,6 +119,43 @@
 	}
 }
 
+// TestExhaustedAccount replays an account at six times its quota, whose keeper is slow.
+// Requests that can't pass are refused at once, and the messages do not grow with the
+// demand.
+func TestExhaustedAccount(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(60, 1, map[string]acct.Quota{"a": {Rate: 600, Burst: 600}})
+	f.run(5 * time.Second)
+	for i, p := range f.nodes {
+		if p.keeper.Keeps("a") {
+			f.slow = map[int]bool{i: true}
+		}
+	}
+	f.load("a", 3600, instances(0, 60), 0, 6*time.Second)
+	f.run(2 * time.Second)
+	f.requests, f.sent = nil, 0
+	f.run(4 * time.Second)
+	is.NoErr(f.check("a", acct.Quota{Rate: 600, Burst: 600}))
+	granted, refused, waited := 0, 0, 0
+	for _, r := range f.requests {
+		switch {
+		case r.granted:
+			granted++
+		case r.waited > 0:
+			waited++
+			fallthrough
+		default:
+			refused++
+			is.True(r.wait > 0)
+		}
+	}
+	perNode := float64(f.sent) / 60 / 4
+	t.Logf("%d granted, %d refused, %d of them after a wait, %.1f messages a node a second", granted, refused, waited, perNode)
+	is.True(waited*50 <= refused)
+	is.True(perNode <= 10)
+	is.True(granted >= 600*4*95/100)
+}
+
 // TestReturnsPass replays a burst at four times the quota of an account. The requests
 // refused in it come back when they were told to, and pass then.
 func TestReturnsPass(t *testing.T) {
