--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -70,6 +70,7 @@
 	NoBackends      bool                       // runs nodes without backend servers
 	RevokeWithin    time.Duration              // setting keys.revoke_within of the nodes
 	PipelineDepth   int                        // pipelined requests of a caller that run at once (setting pipeline_depth)
+	Quota           setup.Quota                // bounds of the quotas of client accounts
 	CrashDowntime   time.Duration              // time until a backend server that has crashed starts again, see server.Faults.Crash
 }
 
@@ -204,6 +205,7 @@
 		n.Drain.Linger = jsonc.Duration(m.cfg.Linger)
 	}
 	n.Keys.RevokeWithin = jsonc.Duration(m.cfg.RevokeWithin)
+	n.Quota = m.cfg.Quota
 	return n.WithDefaults()
 }
 
--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -22,6 +22,7 @@
 	attempts  *prometheus.CounterVec
 	events    *prometheus.CounterVec
 	pipelined prometheus.Counter
+	quotas    *prometheus.CounterVec
 }
 
 // New returns a Set with all counters at zero.
@@ -44,8 +45,11 @@
 		pipelined: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "pipelined_total", Help: "Pipelined requests that were started before the ones in front of them were answered.",
 		}),
+		quotas: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "quota_total", Help: "Requests and messages about the quotas of client accounts at this node, by outcome.",
+		}, []string{"outcome"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.events, m.pipelined)
+	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.events, m.pipelined, m.quotas)
 	return m
 }
 
@@ -66,6 +70,10 @@
 // CountEvent counts a journal event, see package event.
 func (m *Set) CountEvent(kind string) { m.events.WithLabelValues(kind).Inc() }
 
+// CountQuota counts an outcome of a request or a message about quotas, see package
+// quotas.
+func (m *Set) CountQuota(outcome string) { m.quotas.WithLabelValues(outcome).Inc() }
+
 // AddGauge adds a gauge whose value is computed whenever the metrics are read.
 func (m *Set) AddGauge(name, help string, value func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -81,7 +81,11 @@
 
 // services returns the services between nodes that are served beside wire.Peer.
 func (n *Node) services() []wire.TwirpServer {
-	return []wire.TwirpServer{wire.NewProofsServer(n.feed), wire.NewRolloutsServer(n.rollouts)}
+	out := []wire.TwirpServer{wire.NewProofsServer(n.feed), wire.NewRolloutsServer(n.rollouts)}
+	if n.quotas != nil {
+		out = append(out, wire.NewQuotasServer(n.quotas))
+	}
+	return out
 }
 
 // newPipeline returns the pipeline of the requests of callers. While the node is stopping,
--- a/io/wire/doc.go
+++ b/io/wire/doc.go
@@ -11,4 +11,4 @@
 //	reply, err := c.Probe(ctx, &wire.ProbeRequest{From: "hafnar-1"})
 package wire
 
-//go:generate protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative wire.proto proof.proto rollout.proto
+//go:generate protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative wire.proto proof.proto rollout.proto quota.proto
