fleet: results of a step that was not waited for aren't read

Cause: do returns false when its context ends first; the step may run nevertheless, and syncWith and Predecessor read what it writes. Found by -race in one run of TestRolloutWhenStoreRefusesHolder, at the stop of a node. The fault is older than roll-outs. Run: go test ./io/fleet: ok; no test brings the race about.

--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -283,8 +283,12 @@
 
 // Predecessor returns the record of the latest earlier process at the address of this
 // node. Unlike View it knows all that Join has learned.
-func (f *Fleet) Predecessor(ctx context.Context) (r member.Record, ok bool) {
-	f.do(ctx, func(time.Time) { r, ok = f.table.Predecessor() })
+func (f *Fleet) Predecessor(ctx context.Context) (member.Record, bool) {
+	var r member.Record
+	var ok bool
+	if !f.do(ctx, func(time.Time) { r, ok = f.table.Predecessor() }) {
+		return member.Record{}, false // r may still be written
+	}
 	return r, ok
 }
 
