fleet: syncWith reads a result only when it is complete

do may return while its function still waits to run. The function then wrote missing while syncWith read it.

go test -race ./platform -run 'TestRolloutOfBad|TestSecondOrder|TestRolloutWhileStore' reported the race twice, beside other tests, at actions.go:153 and :160.

--- a/io/fleet/actions.go
+++ b/io/fleet/actions.go
@@ -148,7 +148,7 @@
 	f.recordContact()
 	f.cfg.OnPeerStamp(addr, peer.FromStamp(reply.GetVersion()))
 	var missing []member.Record
-	f.do(ctx, func(now time.Time) {
+	done := f.do(ctx, func(now time.Time) {
 		var acts []member.Action
 		missing, acts = f.table.CompleteSync(now, member.SyncMessage{
 			Records: peer.FromMembers(reply.GetMembers()),
@@ -157,6 +157,9 @@
 		f.perform(ctx, acts)
 		f.mergeUpdates(ctx, now, peer.FromUpdates(reply.GetRemotes()))
 	})
+	if !done {
+		return ctx.Err() // missing may be written at any time
+	}
 	if len(missing) == 0 {
 		return nil
 	}
