core/canary: a call in progress at an old server holds up the end of a roll-out

Cause: 0.3 s before the deadline a roll-out was declared complete although nodes had reported calls in progress at the old servers, which end at once then. Change: these are awaited also beyond the deadline. TestCallsInProgressHoldUpCompletion fails without it.

--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -392,19 +392,33 @@
 	return total
 }
 
-// nextCommitted decides whether the roll-out is complete.
+// nextCommitted decides whether the roll-out is complete. The servers of the old version
+// end at once then, so a node that still has a call in progress there is awaited beyond the
+// deadline. One that has not reported is not.
 func (r *Rollout) nextCommitted(now time.Time, s Servers) (Stage, bool) {
-	busy := r.count(now, s, func(n *nodeState) bool { return !n.quiet || n.phase < Committed })
+	unconfirmed := r.count(now, s, func(n *nodeState) bool { return !n.quiet || n.phase < Committed })
+	deadlineNear := r.order.Deadline.Sub(now) <= completeMargin
 	switch {
 	case now.Sub(r.enteredAt) < spreadTime:
-	case busy == 0:
+	case unconfirmed == 0:
 		return r.stage.With(Complete, fmt.Sprintf("%d nodes have confirmed that no call is in progress at the old version", len(r.nodes))), true
-	case r.order.Deadline.Sub(now) <= completeMargin:
-		return r.stage.With(Complete, fmt.Sprintf("the deadline has come, %d nodes have not confirmed that no call is in progress at the old version", busy)), true
+	case deadlineNear && !r.callsInProgress(now):
+		return r.stage.With(Complete, fmt.Sprintf("the deadline has come, %d nodes have not reported whether a call is in progress at the old version", unconfirmed)), true
 	}
 	return r.stage, false
 }
 
+// callsInProgress reports whether a node has lately reported that a call is in progress at
+// a server of the old version.
+func (r *Rollout) callsInProgress(now time.Time) bool {
+	for _, n := range r.nodes {
+		if now.Sub(n.at) < reportTTL && n.phase >= Committed && !n.quiet {
+			return true
+		}
+	}
+	return false
+}
+
 // Progress describes the counts of the roll-out for events and the status.
 func (r *Rollout) Progress() string {
 	return fmt.Sprintf("%d calls, %d of them at the version, %d judged, %d bad, evidence %.2f of an alarm", r.calls, r.exposed, r.judge.Answers(), r.judge.Bad(), r.judge.Evidence())
--- a/core/canary/rollout_test.go
+++ b/core/canary/rollout_test.go
@@ -555,3 +555,24 @@
 	c.Times.Add(took)
 	return c
 }
+
+// TestCallsInProgressHoldUpCompletion checks that a roll-out is not complete while a node has a
+// call in progress at a server of the old version, which would end with it, also when its
+// deadline has passed.
+func TestCallsInProgressHoldUpCompletion(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	o := canary.NewOrder(canary.Request{Service: "a", Target: "v2", Within: 10 * time.Second}, canary.OrderID{Revision: 1}, start)
+	last := canary.Stage{Order: o.ID, Service: "a", Target: "v2", Baseline: "v1"}.With(canary.Committed, "").WithHolder("a")
+	r := canary.New(canary.Config{Share: share, Slack: slack}, start.Add(9*time.Second), o, "v1", last)
+	servers := canary.Servers{Known: true, OldServers: 1, OldSlots: 12, TargetServers: 1, TargetSlots: 12, ReportInterval: reportEvery, Nodes: []string{"busy", "unheard"}}
+	const callEnds = 12 * time.Second
+	for d := 9 * time.Second; d < 13*time.Second && !r.Stage().Phase.Ended(); d += holderTick {
+		r.Report(start.Add(d), canary.Report{Node: "busy", Phase: canary.Committed, Quiet: d >= callEnds})
+		if next, ok := r.Next(start.Add(d), servers); ok {
+			is.True(d >= callEnds)
+			r.Enter(start.Add(d), next)
+		}
+	}
+	is.Equal(r.Stage().Phase, canary.Complete)
+}
