tokens, stage: files split by job

holder.go held messages, grants, the reserve and the demand besides the tokens; hold.go the claim besides the decisions.

--- /dev/null
+++ b/core/tokens/reserve.go
@@ -0,0 +1,39 @@
+package tokens
+
+import (
+	"time"
+)
+
+// askStandby includes s in the next message to the standby of its keeper, if requests
+// wait and the standby is not asked yet.
+func (h *Holder) askStandby(s *stock) {
+	if len(s.waiters) == 0 || s.standby != "" {
+		return
+	}
+	s.standby = standbyOf(s.account, h.candidates)
+	if s.standby != "" {
+		h.line(s.standby).stocks[s.account] = s
+	}
+}
+
+// leaveStandby ends the messages to the standby about s.
+func (h *Holder) leaveStandby(s *stock) {
+	if l, ok := h.lines[s.standby]; ok {
+		delete(l.stocks, s.account)
+	}
+	s.standby = ""
+}
+
+// askStandbys asks the standbys of the keepers that have not answered for a while.
+func (h *Holder) askStandbys(now time.Time) {
+	for id, l := range h.lines {
+		if l.inFlight == 0 || now.Before(l.sentAt.Add(standbyDelay)) {
+			continue
+		}
+		for _, s := range l.stocks {
+			if s.keeper == id {
+				h.askStandby(s)
+			}
+		}
+	}
+}
