soak: withdrawn keys of client accounts

The soak's configuration had no client accounts. Now each version adds a key and withdraws one, and calls carry keys, also withdrawn ones. Three checks, from callers and ledgers alone: no call that was sent later than keys.revoke_within after the version that withdrew its key was accepted has run; servers are told the account; and no key.

Ledgers that are written to files record the header of a call for this.

A call whose key may be refused does not count in the check that all nodes serve again, which was written for calls that nothing may refuse; all other calls count as before, and so do calls with a key that must be in force everywhere.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -42,6 +42,9 @@
 	InForce   Rule = "a version is in force in time"
 	NoReturn  Rule = "no node goes back to an older version"
 	Answered  Rule = "each call is answered by its deadline"
+	Revoked   Rule = "a withdrawn key runs nothing after the bound"
+	Account   Rule = "a server is told the account of a call"
+	NoKey     Rule = "a server is told no key"
 	Serving   Rule = "all nodes serve again in time after the last fault"
 )
 
@@ -76,6 +79,7 @@
 	r.checkLeaving(e)
 	r.checkLimits(e)
 	r.checkVersions(e)
+	r.checkKeys(e)
 	r.checkServing(e)
 	return r
 }
@@ -318,6 +322,7 @@
 		for _, x := range e.Calls {
 			switch {
 			case x.Node != n || x.First.Before(due): // or a repeat of an earlier call
+			case x.AccountKey > 0 && !e.keyInForce(x): // it may be refused
 			case x.succeeded():
 				served++
 			default:
--- a/internal/soak/conf.go
+++ b/internal/soak/conf.go
@@ -58,15 +58,23 @@
 	target := func(name, method, path string, once bool) object {
 		return object{
 			"name": name, "match": []object{{"method": method, "path": path}},
-			"answer_within": answerWithin.String(), "may_wait": mayWait.String(), "at_most_once": once,
+			"answer_within": answerWithin.String(), "may_wait": mayWait.String(), "at_most_once": once, "anonymous": true,
 		}
 	}
 	skraning := []object{target("booking", "POST", "/bookings", true), target("lookup", "GET", "/places", false)}
 	for v := version; v > 0 && v+versionRoutes > version; v-- {
 		skraning = append(skraning, target(fmt.Sprint("version-", v), "GET", versionPath(v), false))
 	}
+	keys := map[string][]string{}
+	for n := version; n < version+keyVersions; n++ {
+		keys[accountOf(n)] = append(keys[accountOf(n)], accountKey(n))
+	}
+	var accounts []object
+	for _, name := range accountNames {
+		accounts = append(accounts, object{"name": name, "keys": keys[name]})
+	}
 	budir := []object{target("payment", "POST", "/payments", true), target("roster", "GET", "/rosters", false)}
-	return object{"deployment": procs.Deployment, "services": []object{
+	return object{"deployment": procs.Deployment, "accounts": accounts, "services": []object{
 		{"name": "skraning", "classes": skraning}, {"name": "budir", "classes": budir},
 	}}
 }
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -59,6 +59,8 @@
 	Foreign string        // why a successful answer isn't the expected one, empty if it is
 	Body    string        // the start of the body in this case
 	Idle    time.Duration // for which its connection was idle before
+	// AccountKey is the number of the key of a client account that it carried, 0 for none.
+	AccountKey uint64
 	// Repeated means that the caller sent the call again, under the same key.
 	Repeated bool
 	Err      error // there was no complete answer
@@ -80,6 +82,9 @@
 		id = "under key " + id
 	}
 	text := fmt.Sprintf("%s %s via node %d, sent %s, took %v: ", c.Class.method, id, c.Node, clock(c.Sent), c.Got.Sub(c.Sent).Round(time.Millisecond))
+	if c.AccountKey > 0 {
+		text += "with " + accountKey(c.AccountKey) + ": "
+	}
 	if c.Err != nil {
 		return text + c.Err.Error() + fmt.Sprintf(" (connection idle for %v)", c.Idle.Round(time.Millisecond))
 	}
@@ -89,6 +94,7 @@
 // load runs the callers.
 type load struct {
 	fleet   *procs.Fleet
+	newest  func() uint64 // version of the configuration that the operator knows of
 	mu      sync.Mutex
 	calls   []*Call
 	refused int // connections, because no process listened
@@ -119,11 +125,12 @@
 		key := uuid.Must(uuid.NewV7()).String()
 		target := c.target(cl)
 		first := time.Now()
-		x := c.send(Call{Class: cl, Key: key, First: first}, target)
-		for x != nil && cl.keyed && !x.succeeded() && time.Since(first) < answerWithin {
+		accountKey := c.accountKey()
+		x := c.send(Call{Class: cl, Key: key, First: first, AccountKey: accountKey}, target)
+		for x != nil && cl.keyed && !x.succeeded() && x.Status != http.StatusUnauthorized && time.Since(first) < answerWithin {
 			x.Repeated = true
 			c.pause(100, 400)
-			x = c.send(Call{Class: cl, Key: key, First: first}, target)
+			x = c.send(Call{Class: cl, Key: key, First: first, AccountKey: accountKey}, target)
 		}
 		c.pause(5, 60)
 	}
@@ -188,6 +195,9 @@
 	} else {
 		req.Header.Set("X-Work", x.Key)
 	}
+	if x.AccountKey > 0 {
+		req.Header.Set(native.HeaderCredential, native.CredentialScheme+" "+accountKey(x.AccountKey))
+	}
 	x.Sent = time.Now()
 	defer func() { x.Got = time.Now() }()
 	res, err := c.client.Do(req)
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -36,7 +36,7 @@
 	if felt == 0 {
 		out = append(out, "no fault was felt")
 	}
-	for _, rule := range []Rule{Twice, OwnAnswer, Ran, InForce, NoReturn, Answered, Serving} {
+	for _, rule := range []Rule{Twice, OwnAnswer, Ran, InForce, NoReturn, Answered, Account, NoKey, Serving} {
 		if r.Result.Checked[rule] == 0 {
 			out = append(out, fmt.Sprintf("nothing tested that %s", rule))
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -59,6 +59,7 @@
 	budir := max(1, perCentre/3) * len(procs.DataCentres())
 	f, err := procs.Start(procs.Config{
 		Binary: cfg.Binary, Dir: cfg.Dir, Drain: drain, Slots: slots, LedgerFiles: true,
+		Keys:  setup.Keys{RevokeWithin: jsonc.Duration(revokeWithin)},
 		Specs: mesh.InstanceSpecs(procs.DataCentres(), map[string]int{"skraning": cfg.Nodes - budir, "budir": budir}),
 	})
 	defer f.Stop()
@@ -92,7 +93,7 @@
 		Seed: cfg.Seed, Duration: cfg.Duration, Nodes: cfg.Nodes, Centres: len(procs.DataCentres()), Kinds: cfg.Kinds, StopTime: stopTime,
 	})
 	j := newInjector(f, 2*stopTime)
-	l := &load{fleet: f}
+	l := &load{fleet: f, newest: o.newest}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg sync.WaitGroup
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -18,6 +19,7 @@
 	"tanagerchute/core/config"
 	"tanagerchute/core/jsonc"
 	"tanagerchute/internal/serial"
+	"tanagerchute/io/native"
 	"tanagerchute/io/server"
 	"tanagerchute/io/setup"
 )
@@ -214,3 +216,55 @@
 	is.Equal(rules(probe(2, 18, false)), []Rule{InForce})
 	is.Equal(rules(probe(2, 11, true), probe(2, 12, false)), []Rule{NoReturn})
 }
+
+// TestKeyChecks gives the checks of account keys a withdrawn key that runs too late, and
+// servers that are told another account, or the key.
+func TestKeyChecks(t *testing.T) {
+	const key = 6 // version 7, accepted at 20 s, withdraws it
+	header := func(account, credential string) http.Header {
+		h := http.Header{}
+		if account != "" {
+			h.Set(native.HeaderAccount, account)
+		}
+		if credential != "" {
+			h.Set(native.HeaderCredential, credential)
+		}
+		return h
+	}
+	late := 20 + revokeWithin.Seconds() + 0.1
+	for _, c := range []struct {
+		name   string
+		sent   float64
+		key    uint64
+		class  *class
+		first  float64
+		header http.Header // nil if it did not run
+		want   []Rule
+	}{
+		{"in time", late - 0.2, key, &classes[2], 0, header(accountOf(key), ""), nil},
+		{"late and refused", late, key, &classes[2], 0, nil, nil},
+		{"late", late, key, &classes[2], 0, header(accountOf(key), ""), []Rule{Revoked}},
+		{"repeated late", late, key, &classes[3], 21, header(accountOf(key), ""), nil},
+		{"first sent late", late, key, &classes[3], late, header(accountOf(key), ""), []Rule{Revoked}},
+		{"kept key", late, key + 1, &classes[2], 0, header(accountOf(key+1), ""), nil},
+		{"other account", 10, key, &classes[2], 0, header(accountOf(key+1), ""), []Rule{Account}},
+		{"no account", 10, key, &classes[2], 0, header("", ""), []Rule{Account}},
+		{"account without a key", 10, 0, &classes[2], 0, header(accountOf(key), ""), []Rule{Account}},
+		{"key passed on", 10, key, &classes[2], 0, header(accountOf(key), "Bearer "+accountKey(key)), []Rule{NoKey}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := &Call{Class: c.class, Key: "k", AccountKey: c.key, First: second(c.first), Sent: second(c.sent), Got: second(c.sent + 0.1)}
+			e := &Evidence{Versions: []Applied{{key, second(0)}, {key + 1, second(20)}}, Calls: []*Call{x}, Runs: map[string][]Run{}}
+			if c.header != nil {
+				e.Runs["k"] = []Run{{Entry: server.Entry{Header: c.header}}}
+			}
+			r := &Result{Checked: map[Rule]int{}}
+			r.checkKeys(e)
+			var got []Rule
+			for _, f := range r.Findings {
+				got = append(got, f.Rule)
+			}
+			is.New(t).Equal(got, c.want)
+		})
+	}
+}
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -82,6 +82,7 @@
 	Host     string         `json:"host"`
 	Path     string         `json:"path"`
 	Target   string         `json:"target"`             // path and query, as received
+	Header   http.Header    `json:"header,omitempty"`   // as received, only where the ledger is written to a file
 	Caller   string         `json:"caller,omitempty"`   // service that made the call
 	TimeLeft jsonc.Duration `json:"left,omitempty"`     // time until the deadline, at arrival
 	At       time.Time      `json:"at"`                 // time of arrival
@@ -248,6 +249,9 @@
 		Request: info.ID, Key: workKey(r), Method: r.Method, Host: r.Host, Path: r.URL.Path, Target: r.RequestURI,
 		Caller: info.Caller, TimeLeft: jsonc.Duration(info.TimeLeft), At: time.Now(),
 	}
+	if s.cfg.LedgerOut != nil {
+		e.Header = r.Header
+	}
 	index := s.record(e)
 	if !s.work(r.Context(), s.workDuration(r, f)) {
 		s.update(index, func(e *Entry) { e.Canceled, e.End = true, time.Now() })
