--- a/io/server/raw.go
+++ b/io/server/raw.go
@@ -149,8 +149,9 @@
 			return
 		}
 		info := s.cfg.Protocol.ReadRequest(r.Header)
-		now := time.Now()
-		s.record(Entry{Request: info.ID, Key: workKey(r), Method: r.Method, Host: r.Host, Path: r.URL.Path, Target: r.RequestURI, At: now, Done: true, End: now})
+		e := s.newEntry(r, info.ID)
+		e.Done, e.End = true, e.At
+		s.record(e)
 		id = info.ID
 	}
 }
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -154,6 +154,15 @@
 // MaxRunning returns the highest number of calls that ran at the same time.
 func (s *Server) MaxRunning() int { return int(s.maxRunning.Load()) }
 
+// newEntry returns the entry of a call that arrives now, under a request ID.
+func (s *Server) newEntry(r *http.Request, id string) Entry {
+	e := Entry{Request: id, Key: workKey(r), Method: r.Method, Host: r.Host, Path: r.URL.Path, Target: r.RequestURI, At: time.Now()}
+	if s.cfg.LedgerOut != nil {
+		e.Header = r.Header
+	}
+	return e
+}
+
 // record appends an entry to the ledger and returns its index, or -1 if the
 // ledger is full.
 func (s *Server) record(e Entry) int {
@@ -245,13 +254,8 @@
 	for m := s.maxRunning.Load(); n > m && !s.maxRunning.CompareAndSwap(m, n); m = s.maxRunning.Load() {
 	}
 	info := s.cfg.Protocol.ReadRequest(r.Header)
-	e := Entry{
-		Request: info.ID, Key: workKey(r), Method: r.Method, Host: r.Host, Path: r.URL.Path, Target: r.RequestURI,
-		Caller: info.Caller, TimeLeft: jsonc.Duration(info.TimeLeft), At: time.Now(),
-	}
-	if s.cfg.LedgerOut != nil {
-		e.Header = r.Header
-	}
+	e := s.newEntry(r, info.ID)
+	e.Caller, e.TimeLeft = info.Caller, jsonc.Duration(info.TimeLeft)
 	index := s.record(e)
 	if !s.work(r.Context(), s.workDuration(r, f)) {
 		s.update(index, func(e *Entry) { e.Canceled, e.End = true, time.Now() })
