soak: pipelined lookups

A caller at each node sends four lookups at once on a connection (setting pipeline_depth), and checks that each answer is that to its own request. A refusal names no request, so an exchange of two refusals is not seen. A run in which no such calls ran at once fails, as it has tested nothing. Answers missing behind one that closes the connection are left out, as HTTP has it.

--- a/internal/procs/fleet.go
+++ b/internal/procs/fleet.go
@@ -49,14 +49,15 @@
 
 // Config configures a Fleet.
 type Config struct {
-	Binary      string
-	Dir         string // for settings and logs
-	Specs       []mesh.InstanceSpec
-	Drain       setup.Drain    // of the nodes
-	Keys        setup.Keys     // of the nodes
-	Slots       int            // of each backend server
-	Work        jsonc.Duration // default duration of a call
-	LedgerFiles bool           // backend servers write their ledgers to files
+	Binary        string
+	Dir           string // for settings and logs
+	Specs         []mesh.InstanceSpec
+	Drain         setup.Drain    // of the nodes
+	Keys          setup.Keys     // of the nodes
+	Slots         int            // of each backend server
+	Work          jsonc.Duration // default duration of a call
+	PipelineDepth int            // of the nodes
+	LedgerFiles   bool           // backend servers write their ledgers to files
 }
 
 // Fleet is a deployment of separate processes.
@@ -143,7 +144,8 @@
 	for i, s := range f.cfg.Specs {
 		n := setup.Node{
 			Name: s.Name, Deployment: Deployment, DataCentre: s.DataCentre, DataCentres: centres,
-			Service: s.Service, Store: []string{storeURLs[s.DataCentre]}, Seeds: seeds, Drain: f.cfg.Drain, Keys: f.cfg.Keys, Log: "debug",
+			Service: s.Service, Store: []string{storeURLs[s.DataCentre]}, Seeds: seeds, Drain: f.cfg.Drain, Keys: f.cfg.Keys,
+			PipelineDepth: f.cfg.PipelineDepth, Log: "debug",
 		}
 		if err := f.configureInstance(n, addrs[addrsPerInstance*i:addrsPerInstance*(i+1)]); err != nil {
 			return err
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -33,6 +33,7 @@
 	Twice     Rule = "work that may run once runs once"
 	NotRun    Rule = "not_run is true"
 	OwnAnswer Rule = "a successful answer is whole and the caller's own"
+	InOrder   Rule = "pipelined calls are answered in their order"
 	Ran       Rule = "what was answered has run"
 	StopCuts  Rule = "a planned stop cuts no call"
 	NoFault   Rule = "no call is lost without a fault that explains it"
@@ -116,6 +117,9 @@
 
 // checkAnswer checks what can be told from a single answer.
 func (r *Result) checkAnswer(e *Evidence, x *Call) {
+	if x.Pipelined && x.Err == nil {
+		r.check(InOrder, x.AnswerOf == "", "%v: it got the answer to %s", x, x.AnswerOf)
+	}
 	if x.succeeded() {
 		r.check(OwnAnswer, x.Foreign == "" || e.answeredShort(x), "%v: %s", x, x.Foreign)
 		r.check(Ran, len(e.Runs[x.Key]) > 0, "%v, but it did not run", x)
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -26,6 +26,9 @@
 	callersPerNode = 3
 	homeShare      = 0.8 // of the calls of a caller go to the node beside it
 	callTimeout    = answerWithin + 4*time.Second
+	// pipelinerStream is the first stream of random numbers of the pipeliners. Those of
+	// the callers are below.
+	pipelinerStream = 1 << 20
 )
 
 // class is a kind of calls.
@@ -61,6 +64,8 @@
 	Idle    time.Duration // for which its connection was idle before
 	// AccountKey is the number of the key of a client account that it carried, 0 for none.
 	AccountKey uint64
+	Pipelined  bool
+	AnswerOf   string // key of the other pipelined call whose answer it got, if it did
 	// Repeated means that the caller sent the call again, under the same key.
 	Repeated bool
 	Err      error // there was no complete answer
@@ -106,9 +111,19 @@
 	for i := range callersPerNode * len(l.fleet.Instances) {
 		wg.Go(func() { l.runCaller(ctx, i%len(l.fleet.Instances), rand.New(rand.NewPCG(seed, uint64(i+1)))) })
 	}
+	for i := range l.fleet.Instances {
+		wg.Go(func() { l.runPipeliner(ctx, i, rand.New(rand.NewPCG(seed, uint64(pipelinerStream+i)))) })
+	}
 	wg.Wait()
 }
 
+// add records calls that have ended.
+func (l *load) add(calls ...*Call) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls = append(l.calls, calls...)
+}
+
 // caller makes calls one after the other. It keeps one connection open to each node.
 type caller struct {
 	load   *load
@@ -167,9 +182,7 @@
 	for i := range nodes {
 		x.Node = (first + i) % nodes
 		if c.do(&x, target) {
-			c.load.mu.Lock()
-			defer c.load.mu.Unlock()
-			c.load.calls = append(c.load.calls, &x)
+			c.load.add(&x)
 			return &x
 		}
 		c.load.mu.Lock()
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -36,11 +36,14 @@
 	if felt == 0 {
 		out = append(out, "no fault was felt")
 	}
-	for _, rule := range []Rule{Twice, OwnAnswer, Ran, InForce, NoReturn, Answered, Account, NoKey, Serving} {
+	for _, rule := range []Rule{Twice, OwnAnswer, InOrder, Ran, InForce, NoReturn, Answered, Account, NoKey, Serving} {
 		if r.Result.Checked[rule] == 0 {
 			out = append(out, fmt.Sprintf("nothing tested that %s", rule))
 		}
 	}
+	if r.Evidence.ranAtOnce() == 0 {
+		out = append(out, "no pipelined calls ran at once")
+	}
 	return out
 }
 
@@ -55,6 +58,7 @@
 	r.writeInjections(w)
 	fmt.Fprintf(w, "\n%d calls, %d connections refused; %d versions, %d attempts at one failed; %d answers about versions\n",
 		len(e.Calls), e.Refused, len(e.Versions), e.FailedPubs, len(e.Probes))
+	fmt.Fprintf(w, "%d pipelined calls ran while the one before them did\n", e.ranAtOnce())
 	r.writeOutcomes(w)
 	r.writeChecks(w)
 	for _, p := range r.Problems() {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -59,7 +59,7 @@
 	budir := max(1, perCentre/3) * len(procs.DataCentres())
 	f, err := procs.Start(procs.Config{
 		Binary: cfg.Binary, Dir: cfg.Dir, Drain: drain, Slots: slots, LedgerFiles: true,
-		Keys:  setup.Keys{RevokeWithin: jsonc.Duration(revokeWithin)},
+		Keys: setup.Keys{RevokeWithin: jsonc.Duration(revokeWithin)}, PipelineDepth: pipelineDepth,
 		Specs: mesh.InstanceSpecs(procs.DataCentres(), map[string]int{"skraning": cfg.Nodes - budir, "budir": budir}),
 	})
 	defer f.Stop()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -171,6 +171,7 @@
 		{"refused, then answered", []*Call{refused(call), answered(call)}, []Run{run(1, 10, 11)}, nil, ""},
 		{"answered without a run", []*Call{answered(call)}, nil, nil, Ran},
 		{"answer of another call", []*Call{answered(Call{Key: "k", Foreign: "other", Sent: second(10), Got: second(11)})}, []Run{run(1, 10, 11)}, nil, OwnAnswer},
+		{"pipelined, another's answer", []*Call{answered(Call{Key: "k", Pipelined: true, AnswerOf: "other", Sent: second(10), Got: second(11)})}, []Run{run(1, 10, 11)}, nil, InOrder},
 		{"lost without a fault", []*Call{unknown(call)}, []Run{run(1, 10, 11)}, nil, NoFault},
 		{"lost beside a freeze", []*Call{unknown(call)}, []Run{run(1, 10, 11)}, []Injection{fault(Freeze, 1, 10, 11)}, NoFault},
 		{"lost at a killed node", []*Call{unknown(call)}, []Run{run(1, 10, 11)}, []Injection{fault(Kill, 1, 10, 11)}, ""},
