--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -8,6 +8,10 @@
 // store and of the backend servers inject their own. Callers keep their connections
 // open until the process behind them closes them or ends.
 //
+// Each version of the configuration adds a key of a client account and withdraws one.
+// Some calls carry a key, which may have been withdrawn. A caller at each node pipelines
+// lookups.
+//
 // The exit status is 1 if a check failed or if the run tested nothing. The directory
 // with logs, settings and ledgers is kept then.
 //
