--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -33,6 +33,7 @@
 	Twice     Rule = "work that may run once runs once"
 	NotRun    Rule = "not_run is true"
 	OwnAnswer Rule = "a successful answer is whole and the caller's own"
+	InOrder   Rule = "pipelined calls are answered in their order"
 	Ran       Rule = "what was answered has run"
 	StopCuts  Rule = "a planned stop cuts no call"
 	NoFault   Rule = "no call is lost without a fault that explains it"
@@ -42,6 +43,9 @@
 	InForce   Rule = "a version is in force in time"
 	NoReturn  Rule = "no node goes back to an older version"
 	Answered  Rule = "each call is answered by its deadline"
+	Revoked   Rule = "a withdrawn key runs nothing after the bound"
+	Account   Rule = "a server is told the account of a call"
+	NoKey     Rule = "a server is told no key"
 	Serving   Rule = "all nodes serve again in time after the last fault"
 )
 
@@ -76,6 +80,7 @@
 	r.checkLeaving(e)
 	r.checkLimits(e)
 	r.checkVersions(e)
+	r.checkKeys(e)
 	r.checkServing(e)
 	return r
 }
@@ -112,6 +117,9 @@
 
 // checkAnswer checks what can be told from a single answer.
 func (r *Result) checkAnswer(e *Evidence, x *Call) {
+	if x.Pipelined && x.Err == nil {
+		r.check(InOrder, x.AnswerOf == "", "%v: it got the answer to %s", x, x.AnswerOf)
+	}
 	if x.succeeded() {
 		r.check(OwnAnswer, x.Foreign == "" || e.answeredShort(x), "%v: %s", x, x.Foreign)
 		r.check(Ran, len(e.Runs[x.Key]) > 0, "%v, but it did not run", x)
@@ -318,6 +326,7 @@
 		for _, x := range e.Calls {
 			switch {
 			case x.Node != n || x.First.Before(due): // or a repeat of an earlier call
+			case x.AccountKey > 0 && !e.keyInForce(x): // it may be refused
 			case x.succeeded():
 				served++
 			default:
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -26,6 +26,9 @@
 	callersPerNode = 3
 	homeShare      = 0.8 // of the calls of a caller go to the node beside it
 	callTimeout    = answerWithin + 4*time.Second
+	// pipelinerStream is the first stream of random numbers of the pipeliners. Those of
+	// the callers are below.
+	pipelinerStream = 1 << 20
 )
 
 // class is a kind of calls.
@@ -59,6 +62,10 @@
 	Foreign string        // why a successful answer isn't the expected one, empty if it is
 	Body    string        // the start of the body in this case
 	Idle    time.Duration // for which its connection was idle before
+	// AccountKey is the number of the key of a client account that it carried, 0 for none.
+	AccountKey uint64
+	Pipelined  bool
+	AnswerOf   string // key of the other pipelined call whose answer it got, if it did
 	// Repeated means that the caller sent the call again, under the same key.
 	Repeated bool
 	Err      error // there was no complete answer
@@ -80,6 +87,9 @@
 		id = "under key " + id
 	}
 	text := fmt.Sprintf("%s %s via node %d, sent %s, took %v: ", c.Class.method, id, c.Node, clock(c.Sent), c.Got.Sub(c.Sent).Round(time.Millisecond))
+	if c.AccountKey > 0 {
+		text += "with " + accountKey(c.AccountKey) + ": "
+	}
 	if c.Err != nil {
 		return text + c.Err.Error() + fmt.Sprintf(" (connection idle for %v)", c.Idle.Round(time.Millisecond))
 	}
@@ -89,6 +99,7 @@
 // load runs the callers.
 type load struct {
 	fleet   *procs.Fleet
+	newest  func() uint64 // version of the configuration that the operator knows of
 	mu      sync.Mutex
 	calls   []*Call
 	refused int // connections, because no process listened
@@ -100,9 +111,19 @@
 	for i := range callersPerNode * len(l.fleet.Instances) {
 		wg.Go(func() { l.runCaller(ctx, i%len(l.fleet.Instances), rand.New(rand.NewPCG(seed, uint64(i+1)))) })
 	}
+	for i := range l.fleet.Instances {
+		wg.Go(func() { l.runPipeliner(ctx, i, rand.New(rand.NewPCG(seed, uint64(pipelinerStream+i)))) })
+	}
 	wg.Wait()
 }
 
+// add records calls that have ended.
+func (l *load) add(calls ...*Call) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls = append(l.calls, calls...)
+}
+
 // caller makes calls one after the other. It keeps one connection open to each node.
 type caller struct {
 	load   *load
@@ -119,11 +140,12 @@
 		key := uuid.Must(uuid.NewV7()).String()
 		target := c.target(cl)
 		first := time.Now()
-		x := c.send(Call{Class: cl, Key: key, First: first}, target)
-		for x != nil && cl.keyed && !x.succeeded() && time.Since(first) < answerWithin {
+		accountKey := c.accountKey()
+		x := c.send(Call{Class: cl, Key: key, First: first, AccountKey: accountKey}, target)
+		for x != nil && cl.keyed && !x.succeeded() && x.Status != http.StatusUnauthorized && time.Since(first) < answerWithin {
 			x.Repeated = true
 			c.pause(100, 400)
-			x = c.send(Call{Class: cl, Key: key, First: first}, target)
+			x = c.send(Call{Class: cl, Key: key, First: first, AccountKey: accountKey}, target)
 		}
 		c.pause(5, 60)
 	}
@@ -160,9 +182,7 @@
 	for i := range nodes {
 		x.Node = (first + i) % nodes
 		if c.do(&x, target) {
-			c.load.mu.Lock()
-			defer c.load.mu.Unlock()
-			c.load.calls = append(c.load.calls, &x)
+			c.load.add(&x)
 			return &x
 		}
 		c.load.mu.Lock()
@@ -188,6 +208,9 @@
 	} else {
 		req.Header.Set("X-Work", x.Key)
 	}
+	if x.AccountKey > 0 {
+		req.Header.Set(native.HeaderCredential, native.CredentialScheme+" "+accountKey(x.AccountKey))
+	}
 	x.Sent = time.Now()
 	defer func() { x.Got = time.Now() }()
 	res, err := c.client.Do(req)
