--- a/io/gate/discover.go
+++ b/io/gate/discover.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// DiscoverBackend sends a health check to the address of b and uses the server that answers
-// as the backend server until its first heartbeat. b is what is assumed of it until then. A node that restarts while its
+// DiscoverBackend sends a health check to the address of b and uses the server that
+// answers as the backend server until its first heartbeat. Until then b is assumed to
+// describe it, with the id that the server has given. A node that restarts while its
 // backend server keeps running would otherwise have to wait for that heartbeat.
 func (g *Gate) DiscoverBackend(ctx context.Context, healthPath string, b Backend) {
 	began := time.Now()
--- a/io/link/bottleneck.go
+++ b/io/link/bottleneck.go
@@ -13,7 +13,7 @@
 	freeAt         time.Time // when all that was sent has passed
 }
 
-// NewBottleneck returns a bottleneck with the given rate.
+// NewBottleneck returns a bottleneck with the given rate, which is positive.
 func NewBottleneck(bytesPerSecond float64) *Bottleneck {
 	return &Bottleneck{bytesPerSecond: bytesPerSecond}
 }
--- a/io/mesh/links.go
+++ b/io/mesh/links.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tanagerchute/io/link"
+	"tanagerchute/io/setup"
 )
 
 // instanceLink is the network link of an instance. Its directions are nil if it has no
@@ -18,12 +19,14 @@
 	return m.cfg.LinkMbit(s)
 }
 
+// newInstanceLink returns a link that carries the given rate in each direction, in Mbit/s,
+// 0 for no bound.
 func newInstanceLink(mbit float64) *instanceLink {
-	if mbit <= 0 {
+	rate := setup.Link{MbitPerSecond: mbit}.BytesPerSecond()
+	if rate <= 0 {
 		return &instanceLink{}
 	}
-	const bytesPerMbit = 1e6 / 8
-	return &instanceLink{in: link.NewBottleneck(mbit * bytesPerMbit), out: link.NewBottleneck(mbit * bytesPerMbit)}
+	return &instanceLink{in: link.NewBottleneck(rate), out: link.NewBottleneck(rate)}
 }
 
 // narrowPath returns the path of a connection over the links of two instances.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -233,13 +233,13 @@
 	})
 	n.buildQuotas()
 	n.proxy = proxy.New(proxy.Config{
-		Quotas: n.quotas,
-		Node:   n.id, DataCentre: s.Group(), DataCentres: s.Groups(), Deployment: n.deploymentID(), Dialect: n.cfg.Dialect,
+		Node: n.id, DataCentre: s.Group(), DataCentres: s.Groups(), Deployment: n.deploymentID(), Dialect: n.cfg.Dialect,
 		Fleet: n.fleet, Feed: n.feed, Gate: n.gate, Client: n.client, Journal: n.journal,
 		WrapDial: func(d link.Dial) link.Dial { return n.byteMeters.calls.Dial(n.cfg.WrapDial(d), n.isRemoteAddr) },
 		Tracer:   n.tracer.Tracer(), Claims: n.proxyClaims(), Rand: n.newRand("proxy"),
 		MaxBodyBytes: s.Limits.RequestBytes, MaxAnswerBytes: s.Limits.AnswerBytes,
-		NestedCallsUntraced: s.LocalCallers, KeysUnused: s.KeysUnused, Retry: retryLimits(s), LinkRate: s.Link.BytesPerSecond(), LocalCallers: s.LocalCallers,
+		NestedCallsUntraced: s.LocalCallers, KeysUnused: s.KeysUnused, Retry: retryLimits(s),
+		Quotas: n.quotas, LinkRate: s.Link.BytesPerSecond(), LocalCallers: s.LocalCallers,
 		Hedge: s.Hedge != nil && *s.Hedge, Policy: n.cfg.Policy, Rollouts: n.proxyRollouts(), OnCall: n.recordCall, OnAttempt: n.recordAttempt,
 	})
 }
--- a/io/proxy/home.go
+++ b/io/proxy/home.go
@@ -22,9 +22,11 @@
 type homeTable struct {
 	*runner.SyncTable
 
-	mu         sync.Mutex // guards the fields below, and the start of calls against them
-	refuseKeys bool       // the node can't be the home of a new key
-	leaving    bool       // the node takes no new call at all
+	// mu guards the fields below. Begin holds it, so that no key is accepted after
+	// refuseNewKeys has returned.
+	mu         sync.Mutex
+	refuseKeys bool // the node can't be the home of a new key
+	leaving    bool // the node takes no new call at all
 	// latest is the issue time of the latest key that was accepted, at least the start
 	// of the process.
 	latest time.Time
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -186,7 +186,7 @@
 // Defaults of a node.
 const (
 	DefaultDrainTimeout = 30 * time.Second
-	DefaultLinger       = 6 * time.Second        // for callers that move, and new homes of keys that ask
+	DefaultLinger       = 6 * time.Second        // for callers to move to other nodes, and for new homes of keys to ask this one
 	DefaultSlowSpan     = 250 * time.Millisecond // default of Trace.Slow
 	defaultLogLevel     = "info"
 )
@@ -338,11 +338,12 @@
 	if n.Drain.Timeout < 0 || n.Drain.Linger < 0 {
 		c.Add("drain", "must not be negative")
 	}
-	c.checkLoad(n)
+	c.checkBounds(n)
 }
 
-// checkLoad checks the settings of the load that a node takes.
-func (c *validator) checkLoad(n Node) {
+// checkBounds checks the settings that bound requests, the use of the link, keys, quotas
+// and roll-outs.
+func (c *validator) checkBounds(n Node) {
 	if n.PipelineDepth < 0 {
 		c.Add("pipeline_depth", "must not be negative")
 	}
--- a/io/wire/doc.go
+++ b/io/wire/doc.go
@@ -1,5 +1,5 @@
-// Package wire defines the protocol between nodes: the twirp services Peer, Proofs and
-// Rollouts, and the metadata of proxied calls and their answers.
+// Package wire defines the protocol between nodes: the twirp services Peer, Proofs,
+// Quotas and Rollouts, and the metadata of proxied calls and their answers.
 //
 // The Go code is generated from the .proto files and committed. To regenerate it,
 // install protoc, protoc-gen-go and protoc-gen-twirp, and run go generate in
