--- a/io/ledger/rollout.go
+++ b/io/ledger/rollout.go
@@ -33,13 +33,14 @@
 	Reason  string `json:"reason,omitempty"`
 }
 
-func (f RolloutFormat) prefix() string { return Prefix(f.Deployment) + "rollout/" }
+// Prefix returns the prefix of all keys of roll-outs.
+func (f RolloutFormat) Prefix() string { return Prefix(f.Deployment) + "rollout/" }
 
 // OrderPrefix implements tanagerchute.RolloutFormat.
-func (f RolloutFormat) OrderPrefix() string { return f.prefix() + "order/" }
+func (f RolloutFormat) OrderPrefix() string { return f.Prefix() + "order/" }
 
 // StatusPrefix returns the prefix of the keys of the statuses.
-func (f RolloutFormat) StatusPrefix() string { return f.prefix() + "status/" }
+func (f RolloutFormat) StatusPrefix() string { return f.Prefix() + "status/" }
 
 // ParseOrder implements tanagerchute.RolloutFormat.
 func (f RolloutFormat) ParseOrder(key string, value []byte) (canary.Request, error) {
--- a/io/node/rollout.go
+++ b/io/node/rollout.go
@@ -11,9 +11,9 @@
 func (n *Node) rolloutConfig() stage.Config {
 	s := n.cfg.Settings
 	cfg := stage.Config{
-		Settings: s.Rollout, Service: s.Service, Store: n.cfg.Store, Format: n.cfg.RolloutFormat, Prefix: ledger.Prefix(s.Deployment) + "rollout/",
+		Settings: s.Rollout, Service: s.Service, Store: n.cfg.Store, Format: n.cfg.RolloutFormat, Prefix: ledger.RolloutFormat{Deployment: s.Deployment}.Prefix(),
 		Fleet: n.fleet, Client: n.client, Journal: n.journal, IsReader: func() bool { return n.feed.IsReader() },
-		Busy: n.callsAtBackend, HasService: n.hasService,
+		CallsInProgress: n.callsAtBackend, HasService: n.hasService,
 	}
 	if cfg.Format == nil {
 		cfg.Format = ledger.RolloutFormat{Deployment: s.Deployment}
@@ -21,7 +21,8 @@
 	return cfg
 }
 
-// callsAtBackend returns the number of calls in progress at the node's backend server.
+// callsAtBackend returns the number of calls in progress at the node's backend server,
+// with those that wait for it.
 func (n *Node) callsAtBackend() int {
 	l := n.gate.Load()
 	return l.InFlight + l.Queued
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -81,19 +81,19 @@
 	return p
 }
 
-// ProofsOf returns the client of the node at addr for proofs.
+// ProofsOf returns the client of the node at addr for proofs. Like those of RolloutsOf and
+// QuotasOf, it shares the connections of To.
 func (c *Client) ProofsOf(addr string) wire.Proofs {
 	return wire.NewProofsProtobufClient("http://"+addr, c.http)
 }
 
-// RolloutsTo returns a client for the roll-outs of the node at addr.
-func (c *Client) RolloutsTo(addr string) wire.Rollouts {
+// RolloutsOf returns the client of the node at addr for roll-outs.
+func (c *Client) RolloutsOf(addr string) wire.Rollouts {
 	return wire.NewRolloutsProtobufClient("http://"+addr, c.http)
 }
 
-// Quotas returns the client of the quotas of the node at addr. It shares the
-// connections of To.
-func (c *Client) Quotas(addr string) wire.Quotas {
+// QuotasOf returns the client of the node at addr for quotas.
+func (c *Client) QuotasOf(addr string) wire.Quotas {
 	return wire.NewQuotasProtobufClient("http://"+addr, c.http)
 }
 
--- a/io/quotas/quotas.go
+++ b/io/quotas/quotas.go
@@ -313,7 +313,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), messageTimeout)
 	defer cancel()
 	q.cfg.Count(outcomeSent)
-	reply, err := q.cfg.Client.Quotas(keeper.Addr).Withdraw(ctx, toRequest(m))
+	reply, err := q.cfg.Client.QuotasOf(keeper.Addr).Withdraw(ctx, toRequest(m))
 	if err != nil {
 		q.cfg.Count(outcomeFailed)
 		return tokens.Reply{}, err
--- a/io/stage/claim.go
+++ b/io/stage/claim.go
@@ -17,15 +17,15 @@
 // record is the stored state of a roll-out.
 type record struct {
 	Stage      canary.Stage `json:"stage"`
-	WithinMs   int64        `json:"within_ms"`
-	DeadlineMs int64        `json:"deadline_ms"` // Unix milliseconds
+	WithinMs   int64        `json:"within_ms"`   // of the order, to tell another order of the same revision apart
+	DeadlineMs int64        `json:"deadline_ms"` // of the order, Unix milliseconds
 }
 
 // claim is a claim in the store.
 type claim struct {
 	lease    tanagerchute.Lease
-	revision int64 // of the claim's key
-	until    time.Time
+	revision int64     // of the claim's key
+	until    time.Time // when the holder stops deciding unless it has renewed the lease
 }
 
 func (m *Manager) claimKey(service string) string { return m.cfg.Prefix + "claim/" + service }
--- a/io/stage/hold.go
+++ b/io/stage/hold.go
@@ -17,16 +17,20 @@
 
 // Times of a claim.
 const (
-	claimTTL        = 3 * time.Second
-	claimMargin     = 300 * time.Millisecond // before the end of the lease, in which the holder decides nothing
-	renewInterval   = time.Second
-	claimInterval   = 200 * time.Millisecond // of checks whether to claim
-	claimRankDelay  = 400 * time.Millisecond // for each rank among the readers
-	holderSilence   = 1500 * time.Millisecond
-	storeTimeout    = 800 * time.Millisecond
+	claimTTL       = 3 * time.Second         // of its lease
+	claimMargin    = 300 * time.Millisecond  // before the end of the lease, in which the holder decides nothing
+	renewInterval  = time.Second             // of the lease
+	claimInterval  = 200 * time.Millisecond  // of checks whether to claim
+	claimRankDelay = 400 * time.Millisecond  // for each rank among the readers, so that they don't claim at once
+	holderSilence  = 1500 * time.Millisecond // without a confirmation, another reader may claim
+	storeTimeout   = 800 * time.Millisecond  // of one or more calls to the store that belong together
+)
+
+// Times of the decisions of a holder.
+const (
 	decideInterval  = 100 * time.Millisecond
-	reannounceAfter = 300 * time.Millisecond
-	silentAfter     = 1500 * time.Millisecond // without a report, a node gets the stage again
+	reannounceAfter = 300 * time.Millisecond  // between two announcements to a silent node
+	silentAfter     = 1500 * time.Millisecond // without a report, a node gets the stage again; also between two announcements to a relay
 )
 
 // hold is this node's part in deciding about one order.
@@ -39,7 +43,7 @@
 	// The following fields are guarded by Manager.mu.
 	rollout      *canary.Rollout // nil while this node is not the holder
 	claimedUntil time.Time
-	withdrawn    bool
+	withdrawn    bool                 // the order was withdrawn, which next tells rollout
 	handOver     bool                 // the claim is to be given up, so that others need not wait for the end of its lease
 	announcedAt  map[string]time.Time // by node
 }
@@ -218,18 +222,15 @@
 			<-pending.done
 		}
 	}()
-	unwritten := canary.Stage{} // a stage that has taken effect, and is not stored yet
+	unwritten := canary.Stage{} // a stage that took effect before it is stored, see Stage.StoredFirst
 	for timer.Sleep(ctx, decideInterval) {
 		now := time.Now()
 		if pending != nil {
 			select {
 			case err := <-pending.done:
-				if errors.Is(err, errClaimLost) || errors.Is(err, tanagerchute.ErrEraChanged) {
-					h.m.recordEvent(now, event.RolloutClaimLost, h.order.Service, err.Error())
-					return false
-				}
-				if err == nil && h.takeEffect(ctx, now, pending.stage) && pending.stage.Phase.Ended() {
-					return true
+				ended, lost := h.finishWrite(ctx, now, pending.stage, err)
+				if ended || lost {
+					return ended
 				}
 				pending = nil
 			default:
@@ -270,6 +271,20 @@
 	return p
 }
 
+// finishWrite handles the outcome of the write of s, which takes effect if it was stored. It
+// returns whether the roll-out has ended, and whether the claim is lost. After another error
+// decide writes the stage again.
+func (h *hold) finishWrite(ctx context.Context, now time.Time, s canary.Stage, err error) (ended, lost bool) {
+	if errors.Is(err, errClaimLost) || errors.Is(err, tanagerchute.ErrEraChanged) {
+		h.m.recordEvent(now, event.RolloutClaimLost, h.order.Service, err.Error())
+		return false, true
+	}
+	if err != nil {
+		return false, false
+	}
+	return h.takeEffect(ctx, now, s) && s.Phase.Ended(), false
+}
+
 // next returns the stage that follows the present one. claimed is false if the claim may
 // have ended.
 func (h *hold) next(now time.Time) (s canary.Stage, claimed, changed bool) {
--- a/io/stage/report.go
+++ b/io/stage/report.go
@@ -38,9 +38,9 @@
 	case self.ServerVersion == s.Target:
 		return true
 	case self.ServerVersion != s.Baseline, self.ServerVersion == "" && !self.Ready:
-		return m.cfg.Busy() == 0
+		return m.cfg.CallsInProgress() == 0
 	}
-	return m.Refuses(self.ServerVersion) && m.cfg.Busy() == 0 // in this order: no call comes after the refusal
+	return m.Refuses(self.ServerVersion) && m.cfg.CallsInProgress() == 0 // in this order: no call comes after the refusal
 }
 
 // sendReport sends a report to the holder and takes its reply.
@@ -48,7 +48,7 @@
 	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	reply, err := m.cfg.Client.RolloutsTo(holder).ReportTally(ctx, req)
+	reply, err := m.cfg.Client.RolloutsOf(holder).ReportTally(ctx, req)
 	if err != nil || reply.GetStage() == nil {
 		return // the next report repeats it
 	}
@@ -108,7 +108,7 @@
 			defer func() { <-m.slots }()
 			ctx, cancel := context.WithTimeout(ctx, messageTimeout)
 			defer cancel()
-			_, _ = m.cfg.Client.RolloutsTo(r.Addr).AnnounceStages(ctx, req) // see above
+			_, _ = m.cfg.Client.RolloutsOf(r.Addr).AnnounceStages(ctx, req) // see above
 		}()
 	}
 }
--- a/io/stage/stage.go
+++ b/io/stage/stage.go
@@ -20,14 +20,20 @@
 // Intervals and timeouts.
 const (
 	tickInterval   = 50 * time.Millisecond
-	minReportEvery = 250 * time.Millisecond // in phase Full
-	reportPerNode  = 2500 * time.Microsecond
-	maxReportPart  = 16 // of the bound on the time of going back
-	canaryFactor   = 2  // on the interval between reports outside of phase Full
 	messageTimeout = 300 * time.Millisecond
 	bootTimeout    = 300 * time.Millisecond
 )
 
+// The interval between two reports of a node, see reportInterval.
+const (
+	minReportInterval  = 250 * time.Millisecond  // in phase Full
+	intervalPerNode    = 2500 * time.Microsecond // for each node that is up
+	reportsPerRollback = 16                      // within the bound on the time of going back, unless minReportInterval is longer
+	// relaxedFactor lengthens the interval outside of phase Full, in which a bad version
+	// gets all calls.
+	relaxedFactor = 2
+)
+
 const (
 	maxMessages = 64 // in flight at once
 	bootPeers   = 3  // nodes that a node asks for their stages when it starts
@@ -45,32 +51,33 @@
 	Journal  *event.Journal
 	// IsReader reports whether this node reads the store.
 	IsReader func() bool
-	// Busy returns the number of calls in progress at the node's backend server.
-	Busy func() int
+	// CallsInProgress returns the number of calls in progress at the node's backend
+	// server, with those that wait for it.
+	CallsInProgress func() int
 	// HasService reports whether a service is in the configuration in force.
 	HasService func(name string) bool
 }
 
 // Manager performs the roll-outs at one node. Its methods are safe for concurrent use.
 type Manager struct {
-	cfg     Config
-	active  atomic.Bool   // there is a stage that is not the last of its order
-	wake    chan struct{} // receives a value when active may have changed
-	slots   chan struct{} // limits the messages in flight
-	wg      sync.WaitGroup
-	refused atomic.Pointer[string] // version that the gatekeeper refuses, nil for none
-	target  atomic.Int64           // calls that this node has sent to target versions
+	cfg         Config
+	active      atomic.Bool   // there is a stage that is not the last of its order
+	wake        chan struct{} // receives a value when active may have changed
+	slots       chan struct{} // limits the messages in flight
+	wg          sync.WaitGroup
+	refused     atomic.Pointer[string] // version that the gatekeeper refuses, nil for none
+	targetCalls atomic.Int64           // that TakeTarget has given to target versions
 
 	mu         sync.Mutex // guards the fields below
 	table      *canary.Table
-	counters   map[string]float64 // part of a call that is due to the target version, by service
-	tallies    map[string]*canary.Tally
-	tallyOrder canary.OrderID
-	tallySince time.Time
-	reportedAt map[string]time.Time // by service
-	fallenBack map[string]bool      // services whose stage is not confirmed
-	holds      map[string]*hold     // by service
-	orders     map[string]canary.Order
+	counters   map[string]float64       // part of a call that is due to the target version, by service
+	tallies    map[string]*canary.Tally // of the node's own backend server, by its version
+	tallyOrder canary.OrderID           // that the tallies are about
+	tallySince time.Time                // when they began
+	reportedAt map[string]time.Time     // by service
+	fallenBack map[string]bool          // services whose stage is not confirmed
+	holds      map[string]*hold         // by service
+	orders     map[string]canary.Order  // the last one that was read, by service
 }
 
 // New returns a manager without roll-outs.
@@ -129,7 +136,7 @@
 		if asked == bootPeers {
 			return
 		}
-		reply, err := m.cfg.Client.RolloutsTo(r.Addr).ListStages(ctx, listRequest)
+		reply, err := m.cfg.Client.RolloutsOf(r.Addr).ListStages(ctx, listRequest)
 		if err != nil {
 			continue // the holder announces the stages as well
 		}
@@ -176,12 +183,12 @@
 		return false
 	}
 	m.counters[service]--
-	m.target.Add(1)
+	m.targetCalls.Add(1)
 	return true
 }
 
 // TargetCalls returns the number of calls that TakeTarget has given to a version.
-func (m *Manager) TargetCalls() int64 { return m.target.Load() }
+func (m *Manager) TargetCalls() int64 { return m.targetCalls.Load() }
 
 // Running returns the number of roll-outs that have not ended.
 func (m *Manager) Running() int64 {
@@ -275,15 +282,15 @@
 // nodes, so that the holder gets no more of them, as far as the bound on the time of going
 // back allows it.
 func (m *Manager) reportInterval(p canary.Phase) time.Duration {
-	every := time.Duration(len(m.cfg.Fleet.View().UpIDs())) * reportPerNode
+	every := time.Duration(len(m.cfg.Fleet.View().UpIDs())) * intervalPerNode
 	if within := m.cfg.Settings.RollbackWithin.Std(); within > 0 {
-		every = min(every, within/maxReportPart)
+		every = min(every, within/reportsPerRollback)
 	}
-	every = max(every, minReportEvery)
+	every = max(every, minReportInterval)
 	if p == canary.Full {
 		return every
 	}
-	return canaryFactor * every
+	return relaxedFactor * every
 }
 
 // confirmedFor returns how long a stage in phase p may be used after a confirmation.
