--- a/io/feed/proofs.go
+++ b/io/feed/proofs.go
@@ -21,8 +21,8 @@
 const (
 	proofTick  = 100 * time.Millisecond // between two looks at the age of the proof
 	askTimeout = 400 * time.Millisecond // for the proof of another node
-	// maxFollowed bounds the invalid versions whose predecessors are remembered.
-	maxFollowed = 64
+	// maxInvalid bounds the invalid versions whose predecessors are remembered.
+	maxInvalid = 64
 )
 
 // proofs holds what a node knows about whether its version is the newest, see package
@@ -34,9 +34,9 @@
 
 	headMu sync.Mutex
 	head   tanagerchute.Head // last one that was read, without content
-	// followed holds the last valid version before each invalid one, for those that a
+	// validBefore holds the last valid version before each invalid one, for those that a
 	// watch has reported in order.
-	followed map[vers.Stamp]vers.Stamp
+	validBefore map[vers.Stamp]vers.Stamp
 
 	suspended atomic.Bool // requests with keys are refused
 	asking    atomic.Bool
@@ -47,7 +47,7 @@
 }
 
 func newProofs(cfg proof.Config) *proofs {
-	return &proofs{keeper: proof.NewKeeper(cfg), planner: proof.NewPlanner(cfg), followed: map[vers.Stamp]vers.Stamp{}}
+	return &proofs{keeper: proof.NewKeeper(cfg), planner: proof.NewPlanner(cfg), validBefore: map[vers.Stamp]vers.Stamp{}}
 }
 
 // ProofStats counts what a node has done for proofs.
@@ -69,7 +69,8 @@
 	return ProofStats{age, p.reads.Load(), p.failedReads.Load(), p.asked.Load(), p.answered.Load()}
 }
 
-// putInForce puts s in force.
+// putInForce puts s in force. The proofs learn of it under the same lock, so that no
+// reader takes a proof of the version before for one of s.
 func (f *Feed) putInForce(s *vers.Snapshot) {
 	if f.proofs == nil {
 		f.current.Store(s)
@@ -319,7 +320,7 @@
 	stamp := head.Version.Stamp()
 	f.proofs.headMu.Lock()
 	f.proofs.head = head
-	if valid, ok := f.proofs.followed[stamp]; ok {
+	if valid, ok := f.proofs.validBefore[stamp]; ok {
 		stamp = valid
 	}
 	f.proofs.headMu.Unlock()
@@ -342,10 +343,10 @@
 	}
 	if lastValid.Number > 0 {
 		f.proofs.headMu.Lock()
-		if len(f.proofs.followed) >= maxFollowed {
-			clear(f.proofs.followed)
+		if len(f.proofs.validBefore) >= maxInvalid {
+			clear(f.proofs.validBefore)
 		}
-		f.proofs.followed[s] = lastValid
+		f.proofs.validBefore[s] = lastValid
 		f.proofs.headMu.Unlock()
 	}
 	return lastValid
--- a/io/node/vars.go
+++ b/io/node/vars.go
@@ -60,7 +60,7 @@
 			nodeMetric{d.name + "_admitted", "Bulk transfers " + d.text + " that the link admitted.", func() int64 { return d.lane.Counts().Admitted }},
 			nodeMetric{d.name + "_waited", "Bulk transfers " + d.text + " that waited for the link.", func() int64 { return d.lane.Counts().Waited }},
 			nodeMetric{d.name + "_refused", "Bulk transfers " + d.text + " that the link had no room for in time.", func() int64 { return d.lane.Counts().Refused }},
-			nodeMetric{d.name + "_wait_ms", "Milliseconds until the link has room for another bulk transfer " + d.text + ".", func() int64 { return d.lane.Wait().Milliseconds() }},
+			nodeMetric{d.name + "_wait_ms", "Milliseconds until the link has room for another bulk transfer " + d.text + ".", func() int64 { return d.lane.WaitTime().Milliseconds() }},
 			nodeMetric{d.name + "_unfinished", "Bulk transfers " + d.text + " on their way.", func() int64 { return int64(d.lane.State().Unfinished) }},
 		)
 	}
--- a/io/proxy/linkrefuse.go
+++ b/io/proxy/linkrefuse.go
@@ -10,6 +10,7 @@
 	"tanagerchute/core/band"
 	"tanagerchute/core/call"
 	"tanagerchute/core/event"
+	"tanagerchute/core/pick"
 	"tanagerchute/io/timer"
 )
 
@@ -41,22 +42,11 @@
 	if !p.links.bounded() && !p.candidates.linksBounded(view) {
 		return nil
 	}
-	cs := p.candidates.get(view, c.Service)
 	now := time.Now()
-	p.mu.Lock()
-	e, ok := p.picker.EstimateLink(now, cs.used(false), criteria)
-	p.mu.Unlock()
+	e, ok := p.estimateLinks(now, p.candidates.get(view, c.Service), criteria)
 	if !ok {
 		return nil // refused by dispatch
 	}
-	if in := p.links.callerIn; in.Bulk(criteria.BodyBytes) {
-		e.Wait = max(e.Wait, in.Wait())
-		e.Lasts += band.Time(criteria.BodyBytes, in.Rate())
-	}
-	if out := p.links.callerOut; out.Bulk(criteria.AnswerBytes) {
-		e.Wait = max(e.Wait, out.Wait()-e.Lasts)
-		e.Lasts += band.Time(criteria.AnswerBytes, out.Rate())
-	}
 	if e.Wait == 0 {
 		return nil // no link is in the way
 	}
@@ -70,6 +60,26 @@
 	return &r
 }
 
+// estimateLinks estimates the course of a call at the best of cs, with the link of this
+// instance if callers use it. ok is false if no candidate is left.
+func (p *Proxy) estimateLinks(now time.Time, cs candidates, criteria pick.Criteria) (e band.Estimate, ok bool) {
+	p.mu.Lock()
+	e, ok = p.picker.EstimateLink(now, cs.used(false), criteria)
+	p.mu.Unlock()
+	if !ok {
+		return e, false
+	}
+	if in := p.links.callerIn; in.Bulk(criteria.BodyBytes) {
+		e.Wait = max(e.Wait, in.WaitTime())
+		e.Lasts += band.Time(criteria.BodyBytes, in.Rate())
+	}
+	if out := p.links.callerOut; out.Bulk(criteria.AnswerBytes) {
+		e.Wait = max(e.Wait, out.WaitTime()-e.Lasts)
+		e.Lasts += band.Time(criteria.AnswerBytes, out.Rate())
+	}
+	return e, true
+}
+
 // unreadCloseDelay is the time between the refusal of a call with an unread body and the end
 // of its connection. The caller may not have read the refusal before, and would lose it.
 const unreadCloseDelay = 500 * time.Millisecond
@@ -127,7 +137,7 @@
 	}
 	if n := p.links.sizes.expect(c); p.links.out.Bulk(n) {
 		load := p.cfg.Gate.Load()
-		e := band.Estimate{Wait: max(p.links.outWait()-load.ServiceTime, 0), Lasts: load.ServiceTime + band.Time(n, p.links.out.Rate())}
+		e := band.Estimate{Wait: max(p.links.outWaitTime()-load.ServiceTime, 0), Lasts: load.ServiceTime + band.Time(n, p.links.out.Rate())}
 		if excess := e.Excess(time.Now(), c.Target, c.Deadline); e.Wait > 0 && excess > 0 {
 			p.recordEvent(event.TransferRefused, c, fmt.Sprintf("out: answer of %d bytes expected, room in %v", n, e.Wait.Round(time.Millisecond)))
 			r := p.refuseLinkFull(excess)
--- a/io/proxy/links.go
+++ b/io/proxy/links.go
@@ -64,10 +64,10 @@
 // bounded reports whether the link of the instance has a bound.
 func (l *links) bounded() bool { return l.in != nil }
 
-// outWait returns the time until the link has room for another large answer, besides those
+// outWaitTime returns the time until the link has room for another large answer, besides those
 // that are expected.
-func (l *links) outWait() time.Duration {
-	return l.out.Wait() + band.Time(l.expected.Load(), l.out.Rate())
+func (l *links) outWaitTime() time.Duration {
+	return l.out.WaitTime() + band.Time(l.expected.Load(), l.out.Rate())
 }
 
 // answerClass identifies calls whose answers have similar sizes.
@@ -120,7 +120,7 @@
 		criteria.AnswerBytes = p.links.sizes.expect(c)
 		criteria.OutRate = p.cfg.LinkRate
 		if p.links.out.Bulk(criteria.BodyBytes) {
-			criteria.OutWait = p.links.out.Wait()
+			criteria.OutWait = p.links.out.WaitTime()
 		}
 	}
 	return criteria
--- a/io/proxy/peers.go
+++ b/io/proxy/peers.go
@@ -200,7 +200,7 @@
 	}
 	done := p.admitPeerAnswer(ctx, c, int64(len(r.Body)))
 	defer done()
-	r.Load.LinkWait, r.Load.LinkOutWait = p.links.in.Wait(), p.links.outWait()
+	r.Load.LinkWait, r.Load.LinkOutWait = p.links.in.WaitTime(), p.links.outWaitTime()
 	h.Set(headerAnswer, encodeHeader(answerMeta(c, r)))
 	if int64(len(r.Body)) > band.PieceBytes(0) { // its receiver may have to admit it
 		h.Set("Content-Length", strconv.Itoa(len(r.Body)))
--- a/io/quotas/convert.go
+++ b/io/quotas/convert.go
@@ -16,11 +16,12 @@
 	errOtherProcess = twirp.NewError(twirp.NotFound, "this address belongs to another node now")
 )
 
-// maxTokens bounds the numbers that a message may hold.
+// maxTokens bounds the numbers of tokens and of requests in a message.
 const maxTokens = 1 << 20
 
-// count converts a number in a message, which is not negative.
-func count(n int64) int { return int(min(max(n, 0), maxTokens)) }
+// clampTokens converts a number of tokens or requests in a message, which another node may
+// have got wrong.
+func clampTokens(n int64) int { return int(min(max(n, 0), maxTokens)) }
 
 func toRequest(m tokens.Message) *wire.WithdrawRequest {
 	r := &wire.WithdrawRequest{From: m.From, To: m.To, Seq: m.Seq}
@@ -37,8 +38,8 @@
 	m := tokens.Message{From: r.GetFrom(), To: r.GetTo(), Seq: r.GetSeq()}
 	for _, a := range r.GetAsks() {
 		m.Asks = append(m.Asks, tokens.Ask{
-			Account: a.GetAccount(), Stint: a.GetStint(), Spent: a.GetSpent(), Held: count(a.GetHeld()),
-			Needed: count(a.GetNeeded()), Ahead: count(a.GetAhead()), Refused: count(a.GetRefused()),
+			Account: a.GetAccount(), Stint: a.GetStint(), Spent: a.GetSpent(), Held: clampTokens(a.GetHeld()),
+			Needed: clampTokens(a.GetNeeded()), Ahead: clampTokens(a.GetAhead()), Refused: clampTokens(a.GetRefused()),
 		})
 	}
 	return m
@@ -59,7 +60,7 @@
 	var out tokens.Reply
 	for _, g := range r.GetGrants() {
 		out.Grants = append(out.Grants, tokens.Grant{
-			Account: g.GetAccount(), Tokens: count(g.GetTokens()), Elsewhere: g.GetElsewhere(),
+			Account: g.GetAccount(), Tokens: clampTokens(g.GetTokens()), Elsewhere: g.GetElsewhere(),
 			Wait: time.Duration(max(g.GetWait(), 0)), Interval: time.Duration(max(g.GetInterval(), 0)),
 			Word: tokens.Word{Rate: g.GetRate(), Depth: g.GetDepth(), Level: g.GetLevel(), Part: g.GetPart()},
 		})
--- a/io/quotas/quotas.go
+++ b/io/quotas/quotas.go
@@ -12,11 +12,12 @@
 	"tanagerchute/core/tokens"
 	"tanagerchute/io/fleet"
 	"tanagerchute/io/peer"
+	"tanagerchute/io/timer"
 	"tanagerchute/io/wire"
 )
 
 const (
-	tickInterval = 100 * time.Millisecond
+	tickInterval = 100 * time.Millisecond // of checks for changed members and events that were held
 	// messageTimeout is when a message to a keeper is given up, so that the next one is
 	// sent. The standby of a slow keeper is asked before.
 	messageTimeout = 400 * time.Millisecond
@@ -31,16 +32,16 @@
 
 // Outcomes that are counted.
 const (
-	outcomeHeld      = "held"      // a request spent a token that the node held
-	outcomeWithdrawn = "withdrawn" // a request waited for its token
-	outcomeStandby   = "standby"   // a request got its token from the standby of a keeper that did not answer
-	outcomeExceeded  = "exceeded"  // a request was refused, the account is over its quota
-	outcomeUnknown   = "unknown"   // a request was refused, the keeper did not answer
-	outcomeCanceled  = "canceled"  // the caller left while the request waited
-	outcomeGivenBack = "given_back"
-	outcomeSent      = "message_sent"
-	outcomeFailed    = "message_failed"
-	outcomeAnswered  = "message_answered" // as the keeper
+	outcomeHeld      = "held"             // a request spent a token that the node held
+	outcomeWithdrawn = "withdrawn"        // a request waited for its token
+	outcomeStandby   = "standby"          // a request got its token from the standby of a keeper that did not answer
+	outcomeExceeded  = "exceeded"         // a request was refused, the account is over its quota
+	outcomeUnknown   = "unknown"          // a request was refused, the keeper did not answer in time
+	outcomeCanceled  = "canceled"         // the caller left while the request waited
+	outcomeGivenBack = "given_back"       // an admitted request has not run, and its token is free again
+	outcomeSent      = "message_sent"     // to the keeper of an account or its standby, another node
+	outcomeFailed    = "message_failed"   // one of those sent got no reply
+	outcomeAnswered  = "message_answered" // this node has answered another one, as the keeper
 )
 
 // Config configures Quotas.
@@ -55,7 +56,8 @@
 	Quota   func(account string) acct.Quota
 	Client  *peer.Client
 	Journal *event.Journal
-	Count   func(outcome string)
+	// Count counts an outcome of a request or a message.
+	Count func(outcome string)
 }
 
 // Quotas admits requests. It is safe for concurrent use.
@@ -70,7 +72,7 @@
 	view     *fleet.View // that the members were counted by
 	countAt  time.Time   // when the members are counted anew
 	waiting  map[uint64]chan tokens.Outcome
-	timer    *time.Timer // runs pump when the holder has something to do
+	timer    *time.Timer // runs advance when the holder has something to do
 	events   *event.Pacer
 	stopping bool
 }
@@ -87,8 +89,7 @@
 	q.keeper = tokens.NewKeeper(tokens.KeeperConfig{
 		Self: cfg.Self, Bounds: cfg.Bounds, Part: 1 / float64(max(cfg.Groups, 1)), Quota: cfg.Quota, OnKept: q.recordKept,
 	})
-	q.timer = time.AfterFunc(time.Hour, q.pump)
-	q.timer.Stop()
+	q.timer = timer.NewStopped(q.advance)
 	return q
 }
 
@@ -139,7 +140,7 @@
 	for _, e := range due {
 		q.cfg.Journal.Add(e)
 	}
-	q.pump()
+	q.advance()
 }
 
 // Admit admits a request of an account, or returns its refusal. It waits for a token
@@ -157,7 +158,7 @@
 	ch := make(chan tokens.Outcome, 1)
 	q.waiting[o.Ticket] = ch
 	q.mu.Unlock()
-	q.pump()
+	q.advance()
 	select {
 	case o = <-ch:
 		return q.conclude(o, outcomeWithdrawn)
@@ -182,15 +183,16 @@
 	return tokens.Permit{}, &r
 }
 
-// conclude counts the outcome of a request and returns its permit or its refusal.
-func (q *Quotas) conclude(o tokens.Outcome, granted string) (tokens.Permit, *call.Reply) {
+// conclude counts the outcome of a request and returns its permit or its refusal. One that
+// is granted is counted as admitted says, unless a standby has granted it.
+func (q *Quotas) conclude(o tokens.Outcome, admitted string) (tokens.Permit, *call.Reply) {
 	switch {
 	case o.Standby:
 		q.cfg.Count(outcomeStandby)
 		q.recordEvent(event.QuotaUnanswered, o.Account, "keeper="+o.Keeper+" granted=standby")
 		return o.Permit, nil
 	case o.Granted:
-		q.cfg.Count(granted)
+		q.cfg.Count(admitted)
 		return o.Permit, nil
 	case o.Exceeded:
 		q.cfg.Count(outcomeExceeded)
@@ -256,8 +258,8 @@
 		k.Quota.Rate, k.Quota.Burst, k.Word.Part, k.Word.Rate, k.Word.Level, k.Use, k.Held, k.Nodes, k.Since.Format(time.RFC3339Nano))
 }
 
-// pump sends the messages that are due and ends the waits that are over.
-func (q *Quotas) pump() {
+// advance ends the waits that are over and sends the messages that are due.
+func (q *Quotas) advance() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.stopping {
@@ -275,7 +277,7 @@
 	}
 }
 
-// finish tells requests that their wait has ended.
+// finish tells requests that their wait has ended. The caller holds mu.
 func (q *Quotas) finish(outcomes []tokens.Outcome) {
 	for _, o := range outcomes {
 		if ch, ok := q.waiting[o.Ticket]; ok {
@@ -285,7 +287,8 @@
 	}
 }
 
-// send sends a message in the background. This node answers its own at once.
+// send sends a message in the background. This node answers its own at once. The caller
+// holds mu.
 func (q *Quotas) send(now time.Time, m tokens.Message) {
 	if m.To == q.cfg.Self {
 		q.finish(q.holder.Receive(now, m.To, m.Seq, q.keeper.Answer(now, m)))
@@ -300,7 +303,7 @@
 			q.finish(q.holder.Receive(time.Now(), m.To, m.Seq, reply))
 		}
 		q.mu.Unlock()
-		q.pump()
+		q.advance()
 	})
 }
 
--- a/io/timer/timer.go
+++ b/io/timer/timer.go
@@ -1,4 +1,5 @@
-// Package timer provides a sleep that ends early when a context ends.
+// Package timer provides a sleep that ends early when a context ends, and timers that start
+// stopped.
 //
 // # Usage
 //
@@ -24,3 +25,11 @@
 		return true
 	}
 }
+
+// NewStopped returns a timer that is not running. After a Reset it calls f in a goroutine of
+// its own.
+func NewStopped(f func()) *time.Timer {
+	t := time.AfterFunc(time.Hour, f) // any time that can't pass before Stop
+	t.Stop()
+	return t
+}
--- a/io/xfer/lane.go
+++ b/io/xfer/lane.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tanagerchute/core/band"
+	"tanagerchute/io/timer"
 )
 
 // Config configures a Lane.
@@ -48,8 +49,7 @@
 		return nil
 	}
 	l := &Lane{cfg: cfg, schedule: band.New(band.Config{BytesPerSecond: cfg.BytesPerSecond}), waiting: map[string]waiter{}}
-	l.timer = time.AfterFunc(time.Hour, l.advance)
-	l.timer.Stop()
+	l.timer = timer.NewStopped(l.advance)
 	return l
 }
 
@@ -75,8 +75,8 @@
 	l.counts.Bytes += n
 }
 
-// Wait returns the time until the link has room for another transfer.
-func (l *Lane) Wait() time.Duration { return l.State().Wait }
+// WaitTime returns the time until the link has room for another transfer.
+func (l *Lane) WaitTime() time.Duration { return l.State().Wait }
 
 // State returns the load of the lane.
 func (l *Lane) State() band.State {
