--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -144,15 +144,7 @@
 // unsentReply returns the reply for an attempt that failed before its node had admitted its
 // body. No byte of the body was sent, so that it can't have run.
 func unsentReply(ctx context.Context) call.Reply {
-	r := call.Reply{Fate: call.NotRun, Cause: call.CauseUnreachable}
-	switch {
-	case errors.Is(context.Cause(ctx), errUnreachable):
-	case errors.Is(ctx.Err(), context.Canceled):
-		r.Cause = call.CauseCanceled
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		r.Cause = call.CauseLinkFull
-	}
-	return r
+	return call.Reply{Fate: call.NotRun, Cause: causeByContext(ctx, call.CauseUnreachable, call.CauseLinkFull)}
 }
 
 // failedReply returns the reply for an attempt that got no valid answer. Without a
@@ -163,16 +155,27 @@
 	if !connected {
 		r = call.Reply{Fate: call.NotRun, Cause: call.CauseUnreachable}
 	}
-	switch {
-	case connected && a.silent():
+	if connected && a.silent() {
 		r.Cause = call.CauseSilent
+		return r
+	}
+	r.Cause = causeByContext(ctx, r.Cause, call.CauseDeadline)
+	return r
+}
+
+// causeByContext returns the cause of an attempt that got no answer: atDeadline if ctx has
+// ended by its deadline, that of a cancellation if the caller has left, and failure
+// otherwise, also if ctx was ended since the node is unreachable.
+func causeByContext(ctx context.Context, failure, atDeadline string) string {
+	switch {
 	case errors.Is(context.Cause(ctx), errUnreachable):
+		return failure
 	case errors.Is(ctx.Err(), context.Canceled):
-		r.Cause = call.CauseCanceled
+		return call.CauseCanceled
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		r.Cause = call.CauseDeadline
+		return atDeadline
 	}
-	return r
+	return failure
 }
 
 // silence tells why the node of an attempt counts as silent.
