--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -310,6 +310,8 @@
 	})
 }
 
+// setHomeCandidate records whether this node can be a home in what it knows of the homes
+// of keys.
 func (f *Fleet) setHomeCandidate(now time.Time, can bool) {
 	f.homesMu.Lock()
 	defer f.homesMu.Unlock()
--- a/io/quotas/convert.go
+++ b/io/quotas/convert.go
@@ -23,6 +23,7 @@
 // have got wrong.
 func clampTokens(n int64) int { return int(min(max(n, 0), maxTokens)) }
 
+// toRequest converts a message to its wire format.
 func toRequest(m tokens.Message) *wire.WithdrawRequest {
 	r := &wire.WithdrawRequest{From: m.From, To: m.To, Seq: m.Seq}
 	for _, a := range m.Asks {
@@ -34,6 +35,7 @@
 	return r
 }
 
+// fromRequest converts a message from its wire format.
 func fromRequest(r *wire.WithdrawRequest) tokens.Message {
 	m := tokens.Message{From: r.GetFrom(), To: r.GetTo(), Seq: r.GetSeq()}
 	for _, a := range r.GetAsks() {
@@ -45,6 +47,7 @@
 	return m
 }
 
+// toReply converts a reply to its wire format.
 func toReply(r tokens.Reply) *wire.WithdrawReply {
 	out := &wire.WithdrawReply{}
 	for _, g := range r.Grants {
@@ -56,6 +59,7 @@
 	return out
 }
 
+// fromReply converts a reply from its wire format.
 func fromReply(r *wire.WithdrawReply) tokens.Reply {
 	var out tokens.Reply
 	for _, g := range r.GetGrants() {
--- a/io/stage/claim.go
+++ b/io/stage/claim.go
@@ -14,6 +14,13 @@
 	"tanagerchute/io/timer"
 )
 
+// maxRank is the number of readers that claim one after the other. The others claim with
+// the delay of this rank.
+const maxRank = 3
+
+// errClaimLost means that another node holds the roll-out.
+var errClaimLost = errors.New("another node holds the roll-out")
+
 // record is the stored state of a roll-out.
 type record struct {
 	Stage      canary.Stage `json:"stage"`
@@ -55,9 +62,6 @@
 	return now.Sub(since) >= quiet
 }
 
-// maxRank is the number of readers that claim one after the other.
-const maxRank = 3
-
 // claim tries to claim the roll-out. It succeeds only if nobody has claimed it.
 func (h *hold) claim(ctx context.Context) (claim, bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -134,9 +138,6 @@
 	return nil
 }
 
-// errClaimLost means that another node holds the roll-out.
-var errClaimLost = errors.New("another node holds the roll-out")
-
 // release ends the lease of a claim.
 func (h *hold) release(c claim) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
--- a/io/stage/hold.go
+++ b/io/stage/hold.go
@@ -33,6 +33,9 @@
 	silentAfter     = 1500 * time.Millisecond // without a report, a node gets the stage again; also between two announcements to a relay
 )
 
+// maxStep bounds the steps of an order, so that a faulty node can't exhaust them.
+const maxStep = 1 << 20
+
 // hold is this node's part in deciding about one order.
 type hold struct {
 	m      *Manager
@@ -199,6 +202,7 @@
 	h.m.announce(context.Background(), h.m.others(), &wire.AnnounceStagesRequest{Stages: []*wire.RolloutStage{peer.ToStage(s)}})
 }
 
+// stage returns the present stage of the roll-out. This node must be the holder.
 func (h *hold) stage() canary.Stage {
 	h.m.mu.Lock()
 	defer h.m.mu.Unlock()
@@ -391,6 +395,3 @@
 		Node: req.GetFrom(), Since: time.Unix(0, req.GetSinceNs()), Order: theirs.Order, Phase: theirs.Phase, Quiet: req.GetQuiet(), Tallies: peer.FromTallies(req.GetTallies()),
 	})
 }
-
-// maxStep bounds the steps of an order, so that a faulty node can't exhaust them.
-const maxStep = 1 << 20
