--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -70,6 +70,13 @@
 // CountEvent counts a journal event, see package event.
 func (m *Set) CountEvent(kind string) { m.events.WithLabelValues(kind).Inc() }
 
+// AddQuotaOutcomes makes the counters of outcomes visible before anything is counted.
+func (m *Set) AddQuotaOutcomes(outcomes []string) {
+	for _, o := range outcomes {
+		m.quotas.WithLabelValues(o)
+	}
+}
+
 // CountQuota counts an outcome of a request or a message about quotas, see package
 // quotas.
 func (m *Set) CountQuota(outcome string) { m.quotas.WithLabelValues(outcome).Inc() }
--- a/io/node/vars.go
+++ b/io/node/vars.go
@@ -6,6 +6,7 @@
 	"syscall"
 
 	"tanagerchute/io/metric"
+	"tanagerchute/io/quotas"
 	"tanagerchute/io/xfer"
 )
 
@@ -72,6 +73,7 @@
 	for _, v := range n.nodeMetrics() {
 		n.metrics.AddGauge(v.name, v.help, func() float64 { return float64(v.read()) })
 	}
+	n.metrics.AddQuotaOutcomes(quotas.Outcomes())
 	n.metrics.AddGauge("rate_limit", "Requests a second that the own backend server takes by its last answer, 0 for no limit.", n.gate.RateLimit)
 	n.metrics.AddInfo("settings_info", "Digest of the settings in force, and the version of the program.", func() metric.Info {
 		return metric.Info{"digest": n.settings.Load().compared.Digest(), "build": buildVersion()}
--- a/io/quotas/quotas.go
+++ b/io/quotas/quotas.go
@@ -44,6 +44,14 @@
 	outcomeAnswered  = "message_answered" // this node has answered another one, as the keeper
 )
 
+// Outcomes returns the outcomes that Config.Count is called with.
+func Outcomes() []string {
+	return []string{
+		outcomeHeld, outcomeWithdrawn, outcomeStandby, outcomeExceeded, outcomeUnknown, outcomeCanceled, outcomeGivenBack,
+		outcomeSent, outcomeFailed, outcomeAnswered,
+	}
+}
+
 // Config configures Quotas.
 type Config struct {
 	Self   string // id of the node
