--- a/core/canary/judge.go
+++ b/core/canary/judge.go
@@ -34,7 +34,8 @@
 	baselineSpan = 3 * time.Second
 )
 
-// alarmLevel is the evidence at which a version is bad.
+// alarmLevel is the evidence at which a version is bad. Evidence is the logarithm of how
+// many times more likely the answers are from a bad version than from one like the old one.
 var alarmLevel = math.Log(answersPerFalseAlarm)
 
 // defaultSlowAfter is used for the time after which an answer is slow while there is no
@@ -54,7 +55,7 @@
 	byServer map[string]float64 // contributions since sum was 0
 }
 
-// add adds the evidence of a server.
+// add adds llr, the log-likelihood ratio of answers of a server.
 func (c *cusum) add(server string, llr float64) {
 	c.sum = max(c.sum+llr, 0)
 	if c.sum == 0 {
@@ -64,8 +65,8 @@
 	c.byServer[server] = max(c.byServer[server]+llr, 0)
 }
 
-// level returns the evidence. No server provides more than serverWeight of an alarm, unless
-// it is the only one.
+// level returns the evidence, given the number of servers that have answered. No server
+// provides more than serverWeight of an alarm, unless it is the only one.
 func (c *cusum) level(servers int) float64 {
 	if servers < 2 {
 		return c.sum
@@ -88,7 +89,7 @@
 	servers    map[string]bool   // of the target version, that have answered
 	answers    map[string]int    // of the target version that were judged, by route
 	bad        int               // of these
-	targetTime Histogram
+	targetTime Histogram         // of its answers that neither failed nor are left out of the judgement
 }
 
 // NewJudge returns a judge without answers.
@@ -99,8 +100,8 @@
 	}
 }
 
-// Old adds answers of the old version.
-func (j *Judge) Old(now time.Time, route string, c RouteCounts) {
+// AddOld adds answers of the old version.
+func (j *Judge) AddOld(now time.Time, route string, c RouteCounts) {
 	if now.After(j.spanEnd) {
 		j.spanEnd = now.Add(baselineSpan)
 		for _, b := range j.baselines {
@@ -123,8 +124,8 @@
 	return b != nil && b.counts().Calls >= minBaseline
 }
 
-// Target adds answers of the target version that a server has given.
-func (j *Judge) Target(server, route string, c RouteCounts) {
+// AddTarget adds answers of the target version that a server has given.
+func (j *Judge) AddTarget(server, route string, c RouteCounts) {
 	total := c.Failures + c.Times.Count()
 	if total == 0 {
 		return
@@ -138,6 +139,12 @@
 	j.targetTime = j.targetTime.plus(c.Times)
 	j.answers[route] += total
 	j.bad += bad
+	j.addEvidence(server, route, ref, total, bad)
+}
+
+// addEvidence adds to the tests that total answers of a server, bad of them, were judged by
+// ref.
+func (j *Judge) addEvidence(server, route string, ref reference, total, bad int) {
 	worse := ref.badRate + (1-ref.badRate)*minExcess
 	ifBad := math.Log(worse / ref.badRate)
 	ifGood := math.Log((1 - worse) / (1 - ref.badRate))
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -7,10 +7,10 @@
 
 // Times of a roll-out.
 const (
-	// maxFinish bounds the time before the deadline at which all calls are moved, and
-	// finishPart is the part of the order's time that it is for short orders.
-	maxFinish  = 5 * time.Second
-	finishPart = 0.4
+	// maxMoveLead and moveLeadPart bound how long before its deadline a roll-out moves all
+	// calls: the former as a time, the latter as a part of the time that the order allows.
+	maxMoveLead  = 5 * time.Second
+	moveLeadPart = 0.4
 	// commitTime is the time before the deadline that is kept for the calls in progress at
 	// the old version to end and for the store.
 	commitTime = 1500 * time.Millisecond
@@ -36,12 +36,13 @@
 // Shares of a roll-out.
 const (
 	canaryPart       = 0.25 // of Config.Share, that goes to the target version in phase Canary
-	budgetPart       = 0.95 // of the bound on exposure that is planned with
-	futurePart       = 0.8  // of the calls expected until the deadline that are counted on
+	budgetPart       = 0.95 // of the calls that a bad version may get, which the plan uses
+	futurePart       = 0.8  // of the calls expected until the deadline, in case the rate falls
 	minCanaryServers = 2    // since one server says nothing about its version
 	testLoad         = 0.9  // of the load after the move, that the servers of the canary get before it
-	slotsInUse       = 0.9  // of the slots of a version that may be in use
-	enoughSlots      = 0.8  // of the slots of the old version, with which a version has enough in any case
+	minLoadGain      = 1.2  // times the present share of the canary, from which a load test tells more
+	slotsInUse       = 0.9  // of the slots of the target version, which the calls may occupy after the move
+	enoughSlots      = 0.8  // of the slots of the old version, which suffice whatever the calls occupy
 	minAnswers       = 20   // of the target version, before all calls are moved early
 	enoughAnswers    = 200  // of the target version, before it is committed to early
 	maxEvidence      = 0.5  // of an alarm, up to which a version is committed to
@@ -161,7 +162,7 @@
 		return
 	}
 	last := n.tallies[t.Version]
-	timed := last != nil // else nobody knows when the calls were
+	timed := last != nil // the calls of a first tally ran at unknown times, and give no rate
 	if !timed {
 		last = NewTally(t.Version)
 		r.rate.begin(now)
@@ -175,9 +176,9 @@
 		}
 		if t.Version == r.stage.Target {
 			r.exposed += d.Calls
-			r.judge.Target(node, route, d)
+			r.judge.AddTarget(node, route, d)
 		} else {
-			r.judge.Old(now, route, d)
+			r.judge.AddOld(now, route, d)
 		}
 	}
 }
@@ -282,7 +283,7 @@
 // if it has about that load already.
 func (r *Rollout) loadTestDue(now time.Time, s Servers) bool {
 	share, hold := r.loadShare(s), r.reaction(s)+minHold
-	if s.TargetServers == 0 || r.underTest() || share < 1.2*r.stage.Share || r.judge.Evidence() > maxEvidence || r.order.Deadline.Sub(now) > r.finish()+hold {
+	if s.TargetServers == 0 || r.underTest() || share < minLoadGain*r.stage.Share || r.judge.Evidence() > maxEvidence || r.order.Deadline.Sub(now) > r.moveLead()+hold {
 		return false
 	}
 	return r.exposureOf(share, hold)+r.exposureOf(1, r.reaction(s)) <= r.Room(now)
@@ -291,9 +292,9 @@
 // underTest reports whether the servers of the canary get the load of all calls.
 func (r *Rollout) underTest() bool { return r.stage.Share > canaryPart*r.cfg.Share }
 
-// finish returns the time before the deadline at which all calls are moved.
-func (r *Rollout) finish() time.Duration {
-	return min(maxFinish, time.Duration(finishPart*float64(r.order.Within)))
+// moveLead returns how long before the deadline all calls are moved.
+func (r *Rollout) moveLead() time.Duration {
+	return min(maxMoveLead, time.Duration(moveLeadPart*float64(r.order.Within)))
 }
 
 // reasonToWait returns why all calls are not moved now.
@@ -301,8 +302,8 @@
 	left := r.order.Deadline.Sub(now)
 	needed := r.neededSlots()
 	switch {
-	case left > r.finish():
-		return fmt.Sprintf("all calls are moved %v before the deadline", r.finish()), true
+	case left > r.moveLead():
+		return fmt.Sprintf("all calls are moved %v before the deadline", r.moveLead()), true
 	case r.underTest() && now.Sub(r.enteredAt) < r.reaction(s)+minHold:
 		return "its servers have not had the load of all calls for long enough", true
 	case r.judge.Evidence() > maxEvidence:
@@ -424,13 +425,14 @@
 	return fmt.Sprintf("%d calls, %d of them at the version, %d judged, %d bad, evidence %.2f of an alarm", r.calls, r.exposed, r.judge.Answers(), r.judge.Bad(), r.judge.Evidence())
 }
 
-// rateMeter measures a rate over the last rateSpan to twice that.
+// rateMeter measures the rate of events in successive spans, each of rateSpan or a little
+// more.
 type rateMeter struct {
-	since        time.Time
-	count        int
-	last         float64 // per second, in the span before
-	lastComplete bool
-	now          time.Time
+	since        time.Time // start of the present span
+	count        int       // events of the present span
+	last         float64   // events a second in the span before
+	lastComplete bool      // there is a span before
+	now          time.Time // of the last events
 }
 
 // begin starts the measurement at now, unless events have been counted.
@@ -450,7 +452,8 @@
 	m.now = now
 }
 
-// perSecond returns the rate.
+// perSecond returns the rate in the last complete span, or in the present one if there is
+// none.
 func (m *rateMeter) perSecond() float64 {
 	if m.lastComplete {
 		return m.last
--- a/core/canary/rollout_test.go
+++ b/core/canary/rollout_test.go
@@ -462,15 +462,15 @@
 	for range 100 {
 		good.Times.Add(100 * time.Millisecond)
 	}
-	j.Old(now, "read", good)
-	j.Target("b", "read", good)
+	j.AddOld(now, "read", good)
+	j.AddTarget("b", "read", good)
 	for range 20 {
-		j.Target("a", "read", canary.RouteCounts{Calls: 1, Failures: 1})
+		j.AddTarget("a", "read", canary.RouteCounts{Calls: 1, Failures: 1})
 	}
 	_, bad := j.Alarm()
 	is.True(!bad)
 	for range 4 {
-		j.Target("b", "read", canary.RouteCounts{Calls: 1, Failures: 1})
+		j.AddTarget("b", "read", canary.RouteCounts{Calls: 1, Failures: 1})
 	}
 	_, bad = j.Alarm()
 	is.True(bad)
@@ -541,8 +541,8 @@
 		now := time.Unix(1000, 0)
 		j := canary.NewJudge(now)
 		for range 50 {
-			j.Old(now, "read", oneAnswer(tc.usual))
-			j.Target("a", "read", oneAnswer(tc.taken))
+			j.AddOld(now, "read", oneAnswer(tc.usual))
+			j.AddTarget("a", "read", oneAnswer(tc.taken))
 		}
 		_, bad := j.Alarm()
 		is.Equal(bad, tc.bad)
--- a/core/canary/table.go
+++ b/core/canary/table.go
@@ -29,7 +29,7 @@
 // entry is what a Table knows of a service.
 type entry struct {
 	stage       Stage     // zero if there was no order
-	confirmedBy time.Time // until when the holder has confirmed the stage
+	confirmedBy time.Time // end of the holder's last confirmation of the stage
 	known       string    // version in use, where there is no stage; empty if there is none yet
 }
 
@@ -160,7 +160,7 @@
 
 // Split returns the split of the calls to a service at now.
 func (t *Table) Split(now time.Time, service string, vs Versions) Split {
-	t.Known(service, vs) // an order that comes later replaces this version
+	t.Known(service, vs) // records the version in use, which a later order replaces
 	s, ok := t.Stage(service)
 	switch {
 	case !ok, s.Phase.Ended() && s.Target == s.Baseline:
