--- a/core/tokens/doc.go
+++ b/core/tokens/doc.go
@@ -6,7 +6,7 @@
 // tokens from it, ahead of the demand of the node, and spends one for each request
 // that is admitted. A request that finds no token waits for a withdrawal.
 //
-// Tokens lapse if the keeper has not answered for Bounds.Lease. Messages may be lost,
+// Tokens lapse if the keeper has not answered for Lease. Messages may be lost,
 // repeated and reordered: each says what the holder has and how much it has spent in
 // all, and the keeper takes the rest back.
 //
@@ -19,9 +19,9 @@
 //
 // # Usage
 //
-//	h := tokens.NewHolder(tokens.HolderConfig{Self: id, Bounds: bounds})
+//	h := tokens.NewHolder(tokens.HolderConfig{Self: id})
 //	h.SetMembers(now, members)
-//	ticket, granted := h.Admit(now, account, waitUntil)
+//	outcome, decided := h.Admit(now, account, waitUntil)
 //	for _, m := range h.Due(now) { … send m to m.To … }
 //	outcomes := h.Receive(now, to, seq, reply) // or h.Fail(now, to, seq)
 //
--- a/core/tokens/exchange_test.go
+++ b/core/tokens/exchange_test.go
@@ -58,7 +58,7 @@
 // left returns the tokens that the keeper has left and those that it counts as held.
 func (p *pair) left() int {
 	k, _ := p.keeper.Kept(p.now, "x")
-	return int(k.Word.Level+0.5) + k.Held
+	return int(k.State.Level+0.5) + k.Held
 }
 
 // TestTokensOfLostReplyComeBack checks that tokens that were granted in a reply that was
--- a/core/tokens/grant.go
+++ b/core/tokens/grant.go
@@ -5,33 +5,33 @@
 	"time"
 )
 
-// closed is the time in which the requests of an account over its quota are refused
-// without asking its keeper.
-type closed struct {
-	until    time.Time
-	last     Outcome       // by the word of the keeper
+// overQuota is how the requests of an account over its quota are refused without asking
+// its keeper, from the keeper's last answer.
+type overQuota struct {
+	until    time.Time     // end of the time in which they are
+	last     Outcome       // of a refused request, from the keeper's last answer
 	next     time.Time     // when the next refused request could return
 	interval time.Duration // until a further one could
 	refused  int           // requests that the keeper has not been told of
 }
 
 // refuse returns the outcome of a further request.
-func (c *closed) refuse(now time.Time) Outcome {
-	c.refused++
-	c.next = latest(c.next, now).Add(c.interval)
-	o := c.last
-	o.RetryAfter = c.next.Sub(now)
-	return o
+func (o *overQuota) refuse(now time.Time) Outcome {
+	o.refused++
+	o.next = latest(o.next, now).Add(o.interval)
+	out := o.last
+	out.RetryAfter = o.next.Sub(now)
+	return out
 }
 
 // Receive handles the reply to a message. It returns the requests whose wait has
 // ended.
 func (h *Holder) Receive(now time.Time, keeper string, seq uint64, r Reply) []Outcome {
-	l, ok := h.lines[keeper]
-	if !ok || l.inFlight != seq {
+	sess, ok := h.sessions[keeper]
+	if !ok || sess.inFlight != seq {
 		return nil
 	}
-	l.inFlight, l.failures = 0, 0
+	sess.inFlight, sess.failures = 0, 0
 	var out []Outcome
 	for _, g := range r.Grants {
 		s, ok := h.stocks[g.Account]
@@ -39,7 +39,7 @@
 			continue
 		}
 		if s.standby == keeper {
-			out = append(out, s.receiveStandby(now, l.sentAt, g)...)
+			out = append(out, s.receiveStandby(now, sess.sentAt, g)...)
 			continue
 		}
 		if g.Elsewhere && g.Tokens == 0 {
@@ -50,7 +50,7 @@
 		h.leaveStandby(s)
 		s.expire(now)
 		s.held += g.Tokens
-		s.lapse = l.sentAt.Add(Lease)
+		s.lapse = sess.sentAt.Add(Lease)
 		s.expire(now)
 		out = append(out, s.serve()...)
 		out = append(out, s.refuse(now, seq, g)...)
@@ -93,7 +93,7 @@
 	untold := 0              // refused requests that the keeper does not know of
 	token := now.Add(g.Wait) // when the next one is expected
 	s.askAt = now
-	word := Outcome{Account: s.account, Exceeded: true, Keeper: s.keeper, Word: g.Word, HeardAt: now}
+	answered := Outcome{Account: s.account, Exceeded: true, Keeper: s.keeper, State: g.State, HeardAt: now}
 	kept := s.waiters[:0]
 	for _, w := range s.waiters {
 		if w.asked != seq && g.Wait == 0 {
@@ -102,10 +102,10 @@
 		}
 		if token.Before(w.until) {
 			s.askAt = now.Add(g.Wait)
-			w.told = true
+			w.exceeded = true
 			kept = append(kept, w)
 		} else {
-			o := word
+			o := answered
 			o.Ticket, o.RetryAfter = w.ticket, token.Sub(now)
 			out = append(out, o)
 			if w.asked != seq {
@@ -115,25 +115,25 @@
 		token = token.Add(g.Interval)
 	}
 	s.waiters = kept
-	s.closed.last, s.closed.next, s.closed.interval = word, token, g.Interval
-	s.closed.refused += untold
-	s.closed.until = earliest(now.Add(closedFor), now.Add(g.Wait))
+	s.overQuota.last, s.overQuota.next, s.overQuota.interval = answered, token, g.Interval
+	s.overQuota.refused += untold
+	s.overQuota.until = earliest(now.Add(maxLocalRefusal), now.Add(g.Wait))
 	return out
 }
 
 // Fail records that a message got no answer in time. A later answer is ignored.
 func (h *Holder) Fail(now time.Time, keeper string, seq uint64) {
-	l, ok := h.lines[keeper]
-	if !ok || l.inFlight != seq {
+	sess, ok := h.sessions[keeper]
+	if !ok || sess.inFlight != seq {
 		return
 	}
-	l.inFlight = 0
-	l.failures++
+	sess.inFlight = 0
+	sess.failures++
 	retryDelay := time.Duration(0)
-	if l.failures > 1 {
+	if sess.failures > 1 {
 		retryDelay = elsewhereDelay
 	}
-	for _, s := range l.stocks {
+	for _, s := range sess.stocks {
 		if s.keeper == keeper {
 			s.askAt = now.Add(retryDelay)
 			h.askStandby(s)
@@ -144,15 +144,15 @@
 // Expire returns the requests whose wait has ended.
 func (h *Holder) Expire(now time.Time) []Outcome {
 	var out []Outcome
-	for _, l := range h.lines {
-		for _, s := range l.stocks {
+	for _, sess := range h.sessions {
+		for _, s := range sess.stocks {
 			s.waiters = slices.DeleteFunc(s.waiters, func(w waiter) bool {
 				if now.Before(w.until) {
 					return false
 				}
 				o := Outcome{Account: s.account, Keeper: s.keeper}
-				if w.told {
-					o = s.closed.refuse(now)
+				if w.exceeded {
+					o = s.overQuota.refuse(now)
 				}
 				o.Ticket = w.ticket
 				out = append(out, o)
--- a/core/tokens/holder.go
+++ b/core/tokens/holder.go
@@ -11,21 +11,21 @@
 	// refillInterval is the shortest time between two messages to a keeper while no
 	// request waits.
 	refillInterval = 200 * time.Millisecond
-	// renewBefore is how long before they lapse the tokens of a node are renewed.
+	// renewBefore is how long before the tokens of a node lapse it asks to keep them.
 	renewBefore = Lease / 2
 	// demandPeriod is the time over which the demand of a node is averaged, and whose
 	// demand it holds tokens for.
 	demandPeriod = time.Second
-	// elsewhereDelay is the time after which a node asks again that took another one for
-	// the keeper than that itself, or whose keeper has failed to answer repeatedly.
+	// elsewhereDelay is the pause before a node asks again, after the node that it asked has
+	// replied that it is not the keeper, or has failed to answer repeatedly.
 	elsewhereDelay = 50 * time.Millisecond
 	// standbyDelay is the time without an answer of the keeper after which the standby
 	// is asked for the tokens of the requests that wait.
 	standbyDelay = 30 * time.Millisecond
-	// closedFor is the longest time for which a node refuses the requests of an account
-	// over its quota by the same word of the keeper. It asks again before, after
-	// refillInterval.
-	closedFor = 400 * time.Millisecond
+	// maxLocalRefusal is the longest time for which a node refuses the requests of an account
+	// over its quota on the ground of one answer of the keeper. The node asks again earlier,
+	// after refillInterval.
+	maxLocalRefusal = 400 * time.Millisecond
 	// forgetAfter is when an account is forgotten that no request came for.
 	forgetAfter = time.Minute
 )
@@ -39,35 +39,35 @@
 type Holder struct {
 	cfg        HolderConfig
 	candidates []string
-	stocks     map[string]*stock // by account
-	lines      map[string]*line  // by keeper
-	seq        uint64            // of the last message
-	stints     uint64            // number of stints so far
-	tickets    uint64            // number of waiting requests so far
+	stocks     map[string]*stock   // by account
+	sessions   map[string]*session // by keeper
+	seq        uint64              // of the last message
+	stints     uint64              // number of stints so far
+	tickets    uint64              // number of waiting requests so far
 }
 
 // stock is what the node has of one account.
 type stock struct {
-	account string
-	keeper  string
-	standby string // member that is asked too, since the keeper has not answered
-	stint   uint64
-	spent   int64
-	held    int
-	lapse   time.Time // when the held tokens lapse
-	waiters []waiter  // oldest first
-	askAt   time.Time // when tokens for them may be asked for
-	returns bool      // tokens were given back since the last message
-	demand  demand
-	closed  closed
+	account   string
+	keeper    string
+	standby   string // member that is asked too, since the keeper has not answered
+	stint     uint64 // see Ask.Stint
+	spent     int64  // see Ask.Spent
+	held      int
+	lapse     time.Time // when the held tokens lapse
+	waiters   []waiter  // oldest first
+	askAt     time.Time // when tokens for them may be asked for
+	returns   bool      // tokens were given back since the last message
+	demand    demand
+	overQuota overQuota
 }
 
 // waiter is a request that waits for a token.
 type waiter struct {
-	ticket uint64
-	until  time.Time
-	asked  uint64 // message that asked for its token, 0 if none
-	told   bool   // the keeper has said that the quota is exceeded
+	ticket   uint64
+	until    time.Time
+	asked    uint64 // message that asked for its token, 0 if none
+	exceeded bool   // the keeper has answered that the quota is exceeded
 }
 
 // Permit is the spent token of a request.
@@ -84,17 +84,17 @@
 	Permit  Permit // if Granted
 	Standby bool   // granted by the standby of the keeper
 	// Exceeded reports that the account is over its quota. Otherwise a request that is
-	// not granted got no word of the keeper in time.
+	// not granted got no answer of the keeper in time.
 	Exceeded   bool
 	RetryAfter time.Duration // if Exceeded
 	Keeper     string
-	Word       Word      // of the keeper, if Exceeded
-	HeardAt    time.Time // when it was received
+	State      BucketState // of the keeper, if Exceeded
+	HeardAt    time.Time   // when it was received
 }
 
 // NewHolder returns a holder without tokens.
 func NewHolder(cfg HolderConfig) *Holder {
-	return &Holder{cfg: cfg, stocks: map[string]*stock{}, lines: map[string]*line{}}
+	return &Holder{cfg: cfg, stocks: map[string]*stock{}, sessions: map[string]*session{}}
 }
 
 // Admit handles a request that arrives at now. It returns its outcome and true, or
@@ -107,15 +107,15 @@
 	if s.held > 0 && len(s.waiters) == 0 {
 		return Outcome{Account: account, Granted: true, Permit: s.spend()}, true
 	}
-	told := now.Before(s.closed.until) || len(s.waiters) > 0 && s.waiters[0].told
-	if told && !s.closed.next.Before(until) {
-		return s.closed.refuse(now), true
+	exceeded := now.Before(s.overQuota.until) || len(s.waiters) > 0 && s.waiters[0].exceeded
+	if exceeded && !s.overQuota.next.Before(until) {
+		return s.overQuota.refuse(now), true
 	}
-	if told {
-		s.closed.next = s.closed.next.Add(s.closed.interval)
+	if exceeded {
+		s.overQuota.next = s.overQuota.next.Add(s.overQuota.interval)
 	}
 	h.tickets++
-	s.waiters = append(s.waiters, waiter{ticket: h.tickets, until: until, told: told})
+	s.waiters = append(s.waiters, waiter{ticket: h.tickets, until: until, exceeded: exceeded})
 	return Outcome{Account: account, Ticket: h.tickets}, false
 }
 
@@ -151,9 +151,9 @@
 		}
 		h.assign(now, s)
 	}
-	for id := range h.lines {
+	for id := range h.sessions {
 		if !slices.Contains(h.candidates, id) {
-			delete(h.lines, id)
+			delete(h.sessions, id)
 		}
 	}
 }
@@ -181,9 +181,9 @@
 	s.stint = h.stints
 	s.keeper = keeper
 	s.askAt = now
-	s.closed = closed{}
+	s.overQuota = overQuota{}
 	for i := range s.waiters {
-		s.waiters[i].asked, s.waiters[i].told = 0, false
+		s.waiters[i].asked, s.waiters[i].exceeded = 0, false
 	}
 	if s.held > 0 || len(s.waiters) > 0 {
 		h.activate(s)
@@ -191,13 +191,13 @@
 }
 
 // activate includes s in the next message to its keeper.
-func (h *Holder) activate(s *stock) { h.line(s.keeper).stocks[s.account] = s }
+func (h *Holder) activate(s *stock) { h.session(s.keeper).stocks[s.account] = s }
 
 // deactivate leaves s out of the messages to its keeper and to the standby.
 func (h *Holder) deactivate(s *stock) {
 	for _, id := range []string{s.keeper, s.standby} {
-		if l, ok := h.lines[id]; ok {
-			delete(l.stocks, s.account)
+		if sess, ok := h.sessions[id]; ok {
+			delete(sess.stocks, s.account)
 		}
 	}
 }
@@ -205,11 +205,11 @@
 // Next returns when Due or Expire have something to return, zero if never.
 func (h *Holder) Next() time.Time {
 	var next time.Time
-	for id, l := range h.lines {
-		next = earliest(next, h.dueAt(id, l))
-		for _, s := range l.stocks {
-			if l.inFlight != 0 && s.keeper == id && s.standby == "" && len(s.waiters) > 0 {
-				next = earliest(next, l.sentAt.Add(standbyDelay))
+	for id, sess := range h.sessions {
+		next = earliest(next, h.dueAt(id, sess))
+		for _, s := range sess.stocks {
+			if sess.inFlight != 0 && s.keeper == id && s.standby == "" && len(s.waiters) > 0 {
+				next = earliest(next, sess.sentAt.Add(standbyDelay))
 			}
 			for _, w := range s.waiters {
 				next = earliest(next, w.until)
--- a/core/tokens/keeper.go
+++ b/core/tokens/keeper.go
@@ -17,11 +17,14 @@
 	// raiseDelay is how long the part of the quota that a keeper gives out stays low after
 	// members have come back, since another keeper may not know it yet.
 	raiseDelay = 500 * time.Millisecond
-	// forgetHolding is how long after its tokens have expired a node can still give back
-	// the tokens of requests that have not run.
+	// forgetHolding is how long after the tokens of a node have expired it can still give
+	// back those of requests that have not run.
 	forgetHolding = 10 * time.Second
 	// pauseGap is the gap between two ticks after which others may have taken over.
 	pauseGap = time.Second
+	// aheadLevelPart is the part of the tokens left that one node may hold for later
+	// requests, since other nodes may need the rest.
+	aheadLevelPart = 0.5
 )
 
 // KeeperConfig configures a Keeper.
@@ -46,7 +49,7 @@
 	part     float64   // of each quota, which this keeper gives out
 	raiseAt  time.Time // when part may rise to that of members
 	readyAt  time.Time // zero before the node has joined
-	since    time.Time // no account has come to this node since then
+	since    time.Time // last change at which an account can have come from another keeper
 	tickedAt time.Time
 	accounts map[string]*bucket
 	reserves map[string]*reserve
@@ -73,7 +76,7 @@
 // holding is what a node has of an account.
 type holding struct {
 	stint   uint64
-	spent   int64 // by what it has said, or because the lease has ended
+	spent   int64 // tokens that it reported as spent, or that have expired
 	tokens  int   // that it may still spend
 	expires time.Time
 }
@@ -210,17 +213,17 @@
 	}
 	h.tokens += g.Tokens
 	b.use.add(now, float64(g.Tokens))
-	g.Word = Word{Rate: p.rate, Depth: p.depth, Level: b.level, Part: k.part}
+	g.State = BucketState{Rate: p.rate, Depth: p.depth, Level: b.level, Part: k.part}
 	return g
 }
 
-// levelPart returns the part of the tokens left that the node may hold ahead. A node
-// that refuses requests needs them at once, while others may need the rest.
+// levelPart returns the part of the tokens left that the node may hold ahead. A node that
+// refuses requests needs them at once and may have all.
 func (a Ask) levelPart() float64 {
 	if a.Refused > 0 {
 		return 1
 	}
-	return 0.5
+	return aheadLevelPart
 }
 
 // plan returns how the bucket of an account is filled. Its rate is 0 if the account
@@ -378,7 +381,7 @@
 type Kept struct {
 	Account string
 	Quota   acct.Quota
-	Word    Word
+	State   BucketState
 	Use     float64 // tokens given out in the last second, an average
 	Held    int     // tokens at the nodes
 	Nodes   int     // that hold some
@@ -400,7 +403,7 @@
 	p := k.plan(account)
 	x := Kept{
 		Account: account, Quota: k.cfg.Quota(account), Held: int(b.held()), Use: b.use.perPeriod(now), Since: k.since,
-		Word: Word{Rate: p.rate, Depth: p.depth, Level: b.level, Part: k.part},
+		State: BucketState{Rate: p.rate, Depth: p.depth, Level: b.level, Part: k.part},
 	}
 	for _, h := range b.holdings {
 		if h.tokens > 0 {
--- a/core/tokens/message.go
+++ b/core/tokens/message.go
@@ -40,11 +40,12 @@
 	// and Interval the time until each further one.
 	Wait     time.Duration
 	Interval time.Duration
-	Word     Word
+	State    BucketState
 }
 
-// Word is the state of the bucket that led to a grant, for the journal.
-type Word struct {
+// BucketState is the state of the bucket of an account that led to a grant, for log
+// lines.
+type BucketState struct {
 	Rate  float64 // tokens a second that this keeper gives out
 	Depth float64
 	Level float64 // tokens left
--- a/core/tokens/reserve.go
+++ b/core/tokens/reserve.go
@@ -12,25 +12,25 @@
 	}
 	s.standby = standbyOf(s.account, h.candidates)
 	if s.standby != "" {
-		h.line(s.standby).stocks[s.account] = s
+		h.session(s.standby).stocks[s.account] = s
 	}
 }
 
 // leaveStandby ends the messages to the standby about s.
 func (h *Holder) leaveStandby(s *stock) {
-	if l, ok := h.lines[s.standby]; ok {
-		delete(l.stocks, s.account)
+	if sess, ok := h.sessions[s.standby]; ok {
+		delete(sess.stocks, s.account)
 	}
 	s.standby = ""
 }
 
 // askStandbys asks the standbys of the keepers that have not answered for a while.
 func (h *Holder) askStandbys(now time.Time) {
-	for id, l := range h.lines {
-		if l.inFlight == 0 || now.Before(l.sentAt.Add(standbyDelay)) {
+	for id, sess := range h.sessions {
+		if sess.inFlight == 0 || now.Before(sess.sentAt.Add(standbyDelay)) {
 			continue
 		}
-		for _, s := range l.stocks {
+		for _, s := range sess.stocks {
 			if s.keeper == id {
 				h.askStandby(s)
 			}
--- a/io/quotas/convert.go
+++ b/io/quotas/convert.go
@@ -49,7 +49,7 @@
 	for _, g := range r.Grants {
 		out.Grants = append(out.Grants, &wire.TokenGrant{
 			Account: g.Account, Tokens: int64(g.Tokens), Elsewhere: g.Elsewhere, Wait: int64(g.Wait), Interval: int64(g.Interval),
-			Rate: g.Word.Rate, Depth: g.Word.Depth, Level: g.Word.Level, Part: g.Word.Part,
+			Rate: g.State.Rate, Depth: g.State.Depth, Level: g.State.Level, Part: g.State.Part,
 		})
 	}
 	return out
@@ -61,7 +61,7 @@
 		out.Grants = append(out.Grants, tokens.Grant{
 			Account: g.GetAccount(), Tokens: count(g.GetTokens()), Elsewhere: g.GetElsewhere(),
 			Wait: time.Duration(max(g.GetWait(), 0)), Interval: time.Duration(max(g.GetInterval(), 0)),
-			Word: tokens.Word{Rate: g.GetRate(), Depth: g.GetDepth(), Level: g.GetLevel(), Part: g.GetPart()},
+			State: tokens.BucketState{Rate: g.GetRate(), Depth: g.GetDepth(), Level: g.GetLevel(), Part: g.GetPart()},
 		})
 	}
 	return out
--- a/io/quotas/quotas.go
+++ b/io/quotas/quotas.go
@@ -197,7 +197,7 @@
 		quota := q.cfg.Quota(o.Account)
 		q.recordEvent(event.QuotaExceeded, o.Account, fmt.Sprintf(
 			"rate=%g burst=%g keeper=%s part=%.3f keeper_rate=%.1f tokens=%.1f word_age=%v retry_after=%v",
-			quota.Rate, quota.Burst, o.Keeper, o.Word.Part, o.Word.Rate, o.Word.Level,
+			quota.Rate, quota.Burst, o.Keeper, o.State.Part, o.State.Rate, o.State.Level,
 			time.Since(o.HeardAt).Round(time.Millisecond), o.RetryAfter.Round(time.Millisecond)))
 		r := call.Refuse(call.NotRun, call.CauseQuotaExceeded, o.RetryAfter)
 		return tokens.Permit{}, &r
@@ -253,7 +253,7 @@
 // describe returns the state of an account as text.
 func describe(k tokens.Kept) string {
 	return fmt.Sprintf("rate=%g burst=%g part=%.3f keeper_rate=%.1f tokens=%.1f use=%.1f held=%d nodes=%d since=%s",
-		k.Quota.Rate, k.Quota.Burst, k.Word.Part, k.Word.Rate, k.Word.Level, k.Use, k.Held, k.Nodes, k.Since.Format(time.RFC3339Nano))
+		k.Quota.Rate, k.Quota.Burst, k.State.Part, k.State.Rate, k.State.Level, k.Use, k.Held, k.Nodes, k.Since.Format(time.RFC3339Nano))
 }
 
 // pump sends the messages that are due and ends the waits that are over.
