--- a/core/admit/account.go
+++ b/core/admit/account.go
@@ -7,13 +7,13 @@
 )
 
 // minServedShare is the share of what a priority offers that is started before more of a
-// higher priority is, if calls have client accounts and the slots are enough for it. The priority of an account holds for
-// all its calls, so that without it the accounts of the lowest priority would get nothing
-// for as long as an overload lasts.
+// higher priority is, if calls have client accounts and the slots are enough for it. The
+// priority of an account holds for all its calls, so that otherwise the accounts of the
+// lowest priority would get nothing for as long as an overload lasts.
 const minServedShare = 0.25
 
-// checkShare records that a call of a client account is offered, and marks it if the
-// account has taken its share of the slots.
+// checkShare records that a call of a client account is offered, and sets its excess, which
+// is positive if the account has taken its share of the slots.
 func (c *Controller) checkShare(now time.Time, it *Item) {
 	if it.Account == "" {
 		return
@@ -24,8 +24,8 @@
 }
 
 // withinShare reports whether the call belongs to a client account that has not taken its
-// share of the slots. The calls within the shares fit together, so that a queue of them is
-// short-lived also under overload.
+// share of the slots. The slots are enough for all calls within the shares, so that a queue
+// of them is short-lived also under overload.
 func (it *Item) withinShare() bool { return it.Account != "" && it.excess == 0 }
 
 // takeShare records that a call was queued or started.
@@ -36,8 +36,8 @@
 	}
 }
 
-// dequeue removes a call from the queue that does not start, and reports whether it was
-// queued. What it would have taken of the share of its account is given back.
+// dequeue removes a call that does not start from the queue, and reports whether it was
+// queued. What it took of the share of its account is given back.
 func (c *Controller) dequeue(now time.Time, id string) bool {
 	it := c.queue.remove(id)
 	if it == nil {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -21,9 +21,9 @@
 	// their own.
 	PossibleWaiters int
 	Account         string        // client account, empty if there is none
-	excess          int           // by how much its account is beyond its share of the slots, 0 if it is not
-	hold            time.Duration // recorded as taken by its account
-	takenAt         time.Time     // when it was recorded
+	excess          int           // how far its account is beyond its share of the slots, see shares.offer
+	hold            time.Duration // time in a slot that is recorded as taken by its account
+	takenAt         time.Time     // when that was recorded
 	heap            *itemHeap     // the heap that holds it, nil if none does
 	heapIndex       int
 }
@@ -190,7 +190,8 @@
 	}
 }
 
-// demoteItem does this for one item, which may be nil, and reports whether it did.
+// demoteItem moves an item that can't meet its target, but is useful after it, to the late
+// ones, and reports whether it did. The item may be nil.
 func (l *level) demoteItem(it *Item, earliestAnswer time.Time) bool {
 	if it == nil || !it.usefulAfterTarget() || !it.target().Before(earliestAnswer) {
 		return false
--- a/core/admit/share.go
+++ b/core/admit/share.go
@@ -10,8 +10,8 @@
 const (
 	// shareInterval is how long a computed fair share is used.
 	shareInterval = 100 * time.Millisecond
-	// dividedShare is the share of the available slots that is divided. Calls within the
-	// share of their account would wait long for the last ones.
+	// dividedShare is the share of the available slots that is divided. If all were, calls
+	// within the share of their account would wait long for the last slots.
 	dividedShare = 0.9
 	// forgottenUse is the use below which an account is forgotten, in slot seconds.
 	forgottenUse = 1e-3
@@ -47,9 +47,10 @@
 }
 
 // offer records that a call of an account is offered that would hold a slot for the
-// given time. It returns 0 if the account has not taken its share, and else the logarithm
-// of how many times its share the account offers, at least 1. available is the number of
-// slots that the accounts share.
+// given time. It returns 0 if the account has not taken its share. Otherwise it returns 1
+// if the account offers less than twice its share, and 1 more for each doubling, so that
+// accounts that offer about the same are ordered by the targets of their calls. available
+// is the number of slots that the accounts share.
 func (s *shares) offer(now time.Time, account string, hold time.Duration, available float64) (excess int) {
 	if s.accounts == nil {
 		s.accounts = map[string]*accountUse{}
--- a/core/band/schedule.go
+++ b/core/band/schedule.go
@@ -22,8 +22,8 @@
 	grantLead = 15 * time.Millisecond
 	// maxUnfinished bounds the admitted transfers whose end was not reported.
 	maxUnfinished = 4
-	// leaseFactor and leaseMargin determine when an admitted transfer loses its place,
-	// from the time that it takes at the granted rate.
+	// leaseFactor times the time that an admitted transfer takes at the granted rate, and
+	// leaseMargin more, is when it loses its place.
 	leaseFactor = 4
 	leaseMargin = time.Second
 	// maxTime bounds a computed time, so that sums of several do not overflow.
@@ -66,8 +66,8 @@
 	// refused.
 	Deadline time.Time
 	// Detached is set if the transfer waits for the rate alone: it neither counts as
-	// unfinished nor waits for those that are. So what is slow at its other end holds
-	// back nobody, and nobody waits for this link while another is held for it.
+	// unfinished nor waits for those that are. So a slow other end of it holds back no
+	// other transfer, and it can hold a place on another link without a deadlock.
 	Detached bool
 }
 
@@ -137,7 +137,7 @@
 	s.expireLeases(now)
 	s.sort(now)
 	if over := s.endAt(now, 0, t).Sub(t.Deadline); !t.Deadline.IsZero() && over > 0 {
-		return Refused, over // also on a free link, which it would fill for nothing
+		return Refused, over // even if it were the next one, it would pass too late
 	}
 	if len(s.waiters) == 0 && s.hasRoom(now, t) {
 		s.admit(now, t)
--- a/core/homes/homes.go
+++ b/core/homes/homes.go
@@ -102,7 +102,7 @@
 	case c.New.IsHomeCandidate():
 	case hasSteppedDown && c.New.HomeUntil.Equal(c.Old.HomeUntil): // recorded already
 	case hasSteppedDown:
-		t.recordRemoval(removal{c.New.ID, c.New.HomeUntil.Add(1)})
+		t.recordRemoval(removal{c.New.ID, c.New.HomeUntil.Add(time.Nanosecond)}) // removal.before excludes its own time
 	case c.Old.ID == "" && !t.candidate: // gone before this node could be a home
 	case mayHaveBeenCandidate(c):
 		t.recordRemoval(removal{c.New.ID, c.At.Add(t.cfg.Margin)})
