--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -60,7 +60,7 @@
 	OldServers, OldSlots       int
 	Nodes                      []string      // ids of the nodes that are up
 	ReportInterval             time.Duration // between two reports of a node in phase Full
-	Known                      bool          // the service exists
+	ServiceExists              bool          // it is in the configuration, or has servers
 }
 
 // Report is what a node reports to the holder.
@@ -226,7 +226,7 @@
 		return "the order was withdrawn", true
 	case r.order.Within <= completeMargin:
 		return "the deadline of the order has passed", true
-	case !s.Known && now.Sub(r.startedAt) > settleTime:
+	case !s.ServiceExists && now.Sub(r.startedAt) > settleTime:
 		return "no such service", true
 	case r.stage.Phase == Canary && r.Room(now) < r.exposureOf(r.stage.Share, r.reaction(s)):
 		return "the calls that the version may get are used up: " + r.Progress(), true
--- a/core/canary/rollout_test.go
+++ b/core/canary/rollout_test.go
@@ -175,7 +175,7 @@
 	}
 	next, ok := s.holder.Next(s.at(d), canary.Servers{
 		TargetServers: s.servers, TargetSlots: 12 * s.servers, OldServers: numNodes, OldSlots: 12 * numNodes,
-		Nodes: up, ReportInterval: reportEvery, Known: true,
+		Nodes: up, ReportInterval: reportEvery, ServiceExists: true,
 	})
 	if !ok {
 		return
@@ -363,12 +363,12 @@
 func TestUnorderedVersion(t *testing.T) {
 	is := is.New(t)
 	tab := canary.NewTable()
-	is.Equal(tab.Known("a", canary.Versions{"v9": 10}), "v9")
+	is.Equal(tab.InUse("a", canary.Versions{"v9": 10}), "v9")
 	is.Equal(tab.Split(time.Time{}, "a", canary.Versions{"v9": 10, "v10": 10}), canary.Split{})
-	is.Equal(tab.Known("a", canary.Versions{"v9": 4, "v10": 10}), "v10")
+	is.Equal(tab.InUse("a", canary.Versions{"v9": 4, "v10": 10}), "v10")
 	fresh := canary.NewTable() // of a node that has restarted
-	is.Equal(fresh.Known("a", canary.Versions{"v9": 8, "v10": 10}), "v9")
-	is.Equal(fresh.Known("a", canary.Versions{"v9": 7, "v10": 10}), "v9") // its node restarts
+	is.Equal(fresh.InUse("a", canary.Versions{"v9": 8, "v10": 10}), "v9")
+	is.Equal(fresh.InUse("a", canary.Versions{"v9": 7, "v10": 10}), "v9") // its node restarts
 }
 
 // TestReplacedAfterRollout checks that a version that has replaced the one of an earlier
@@ -381,17 +381,17 @@
 		known string
 		split canary.Split
 	}{
-		{canary.Complete, canary.Versions{"v1": 12, "v2": 10}, "v2", canary.Split{Left: "v1"}},
-		{canary.Complete, canary.Versions{"v2": 3, "v3": 8}, "v3", canary.Split{Left: "v1"}},
-		{canary.RolledBack, canary.Versions{"v1": 4, "v2": 12}, "v1", canary.Split{Left: "v2"}},
-		{canary.RolledBack, canary.Versions{"v1": 3, "v2": 12, "v3": 8}, "v3", canary.Split{Left: "v2"}},
-		{canary.RolledBack, canary.Versions{"v2": 12}, "v2", canary.Split{Left: "v2"}},
-		{canary.Full, canary.Versions{"v1": 4, "v2": 12}, "v1", canary.Split{Known: "v1", Target: "v2"}},
+		{canary.Complete, canary.Versions{"v1": 12, "v2": 10}, "v2", canary.Split{Abandoned: "v1"}},
+		{canary.Complete, canary.Versions{"v2": 3, "v3": 8}, "v3", canary.Split{Abandoned: "v1"}},
+		{canary.RolledBack, canary.Versions{"v1": 4, "v2": 12}, "v1", canary.Split{Abandoned: "v2"}},
+		{canary.RolledBack, canary.Versions{"v1": 3, "v2": 12, "v3": 8}, "v3", canary.Split{Abandoned: "v2"}},
+		{canary.RolledBack, canary.Versions{"v2": 12}, "v2", canary.Split{Abandoned: "v2"}},
+		{canary.Full, canary.Versions{"v1": 4, "v2": 12}, "v1", canary.Split{Baseline: "v1", Target: "v2"}},
 	} {
 		is := is.New(t)
 		tab := canary.NewTable()
 		tab.Merge(s.With(tc.phase, ""), time.Time{})
-		is.Equal(tab.Known("a", tc.vs), tc.known)
+		is.Equal(tab.InUse("a", tc.vs), tc.known)
 		is.Equal(tab.Split(time.Time{}, "a", tc.vs), tc.split)
 	}
 }
@@ -408,13 +408,13 @@
 		final    canary.Phase
 		by       time.Duration
 	}{
-		{"deadline passed", "v2", 0, canary.Servers{Known: true}, false, canary.RolledBack, 0},
-		{"no server", "v2", 10 * time.Second, canary.Servers{Known: true, OldServers: 3}, false, canary.RolledBack, 9 * time.Second},
+		{"deadline passed", "v2", 0, canary.Servers{ServiceExists: true}, false, canary.RolledBack, 0},
+		{"no server", "v2", 10 * time.Second, canary.Servers{ServiceExists: true, OldServers: 3}, false, canary.RolledBack, 9 * time.Second},
 		{"unknown service", "v2", 10 * time.Second, canary.Servers{}, false, canary.RolledBack, time.Second},
-		{"too few servers", "v2", 10 * time.Second, canary.Servers{Known: true, OldServers: 30, OldSlots: 300, TargetServers: 1, TargetSlots: 1}, false, canary.RolledBack, 9 * time.Second},
-		{"withdrawn", "v2", 10 * time.Second, canary.Servers{Known: true, OldServers: 3, TargetServers: 3, TargetSlots: 30}, true, canary.RolledBack, 2 * time.Second},
-		{"in use already", "v1", 10 * time.Second, canary.Servers{Known: true, OldServers: 3}, false, canary.Complete, time.Second},
-		{"no calls", "v2", 10 * time.Second, canary.Servers{Known: true, OldServers: 3, TargetServers: 3, TargetSlots: 30}, false, canary.Complete, 10 * time.Second},
+		{"too few servers", "v2", 10 * time.Second, canary.Servers{ServiceExists: true, OldServers: 30, OldSlots: 300, TargetServers: 1, TargetSlots: 1}, false, canary.RolledBack, 9 * time.Second},
+		{"withdrawn", "v2", 10 * time.Second, canary.Servers{ServiceExists: true, OldServers: 3, TargetServers: 3, TargetSlots: 30}, true, canary.RolledBack, 2 * time.Second},
+		{"in use already", "v1", 10 * time.Second, canary.Servers{ServiceExists: true, OldServers: 3}, false, canary.Complete, time.Second},
+		{"no calls", "v2", 10 * time.Second, canary.Servers{ServiceExists: true, OldServers: 3, TargetServers: 3, TargetSlots: 30}, false, canary.Complete, 10 * time.Second},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
@@ -513,7 +513,7 @@
 	last.Share, last.Servers = 0.025, 2
 	took := 11 * time.Second
 	r := canary.New(canary.Config{Share: share, Slack: slack}, start.Add(took), o, "v1", last)
-	servers := canary.Servers{Known: true, OldServers: 12, OldSlots: 144, TargetServers: 12, TargetSlots: 144, ReportInterval: reportEvery, Nodes: []string{"n"}}
+	servers := canary.Servers{ServiceExists: true, OldServers: 12, OldSlots: 144, TargetServers: 12, TargetSlots: 144, ReportInterval: reportEvery, Nodes: []string{"n"}}
 	for d := took; d < o.Within && !r.Stage().Phase.Ended(); d += holderTick {
 		calls := int(500 * d.Seconds())
 		tallies := []*canary.Tally{readTally("v1", calls), readTally("v2", calls/40)}
@@ -565,7 +565,7 @@
 	o := canary.NewOrder(canary.Request{Service: "a", Target: "v2", Within: 10 * time.Second}, canary.OrderID{Revision: 1}, start)
 	last := canary.Stage{Order: o.ID, Service: "a", Target: "v2", Baseline: "v1"}.With(canary.Committed, "").WithHolder("a")
 	r := canary.New(canary.Config{Share: share, Slack: slack}, start.Add(9*time.Second), o, "v1", last)
-	servers := canary.Servers{Known: true, OldServers: 1, OldSlots: 12, TargetServers: 1, TargetSlots: 12, ReportInterval: reportEvery, Nodes: []string{"busy", "unheard"}}
+	servers := canary.Servers{ServiceExists: true, OldServers: 1, OldSlots: 12, TargetServers: 1, TargetSlots: 12, ReportInterval: reportEvery, Nodes: []string{"busy", "unheard"}}
 	const callEnds = 12 * time.Second
 	for d := 9 * time.Second; d < 13*time.Second && !r.Stage().Phase.Ended(); d += holderTick {
 		r.Report(start.Add(d), canary.Report{Node: "busy", Phase: canary.Committed, Quiet: d >= callEnds})
--- a/core/canary/table.go
+++ b/core/canary/table.go
@@ -10,12 +10,12 @@
 // Split tells how the calls to a service are divided between the versions of its servers.
 // The zero Split does not divide them.
 type Split struct {
-	Known  string  // version that gets all other calls
-	Target string  // version that gets the share, empty if no roll-out is running
-	Share  float64 // 0 to 1
-	// Left is the version that a roll-out has left, empty for none. Its servers get calls
-	// only if there are no others.
-	Left string
+	Baseline string  // version that gets all other calls
+	Target   string  // version that gets the share, empty if no roll-out is running
+	Share    float64 // 0 to 1
+	// Abandoned is the version that a roll-out has left for good, empty for none. Its
+	// servers get calls only if there are no others.
+	Abandoned string
 	// Servers is the number of servers of the target that get the share, 0 for all.
 	Servers int
 }
@@ -30,7 +30,7 @@
 type entry struct {
 	stage       Stage     // zero if there was no order
 	confirmedBy time.Time // end of the holder's last confirmation of the stage
-	known       string    // version in use, where there is no stage; empty if there is none yet
+	inUse       string    // version that InUse returned last, empty if there is none yet
 }
 
 // Table holds the newest stages that a node knows. Nodes exchange their stages; Merge is
@@ -103,37 +103,45 @@
 	return time.Time{}
 }
 
-// Known returns the version of a service that is in use without an order, given the versions
+// InUse returns the version of a service that is in use without an order, given the versions
 // of its servers. It stays the same until its servers hold less than 1/replacedPart of the
 // slots, not counting those of a version that a roll-out has left. So it is still the old one
 // when some of the old servers are away as an order comes.
-func (t *Table) Known(service string, vs Versions) string {
+func (t *Table) InUse(service string, vs Versions) string {
 	e := t.get(service)
 	if e == nil {
 		return ""
 	}
-	left, wasLeft := "", false
-	switch s := e.stage; {
-	case s.Service == "":
-	case s.Phase >= Committed:
-		e.known, left, wasLeft = s.Target, s.Baseline, s.Target != s.Baseline
-	default:
-		e.known, left, wasLeft = s.Baseline, s.Target, s.Phase == RolledBack
-	}
+	abandoned, ok := e.applyStage()
 	var names []string
 	total := 0
 	for _, v := range slices.SortedFunc(maps.Keys(vs), naturalOrder) {
-		if wasLeft && v == left && len(vs) > 1 {
+		if ok && v == abandoned && len(vs) > 1 {
 			continue
 		}
 		names = append(names, v)
 		total += vs[v]
 	}
-	replaced := replacedPart*vs[e.known] < total && (e.stage.Service == "" || e.stage.Phase.Ended())
-	if _, ok := vs[e.known]; !ok || replaced {
-		e.known = firstInUse(names, vs, total)
+	replaced := replacedPart*vs[e.inUse] < total && (e.stage.Service == "" || e.stage.Phase.Ended())
+	if _, ok := vs[e.inUse]; !ok || replaced {
+		e.inUse = firstInUse(names, vs, total)
+	}
+	return e.inUse
+}
+
+// applyStage sets the version in use to the one by the stage, if there is a stage. It
+// returns the version that the roll-out has left for good. ok is false if there is none.
+func (e *entry) applyStage() (abandoned string, ok bool) {
+	switch s := e.stage; {
+	case s.Service == "":
+		return "", false
+	case s.Phase >= Committed:
+		e.inUse = s.Target
+		return s.Baseline, s.Target != s.Baseline
+	default:
+		e.inUse = s.Baseline
+		return s.Target, s.Phase == RolledBack
 	}
-	return e.known
 }
 
 // replacedPart is the divisor of the slots of a service: a version with less than that part
@@ -160,17 +168,17 @@
 
 // Split returns the split of the calls to a service at now.
 func (t *Table) Split(now time.Time, service string, vs Versions) Split {
-	t.Known(service, vs) // records the version in use, which a later order replaces
+	t.InUse(service, vs) // records the version in use, which a later order replaces
 	s, ok := t.Stage(service)
 	switch {
 	case !ok, s.Phase.Ended() && s.Target == s.Baseline:
 		return Split{}
 	case s.Phase == Complete:
-		return Split{Left: s.Baseline}
+		return Split{Abandoned: s.Baseline}
 	case s.Phase == RolledBack:
-		return Split{Left: s.Target}
+		return Split{Abandoned: s.Target}
 	}
-	split := Split{Known: s.Baseline, Target: s.Target}
+	split := Split{Baseline: s.Baseline, Target: s.Target}
 	confirmed := now.Before(t.entries[service].confirmedBy)
 	switch {
 	case s.Phase == Committed, s.Phase == Full && confirmed:
--- a/core/proof/planner.go
+++ b/core/proof/planner.go
@@ -22,9 +22,9 @@
 	firstReadShare  = 0.1
 	firstReadSpread = 0.3
 	askPauseShare   = 0.1
-	readPauseShare  = 0.16 // doubled after each failure, up to maxReadPause
-	maxReadPause    = 4    // times the first pause, for a node that is not a reader
-	maxReaderPause  = 2    // the same for a reader
+	readPauseShare  = 0.16 // doubled after each failure
+	maxPauseFactor  = 4    // on readPauseShare, for a node that is not a reader
+	maxReaderFactor = 2    // the same for a reader
 )
 
 // Planner decides when a node asks another one for a proof, and when it reads the store.
@@ -94,15 +94,15 @@
 
 // readPause returns the mean pause after a read.
 func (p *Planner) readPause(rank int) time.Duration {
-	most := maxReadPause
+	most := maxPauseFactor
 	if rank >= 0 {
-		most = maxReaderPause
+		most = maxReaderFactor
 	}
-	times := 1
+	factor := 1
 	for range p.failures {
-		times = min(2*times, most)
+		factor = min(2*factor, most)
 	}
-	return time.Duration(times) * p.cfg.share(readPauseShare)
+	return time.Duration(factor) * p.cfg.share(readPauseShare)
 }
 
 // jitter returns a duration between 3/4 and 5/4 of d.
--- a/io/proxy/rollout.go
+++ b/io/proxy/rollout.go
@@ -79,13 +79,13 @@
 // on the other side.
 func (c candidates) onSide(node string, s side) candidates {
 	if s.split.Target == "" {
-		return c.without(node, s.split.Left)
+		return c.without(node, s.split.Abandoned)
 	}
-	var known, target, others []pick.Candidate
+	var baseline, target, others []pick.Candidate
 	for _, u := range c.upstream {
 		switch {
-		case u.Version == s.split.Known:
-			known = append(known, u)
+		case u.Version == s.split.Baseline:
+			baseline = append(baseline, u)
 		case u.Version == s.split.Target:
 			target = append(target, u)
 		default:
@@ -95,9 +95,9 @@
 	if s.split.Servers > 0 {
 		target = topServers(s, target)
 	}
-	order := [][]pick.Candidate{known, others, target}
+	order := [][]pick.Candidate{baseline, others, target}
 	if s.target {
-		order = [][]pick.Candidate{target, known, others}
+		order = [][]pick.Candidate{target, baseline, others}
 		c.entries = nil // an entry node divides the calls itself
 	}
 	for _, cs := range order {
--- a/io/proxy/rollout_test.go
+++ b/io/proxy/rollout_test.go
@@ -15,7 +15,7 @@
 	cs := candidates{entries: []pick.Candidate{{ID: "e", Entry: true}}, upstream: []pick.Candidate{
 		{ID: "o1", Version: "v1"}, {ID: "o2", Version: "v1"}, {ID: "n1", Version: "v2"}, {ID: "n2", Version: "v2"}, {ID: "n3", Version: "v2"}, {ID: "x", Version: "v3"},
 	}}
-	ordered := canary.Split{Known: "v1", Target: "v2"}
+	ordered := canary.Split{Baseline: "v1", Target: "v2"}
 	canaries := ordered
 	canaries.Servers = 2
 	for _, tc := range []struct {
@@ -28,10 +28,10 @@
 		{"old side of an order", ordered, false, []string{"v1", "v1"}, true},
 		{"target of an order", ordered, true, []string{"v2", "v2", "v2"}, false},
 		{"canary", canaries, true, []string{"v2", "v2"}, false},
-		{"after an order", canary.Split{Left: "v2"}, false, []string{"v1", "v1", "v3"}, true},
-		{"after an order, of a version that is gone", canary.Split{Left: "v0"}, false, []string{"v1", "v1", "v2", "v2", "v2", "v3"}, true},
-		{"old version is gone", canary.Split{Known: "v0", Target: "v2"}, false, []string{"v1", "v1", "v3"}, true},
-		{"target is gone", canary.Split{Known: "v1", Target: "v9"}, true, []string{"v1", "v1"}, false},
+		{"after an order", canary.Split{Abandoned: "v2"}, false, []string{"v1", "v1", "v3"}, true},
+		{"after an order, of a version that is gone", canary.Split{Abandoned: "v0"}, false, []string{"v1", "v1", "v2", "v2", "v2", "v3"}, true},
+		{"old version is gone", canary.Split{Baseline: "v0", Target: "v2"}, false, []string{"v1", "v1", "v3"}, true},
+		{"target is gone", canary.Split{Baseline: "v1", Target: "v9"}, true, []string{"v1", "v1"}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
@@ -52,7 +52,7 @@
 	before, after := &fleet.View{}, &fleet.View{}
 	cc := newCandidateCache("self")
 	cc.update(after)
-	s := side{service: "a", split: canary.Split{Known: "v1", Target: "v2"}}
+	s := side{service: "a", split: canary.Split{Baseline: "v1", Target: "v2"}}
 	upstream := []pick.Candidate{{ID: "o1", Version: "v1"}, {ID: "o2", Version: "v1"}, {ID: "n", Version: "v2"}}
 	is.Equal(len(cc.getSide(candidates{view: before, upstream: upstream}, s).upstream), 2)
 	is.Equal(len(cc.getSide(candidates{view: after, upstream: upstream[1:]}, s).upstream), 1)
--- a/io/stage/hold.go
+++ b/io/stage/hold.go
@@ -168,7 +168,7 @@
 	if s, ok := m.table.Stage(h.order.Service); ok && s.Order == h.order.ID && (!stored || s.NewerThan(last)) {
 		last = s
 	}
-	baseline := m.table.Known(h.order.Service, versions)
+	baseline := m.table.InUse(h.order.Service, versions)
 	cfg := canary.Config{Share: m.cfg.Settings.CanaryShare, Slack: m.cfg.Settings.CanarySlack}
 	h.rollout = canary.New(cfg, time.Now(), h.order, baseline, last)
 	h.claimedUntil = c.until
@@ -290,9 +290,9 @@
 // servers returns what this node knows of the servers of the order's service.
 func (h *hold) servers() canary.Servers {
 	view := h.m.cfg.Fleet.View()
-	s := canary.Servers{Nodes: view.UpIDs(), ReportInterval: h.m.reportInterval(canary.Full), Known: h.m.cfg.HasService(h.order.Service)}
+	s := canary.Servers{Nodes: view.UpIDs(), ReportInterval: h.m.reportInterval(canary.Full), ServiceExists: h.m.cfg.HasService(h.order.Service)}
 	for _, r := range view.Upstreams(h.order.Service) {
-		s.Known = true
+		s.ServiceExists = true
 		if r.ServerVersion == h.order.Target {
 			s.TargetServers++
 			s.TargetSlots += r.Slots
--- a/io/stage/reader.go
+++ b/io/stage/reader.go
@@ -88,7 +88,7 @@
 	versions := m.versions(o.Service)
 	m.mu.Lock()
 	s := canary.Stage{
-		Order: o.ID, Service: o.Service, Target: o.Target, Baseline: m.table.Known(o.Service, versions),
+		Order: o.ID, Service: o.Service, Target: o.Target, Baseline: m.table.InUse(o.Service, versions),
 		Phase: canary.Waiting, Reason: "no node has begun with the order",
 	}
 	m.mu.Unlock()
