--- a/core/acct/compile.go
+++ b/core/acct/compile.go
@@ -56,7 +56,7 @@
 	mu    sync.Mutex
 	dir   *Directory       // of the version before, nil if there is none
 	specs map[string]*Spec // definitions of dir by their content
-	// decoded counts the definitions that were decoded.
+	// decoded counts the definitions that were decoded, for tests.
 	decoded int
 }
 
--- a/core/canary/judge.go
+++ b/core/canary/judge.go
@@ -29,8 +29,9 @@
 	// minBaseline is the number of answers of the old version on a route below which the
 	// route is judged by the answers on all routes.
 	minBaseline = 20
-	// baselineSpan is the time after which answers of the old version no longer count,
-	// and half of the time for which they count at most.
+	// baselineSpan is the length of the spans in which answers of the old version are
+	// counted. The present span and the one before make up the baseline, so that it follows
+	// changes of the load.
 	baselineSpan = 3 * time.Second
 )
 
--- a/core/dedup/table.go
+++ b/core/dedup/table.go
@@ -235,7 +235,7 @@
 type Inquiry struct {
 	Key     Key // of the work
 	Attempt string
-	// Own is set if the attempt was sent to this very process. Otherwise an earlier one
+	// Own is set if the attempt was sent to this very process. Otherwise an earlier process
 	// at its address may have got it.
 	Own bool
 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -95,7 +95,6 @@
 	RolloutUnconfirmed Kind = "rollout_unconfirmed" // the holder is silent, so that all calls go to the old version
 	RolloutConfirmed   Kind = "rollout_confirmed"
 	FrameDropped       Kind = "frame_dropped" // a message of a peer was malformed or not expected
-
 )
 
 // Event is one decision or observation of a node.
--- a/store.go
+++ b/store.go
@@ -128,9 +128,9 @@
 	// kv are of its era.
 	Get(ctx context.Context, key string) (kv KV, revision Revision, err error)
 	// Unchanged reports whether the last change of a key is still the one at the store
-	// revision mod, which was read at revision since. Like Get, it is linearizable, and
-	// now is the current revision of the store, but it does not transfer the value if
-	// it can do without. It returns ErrEraChanged unless the answer is of the era of since.
+	// revision mod, as it was read at revision since. Like Get, it is linearizable, and
+	// now is the current revision of the store, but it transfers the value only if the
+	// store can't tell otherwise. It returns ErrEraChanged unless the answer is of the era of since.
 	Unchanged(ctx context.Context, key string, mod int64, since Revision) (same bool, now Revision, err error)
 	// List returns all keys with the given prefix, sorted by key.
 	List(ctx context.Context, prefix string, c Consistency) (kvs []KV, revision Revision, err error)
@@ -145,9 +145,9 @@
 	Revoke(ctx context.Context, lease Lease) error
 	// Watch calls f for each change of key from revision on, in order, until
 	// ctx ends or the connection fails. A key that ends with a slash stands for all keys
-	// that begin with it. It calls ready once the watch is
-	// established. It returns ErrEraChanged when any answer of the store shows that
-	// its era is not that of revision any more.
+	// that begin with it. Watch calls ready once the watch is established. It returns
+	// ErrEraChanged when any answer of the store shows that its era is not that of
+	// revision any more.
 	Watch(ctx context.Context, key string, revision Revision, ready func(), f func(Event)) error
 	// Eras returns what is known about the eras of the store.
 	Eras() eras.State
