--- a/core/call/call.go
+++ b/core/call/call.go
@@ -151,7 +151,7 @@
 	CauseUnreachable       = "unreachable"          // no connection to the node or to the backend server
 	CauseUpstreamShed      = "upstream_shed"        // the backend server refused the call for load
 	CauseCrashesServers    = "crashes_servers"      // backend servers end when they run it, see package crash
-	CauseKeysUnproved      = "keys_unproved"        // the node can't tell whether the key has been withdrawn
+	CauseKeysUnproved      = "keys_unproved"        // the node can't tell whether the key of the client account has been withdrawn
 	CauseLinkFull          = "link_full"            // no link has room for the body or the answer in time
 	CauseSilent            = "silent"               // the node did not acknowledge the call in time
 	CauseQuotaExceeded     = "quota_exceeded"       // the client account is over its quota
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -68,9 +68,9 @@
 	UpstreamEjected    Kind = "upstream_ejected"     // this node sends it no calls for a while
 	RequestRefused     Kind = "request_refused"      // by the gatekeeper, it has not run
 	RequestRejected    Kind = "request_rejected"     // by the ingress, before it was routed
-	RequestKeyInvalid  Kind = "request_unauthorized" // by the ingress, its key is missing, malformed or not that of an account
-	RequestUnproved    Kind = "request_unproved"     // it has a key, and the version in force has not been proved to be the newest for too long
-	KeysSuspended      Kind = "keys_suspended"       // from now on, requests with keys are refused as unproved
+	RequestKeyInvalid  Kind = "request_unauthorized" // by the ingress, its account key is missing, malformed or not that of an account
+	RequestUnproved    Kind = "request_unproved"     // it has an account key, and the version in force has not been proved to be the newest for too long
+	KeysSuspended      Kind = "keys_suspended"       // from now on, requests with account keys are refused as unproved
 	KeysResumed        Kind = "keys_resumed"
 
 	RequestHeld     Kind = "request_held"     // backend servers end when they run it, so that it is refused everywhere
--- a/core/homes/homes.go
+++ b/core/homes/homes.go
@@ -20,12 +20,12 @@
 //
 // A member that steps down while it is up accepts no further keys, and says when the
 // latest one that it accepted was issued (member.Record.HomeUntil). Nobody asks it about
-// later ones, so that keys need not wait for its margin, nor for it to stay.
+// later ones, so that their work depends neither on the margin nor on whether it stays up.
 //
 // A node that starts learns of members that are already dead, and can't tell when they
 // were removed. Until it can be a home itself it does not record them: it will be an
-// anchor only for keys that are issued after that, and for the earlier ones the anchor
-// names them.
+// anchor only for keys that are issued after that. For the earlier ones another member is
+// the anchor, which has seen the removals and names them.
 //
 // # Usage
 //
--- a/core/proof/doc.go
+++ b/core/proof/doc.go
@@ -1,6 +1,6 @@
 // Package proof decides how long a node may rely on the configuration version in force
-// there, where a key that was withdrawn must end within a bound, also at nodes that are
-// cut off.
+// there, where a withdrawn key of a client account must end within a bound, also at nodes
+// that are cut off.
 //
 // A Proof says that no version after a certain one had been accepted at a certain time.
 // The source of all proofs is a linearizable read of the store: it proves what it
--- a/core/proof/planner.go
+++ b/core/proof/planner.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Ages of the newest proof, as shares of the bound, from which on a node does something
-// about it. The first reader of a data centre reads the store first. The others ask it.
+// Ages of the newest proof, as shares of the bound, from which on a node looks for a newer
+// one. The first reader of a data centre reads the store first. The others ask it.
 // Whoever still has no newer proof reads the store, since it may be the only one that
 // reaches it.
 const (
