--- a/core/acct/acct_test.go
+++ b/core/acct/acct_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "tanagerchute/internal/seed"
 )
 
 // source returns the definition of an account with the given keys.
--- a/core/canary/rollout_test.go
+++ b/core/canary/rollout_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"tanagerchute/core/canary"
+	_ "tanagerchute/internal/seed"
 )
 
 // Bounds of the tests.
--- a/core/proof/proof_test.go
+++ b/core/proof/proof_test.go
@@ -10,6 +10,7 @@
 
 	"tanagerchute/core/proof"
 	"tanagerchute/core/vers"
+	_ "tanagerchute/internal/seed"
 )
 
 const bound = 5 * time.Second
--- a/io/ahead/ahead_test.go
+++ b/io/ahead/ahead_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "tanagerchute/internal/seed"
 	"tanagerchute/io/ahead"
 )
 
