--- a/io/node/vars.go
+++ b/io/node/vars.go
@@ -6,6 +6,7 @@
 	"syscall"
 
 	"tanagerchute/io/metric"
+	"tanagerchute/io/quotas"
 	"tanagerchute/io/xfer"
 )
 
@@ -60,7 +61,7 @@
 			nodeMetric{d.name + "_admitted", "Bulk transfers " + d.text + " that the link admitted.", func() int64 { return d.lane.Counts().Admitted }},
 			nodeMetric{d.name + "_waited", "Bulk transfers " + d.text + " that waited for the link.", func() int64 { return d.lane.Counts().Waited }},
 			nodeMetric{d.name + "_refused", "Bulk transfers " + d.text + " that the link had no room for in time.", func() int64 { return d.lane.Counts().Refused }},
-			nodeMetric{d.name + "_wait_ms", "Milliseconds until the link has room for another bulk transfer " + d.text + ".", func() int64 { return d.lane.Wait().Milliseconds() }},
+			nodeMetric{d.name + "_wait_ms", "Milliseconds until the link has room for another bulk transfer " + d.text + ".", func() int64 { return d.lane.WaitTime().Milliseconds() }},
 			nodeMetric{d.name + "_unfinished", "Bulk transfers " + d.text + " on their way.", func() int64 { return int64(d.lane.State().Unfinished) }},
 		)
 	}
@@ -72,6 +73,7 @@
 	for _, v := range n.nodeMetrics() {
 		n.metrics.AddGauge(v.name, v.help, func() float64 { return float64(v.read()) })
 	}
+	n.metrics.AddQuotaOutcomes(quotas.Outcomes())
 	n.metrics.AddGauge("rate_limit", "Requests a second that the own backend server takes by its last answer, 0 for no limit.", n.gate.RateLimit)
 	n.metrics.AddInfo("settings_info", "Digest of the settings in force, and the version of the program.", func() metric.Info {
 		return metric.Info{"digest": n.settings.Load().compared.Digest(), "build": buildVersion()}
