canary: answers are judged at the pace of their own server

Cause: the judge compared each answer with the median of all servers of the old version. Servers of one service differ in speed; a canary of two slow ones, or a version that happens to run on slower servers, looked bad, and two servers say little about ten.

The canary has up to eight servers, as many as get ten answers each; the test under the load of all calls keeps its two.

--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -39,6 +39,8 @@
 	budgetPart       = 0.95 // of the calls that a bad version may get, which the plan uses
 	futurePart       = 0.8  // of the calls expected until the deadline, in case the rate falls
 	minCanaryServers = 2    // since one server says nothing about its version
+	maxCanaryServers = 8    // more would have too little of the load that they get after the move
+	serverAnswers    = 10   // of each server of the canary, which tell how fast it is
 	testLoad         = 0.9  // of the load after the move, that the servers of the canary get before it
 	minLoadGain      = 1.2  // times the present share of the canary, from which a load test tells more
 	slotsInUse       = 0.9  // of the slots of the target version, which the calls may occupy after the move
@@ -178,7 +180,7 @@
 			r.exposed += d.Calls
 			r.judge.AddTarget(node, route, d)
 		} else {
-			r.judge.AddOld(now, route, d)
+			r.judge.AddOld(now, node, route, d)
 		}
 	}
 }
@@ -256,15 +258,22 @@
 func (r *Rollout) canaryStage(s Servers, reason string) Stage {
 	next := r.stage.With(Canary, reason)
 	next.Share = canaryPart * r.cfg.Share
-	next.Servers = max(minCanaryServers, int(next.Share*float64(s.TargetServers)))
+	next.Servers = max(r.canaryServers(next.Share), int(next.Share*float64(s.TargetServers)))
 	return next
 }
 
+// canaryServers returns the number of servers that get a share of the calls. Servers differ in
+// speed, so that few of them say little about their version, but each needs some answers.
+func (r *Rollout) canaryServers(share float64) int {
+	calls := r.exposureOf(share, r.order.Within-r.moveLead())
+	return min(max(int(calls/serverAnswers), minCanaryServers), maxCanaryServers)
+}
+
 // nextCanary decides whether the canary gets more load, or all calls are moved.
 func (r *Rollout) nextCanary(now time.Time, s Servers) (Stage, bool) {
 	if r.loadTestDue(now, s) {
 		next := r.stage.With(Canary, "its servers get the load of all calls: "+r.Progress())
-		next.Share = r.loadShare(s)
+		next.Share, next.Servers = r.loadShare(s), r.loadServers(s)
 		return next, true
 	}
 	if _, wait := r.reasonToWait(now, s); wait {
@@ -273,10 +282,15 @@
 	return r.stage.With(Full, r.Progress()), true
 }
 
-// loadShare returns the share of the calls with which each server of the canary has the load
-// that it has when all calls are moved.
+// loadServers returns the number of servers that get the load of all calls.
+func (r *Rollout) loadServers(s Servers) int {
+	return max(minCanaryServers, int(canaryPart*r.cfg.Share*float64(s.TargetServers)))
+}
+
+// loadShare returns the share of the calls with which each of these servers has the load that
+// it has when all calls are moved.
 func (r *Rollout) loadShare(s Servers) float64 {
-	return min(1, testLoad*float64(r.stage.Servers)/float64(max(s.TargetServers, 1)))
+	return min(1, testLoad*float64(r.loadServers(s))/float64(max(s.TargetServers, 1)))
 }
 
 // loadTestDue reports whether the canary is to get the load of all calls. That is not needed
