admit: hold times by class of work, not by priority

Cause: a gatekeeper kept one average time in a slot for each priority. Where short calls run beside long ones of the same priority, a server filled with long ones told short ones that their answer would come after their target, and refused them; these are nested calls, so each refusal threw away the run of the call above.

Change: Item and Completion name the class; the queue counts the work ahead, not only the calls, and is ordered by the latest start that meets the target. Without samples a class has the mean of all.

--- a/core/admit/account.go
+++ b/core/admit/account.go
@@ -19,7 +19,6 @@
 		return
 	}
 	c.hasAccounts = true
-	it.hold = c.holdTimeOf(it.Priority)
 	it.excess = c.shares[it.Priority].offer(now, it.Account, it.hold, c.availableSlots(now, it.Priority))
 }
 
@@ -54,7 +53,7 @@
 	if !c.hasAccounts {
 		return
 	}
-	c.started.add(now, it.Priority, c.holdTimeOf(it.Priority))
+	c.started.add(now, it.Priority, it.hold)
 }
 
 // popNext removes the call from the queue that starts next. That is one of the lowest
@@ -93,13 +92,13 @@
 	return max(slots-c.used.slotsAbove(now, p), minSlotShare*slots)
 }
 
-// guaranteedWait estimates how long a call of priority p waits behind the given number of
-// queued calls of its own priority for one of the slots that the priority gets whatever
-// the others offer. It returns false if there are none.
-func (c *Controller) guaranteedWait(now time.Time, p routes.Priority, ahead int) (time.Duration, bool) {
-	slots := c.guaranteedSlots(now, p)
+// guaranteedWait estimates how long a call waits behind the given work of its own priority for
+// one of the slots that the priority gets whatever the others offer. It returns false if there
+// are none.
+func (c *Controller) guaranteedWait(now time.Time, it *Item, ahead time.Duration) (time.Duration, bool) {
+	slots := c.guaranteedSlots(now, it.Priority)
 	if slots <= 0 {
 		return 0, false
 	}
-	return time.Duration(float64(ahead+1) * float64(c.holdTimeOf(p)) / slots), true
+	return time.Duration(float64(ahead+it.hold) / slots), true
 }
--- a/core/admit/controller.go
+++ b/core/admit/controller.go
@@ -105,17 +105,17 @@
 	limit           float64
 	inFlight        int
 	queue           queue
-	holdTime        time.Duration                       // average time for which a call holds its slot
-	serviceTime     time.Duration                       // holdTime without the time in which the server waited for its own nested calls
-	holdTimes       [routes.NumPriorities]time.Duration // holdTime by priority, 0 until a call of it has ended
-	noSamples       bool                                // holdTime and serviceTime have not been measured yet
-	used            usage                               // slots held by calls that have ended
-	started         usage                               // slots that the calls started from here on would hold
-	offered         usage                               // slots that all offered calls would hold if they ran
-	shares          [routes.NumPriorities]shares        // of the client accounts
-	hasAccounts     bool                                // a call of a client account was offered
-	overloadedUntil time.Time                           // calls that can't meet their target are not queued before then
-	quota           quota.Limiter                       // the rate limit that the server names
+	holdTime        time.Duration                // average time for which a call holds its slot
+	serviceTime     time.Duration                // holdTime without the time in which the server waited for its own nested calls
+	holdTimes       map[string]time.Duration     // holdTime by class, of those of which a call has ended
+	noSamples       bool                         // holdTime and serviceTime have not been measured yet
+	used            usage                        // slots held by calls that have ended
+	started         usage                        // slots that the calls started from here on would hold
+	offered         usage                        // slots that all offered calls would hold if they ran
+	shares          [routes.NumPriorities]shares // of the client accounts
+	hasAccounts     bool                         // a call of a client account was offered
+	overloadedUntil time.Time                    // calls that can't meet their target are not queued before then
+	quota           quota.Limiter                // the rate limit that the server names
 	lastBackoff     time.Time
 	draining        bool
 }
@@ -125,7 +125,7 @@
 	if cfg.MaxQueue <= 0 {
 		cfg.MaxQueue = defaultMaxQueue
 	}
-	c := &Controller{cfg: cfg, queue: newQueue(), holdTime: initialHoldTime, noSamples: true}
+	c := &Controller{cfg: cfg, queue: newQueue(), holdTime: initialHoldTime, holdTimes: map[string]time.Duration{}, noSamples: true}
 	c.limit = max(1, float64(cfg.Slots))
 	return c
 }
@@ -169,7 +169,8 @@
 	if c.draining {
 		return Refuse, Refusal{ID: it.ID, Cause: CauseDraining}, nil
 	}
-	c.offered.add(now, it.Priority, c.holdTimeOf(it.Priority))
+	it.hold = c.holdTimeOf(it.Class)
+	c.offered.add(now, it.Priority, it.hold)
 	c.checkShare(now, &it)
 	if c.inFlight < c.Limit() && c.queue.len() == 0 && c.quota.Take(now) {
 		c.inFlight++
@@ -201,8 +202,7 @@
 		return false, refusal, false
 	}
 	c.demote(now)
-	holdTime := c.holdTimeOf(it.Priority)
-	wait := c.estimateWait(now, it.Priority, c.queue.countAhead(it, false))
+	wait := c.estimateWait(now, it, c.queue.backlogAhead(it, false))
 	start := now.Add(wait)
 	if start.After(it.WaitUntil) {
 		return false, refusal, false
@@ -210,22 +210,22 @@
 	if c.overloaded(now) && wait > c.maxOverloadWait(now, it) && !it.withinShare() {
 		return false, refusal, false
 	}
-	if !start.Add(holdTime).After(it.target()) {
+	if !start.After(it.latestStart()) {
 		return false, refusal, true
 	}
 	if !it.usefulAfterTarget() || c.overloaded(now) {
 		return false, refusal, false
 	}
-	start = now.Add(c.estimateWait(now, it.Priority, c.queue.countAhead(it, true)))
-	return true, refusal, !start.Add(holdTime).After(latestAnswer(it))
+	start = now.Add(c.estimateWait(now, it, c.queue.backlogAhead(it, true)))
+	return true, refusal, !start.Add(it.hold).After(latestAnswer(it))
 }
 
 // maxOverloadWait returns how long a call may wait while more work is offered
 // than the server can do. A longer queue would not raise the throughput, only
 // delay each call. The bound is large enough to keep the slots in use.
 func (c *Controller) maxOverloadWait(now time.Time, it *Item) time.Duration {
-	minWait := time.Duration(2 * float64(c.holdTimeOf(it.Priority)) / c.capacity())
-	if guaranteed, ok := c.guaranteedWait(now, it.Priority, 1); ok {
+	minWait := time.Duration(2 * float64(it.hold) / c.capacity())
+	if guaranteed, ok := c.guaranteedWait(now, it, it.hold); ok {
 		minWait = max(minWait, guaranteed)
 	}
 	return max(minWait, time.Duration(overloadWaitShare*float64(it.target().Sub(now))))
@@ -242,7 +242,7 @@
 // others of their priority.
 func (c *Controller) demote(now time.Time) {
 	for p := range routes.Priority(routes.NumPriorities) {
-		c.queue.demote(p, now.Add(c.holdTimeOf(p)))
+		c.queue.demote(p, now)
 	}
 }
 
@@ -276,10 +276,10 @@
 		if it == nil {
 			return out
 		}
-		ahead := c.queue.counts()
-		ahead[it.Priority]--
-		start := now.Add(c.estimateWait(now, it.Priority, ahead))
-		if !start.After(it.WaitUntil) && !start.Add(minTimeLeft(c.holdTimeOf(it.Priority))).After(it.Deadline) {
+		ahead := c.queue.backlog()
+		ahead[it.Priority] = ahead[it.Priority].plus(backlog{calls: -1, work: -it.hold})
+		start := now.Add(c.estimateWait(now, it, ahead))
+		if !start.After(it.WaitUntil) && !start.Add(minTimeLeft(it.hold)).After(it.Deadline) {
 			return out
 		}
 		c.dequeue(now, it.ID)
@@ -293,6 +293,7 @@
 
 // Completion describes a started call that has ended.
 type Completion struct {
+	Class      string
 	Priority   routes.Priority
 	Result     Result
 	Duration   time.Duration // from its start to its end
@@ -341,5 +342,5 @@
 	if now.After(it.WaitUntil) {
 		return true
 	}
-	return it.usefulAfterTarget() && now.Add(minTimeLeft(c.holdTimeOf(it.Priority))).After(it.Deadline)
+	return it.usefulAfterTarget() && now.Add(minTimeLeft(it.hold)).After(it.Deadline)
 }
--- a/core/admit/estimate.go
+++ b/core/admit/estimate.go
@@ -18,45 +18,57 @@
 	return c.serviceTime
 }
 
-// holdTimeOf returns the average time for which a call of priority p holds its
-// slot.
-func (c *Controller) holdTimeOf(p routes.Priority) time.Duration {
-	if c.holdTimes[p] > 0 {
-		return c.holdTimes[p]
+// maxClasses bounds the classes whose hold times are kept apart.
+const maxClasses = 256
+
+// holdTimeOf returns the average time for which a call of a class holds its slot. Classes of
+// one priority can differ widely: with a common average, short calls would be refused since
+// long ones can't be answered in time.
+func (c *Controller) holdTimeOf(class string) time.Duration {
+	if d := c.holdTimes[class]; d > 0 {
+		return d
 	}
 	return c.holdTime
 }
 
+// addHoldTime adds a call to the average of its class.
+func (c *Controller) addHoldTime(class string, d time.Duration) {
+	average, known := c.holdTimes[class]
+	if !known && len(c.holdTimes) >= maxClasses {
+		return
+	}
+	c.holdTimes[class] = ewma(average, d, !known)
+}
+
 // minTimeLeft returns the time before its deadline that a call needs to start.
 func minTimeLeft(holdTime time.Duration) time.Duration {
 	return time.Duration(minTimeLeftShare * float64(holdTime))
 }
 
-// estimateWait estimates how long a call of priority p waits behind the given
-// numbers of queued calls, for a slot and for its turn under the rate limit.
-func (c *Controller) estimateWait(now time.Time, p routes.Priority, ahead countByPriority) time.Duration {
-	return max(c.estimateSlotWait(now, p, ahead), c.quota.Wait(now, ahead.sum()))
+// estimateWait estimates how long a call waits behind the given work, for a slot and for its
+// turn under the rate limit.
+func (c *Controller) estimateWait(now time.Time, it *Item, ahead backlogByPriority) time.Duration {
+	return max(c.estimateSlotWait(now, it, ahead), c.quota.Wait(now, ahead.total().calls))
 }
 
-// estimateSlotWait estimates how long a call of priority p waits for a slot behind
-// the given numbers of queued calls. It assumes that new calls of higher priorities
-// keep using as many slots as they have lately.
-func (c *Controller) estimateSlotWait(now time.Time, p routes.Priority, ahead countByPriority) time.Duration {
-	work := c.holdTime // the first slot becomes free after about holdTime / Limit
-	for p, n := range ahead {
-		work += time.Duration(n) * c.holdTimeOf(routes.Priority(p))
-	}
-	wait := time.Duration(float64(work) / c.availableSlots(now, p))
-	if guaranteed, ok := c.guaranteedWait(now, p, ahead[p]); ok {
+// estimateSlotWait estimates how long a call waits for a slot behind the given work. It
+// assumes that new calls of higher priorities keep using as many slots as they have lately.
+func (c *Controller) estimateSlotWait(now time.Time, it *Item, ahead backlogByPriority) time.Duration {
+	work := c.holdTime + ahead.total().work // the first slot becomes free after about holdTime / Limit
+	wait := time.Duration(float64(work) / c.availableSlots(now, it.Priority))
+	if guaranteed, ok := c.guaranteedWait(now, it, ahead[it.Priority].work); ok {
 		return min(wait, guaranteed)
 	}
 	return wait
 }
 
+// lastInQueue is a call of the lowest priority, which starts after all that are queued.
+var lastInQueue = &Item{Priority: routes.NumPriorities - 1}
+
 // RetryAfter returns how long a refused caller should wait before a retry:
 // twice the estimated wait at the end of the present queue.
 func (c *Controller) RetryAfter(now time.Time) time.Duration {
-	return max(2*c.estimateWait(now, routes.NumPriorities-1, c.queue.counts()), minRetryAfter)
+	return max(2*c.estimateWait(now, lastInQueue, c.queue.backlog()), minRetryAfter)
 }
 
 // record updates the time estimates and the limit by a call that has ended.
@@ -68,7 +80,7 @@
 	case Failed:
 		// The duration of a failed or abandoned call is only a lower bound on
 		// what the full call would have taken. It counts if it is above average.
-		if d.Duration > c.holdTimeOf(d.Priority) {
+		if d.Duration > c.holdTimeOf(d.Class) {
 			c.addSample(now, d, max(d.Duration, c.holdTime))
 		}
 	case Shed:
@@ -88,7 +100,7 @@
 	c.holdTime = ewma(c.holdTime, holdTime, c.noSamples)
 	c.serviceTime = ewma(c.serviceTime, max(holdTime-d.NestedWait, 0), c.noSamples)
 	c.noSamples = false
-	c.holdTimes[d.Priority] = ewma(c.holdTimes[d.Priority], d.Duration, c.holdTimes[d.Priority] == 0)
+	c.addHoldTime(d.Class, d.Duration)
 }
 
 // ewma adds a sample to an exponentially weighted moving average.
--- a/core/admit/limit.go
+++ b/core/admit/limit.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"tanagerchute/core/quota"
-	"tanagerchute/core/routes"
 )
 
 // ObserveLimit takes in what an answer of the server says about its rate limit, and
@@ -46,8 +45,7 @@
 // overloadCause returns the cause of a refusal because of load: the rate limit if a
 // call waits longer for its turn under it than for a slot.
 func (c *Controller) overloadCause(now time.Time) Cause {
-	lowest := routes.Priority(routes.NumPriorities - 1)
-	if c.QuotaWait(now) > c.estimateSlotWait(now, lowest, c.queue.counts()) {
+	if c.QuotaWait(now) > c.estimateSlotWait(now, lastInQueue, c.queue.backlog()) {
 		return CauseRateLimit
 	}
 	return CauseOverload
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -10,6 +10,7 @@
 // Item is a call offered for admission.
 type Item struct {
 	ID       string
+	Class    string // of work, the calls of which take about equally long
 	Priority routes.Priority
 	// The answer is worth most up to Target and nothing after Deadline. If
 	// Target is zero, Deadline takes its place.
@@ -21,9 +22,9 @@
 	// their own.
 	PossibleWaiters int
 	Account         string        // client account, empty if there is none
+	hold            time.Duration // expected time in a slot
 	excess          int           // how far its account is beyond its share of the slots, see shares.offer
-	hold            time.Duration // time in a slot that is recorded as taken by its account
-	takenAt         time.Time     // when that was recorded
+	takenAt         time.Time     // when hold was recorded as taken by its account
 	heap            *itemHeap     // the heap that holds it, nil if none does
 	heapIndex       int
 }
@@ -36,6 +37,9 @@
 	return it.Target
 }
 
+// latestStart returns when the call has to start to meet its target.
+func (it *Item) latestStart() time.Time { return it.target().Add(-it.hold) }
+
 // usefulAfterTarget reports whether an answer after the target still has a
 // value.
 func (it *Item) usefulAfterTarget() bool { return it.target().Before(it.Deadline) }
@@ -44,16 +48,17 @@
 // account come behind the others.
 type itemHeap struct {
 	items        []*Item
-	numOverShare int  // items beyond the share of their account
-	late         bool // the items can't meet their target, and are due at their deadline
+	work         time.Duration // sum of Item.hold
+	numOverShare int           // items beyond the share of their account
+	late         bool          // the items can't meet their target, and are due at their deadline
 }
 
-// due returns when an item of the heap is due.
+// due returns when an item of the heap is due to start.
 func (h *itemHeap) due(it *Item) time.Time {
 	if h.late {
 		return it.Deadline
 	}
-	return it.target()
+	return it.latestStart()
 }
 
 // Len implements heap.Interface.
@@ -81,6 +86,7 @@
 	it := x.(*Item)
 	it.heapIndex, it.heap = len(h.items), h
 	h.items = append(h.items, it)
+	h.work += it.hold
 	if it.excess > 0 {
 		h.numOverShare++
 	}
@@ -91,24 +97,28 @@
 	it := h.items[len(h.items)-1]
 	h.items = h.items[:len(h.items)-1]
 	it.heap = nil
+	h.work -= it.hold
 	if it.excess > 0 {
 		h.numOverShare--
 	}
 	return it
 }
 
-// countBefore returns the number of items that start before other, which the heap need
-// not hold.
-func (h *itemHeap) countBefore(other *Item) int {
-	n := 0
+// backlogBefore returns the items that start before other, which the heap need not hold.
+func (h *itemHeap) backlogBefore(other *Item) backlog {
+	var b backlog
 	for _, it := range h.items {
 		if h.before(it, other) {
-			n++
+			b.calls++
+			b.work += it.hold
 		}
 	}
-	return n
+	return b
 }
 
+// backlog returns all items.
+func (h *itemHeap) backlog() backlog { return backlog{calls: len(h.items), work: h.work} }
+
 // last returns the item that starts last, or nil if the heap is empty.
 func (h *itemHeap) last() *Item {
 	var last *Item
@@ -179,21 +189,20 @@
 	heap.Push(&l.timely, p)
 }
 
-// demote moves the items of priority p that can no longer meet their target
-// behind those that can, if their answers are still of use after the target.
-// earliestAnswer is when a call that starts now would be answered.
-func (q *queue) demote(p routes.Priority, earliestAnswer time.Time) {
+// demote moves the items of priority p that can no longer meet their target at now behind
+// those that can, if their answers are still of use after the target.
+func (q *queue) demote(p routes.Priority, now time.Time) {
 	l := &q.levels[p]
-	for l.demoteItem(l.timely.firstInShare(), earliestAnswer) {
+	for l.demoteItem(l.timely.firstInShare(), now) {
 	}
-	for l.demoteItem(l.timely.firstOverShare(), earliestAnswer) {
+	for l.demoteItem(l.timely.firstOverShare(), now) {
 	}
 }
 
 // demoteItem moves an item that can't meet its target, but is useful after it, to the late
 // ones, and reports whether it did. The item may be nil.
-func (l *level) demoteItem(it *Item, earliestAnswer time.Time) bool {
-	if it == nil || !it.usefulAfterTarget() || !it.target().Before(earliestAnswer) {
+func (l *level) demoteItem(it *Item, now time.Time) bool {
+	if it == nil || !it.usefulAfterTarget() || !it.latestStart().Before(now) {
 		return false
 	}
 	heap.Remove(&l.timely, it.heapIndex)
@@ -254,43 +263,54 @@
 	return nil
 }
 
-// countByPriority is the number of items of each priority.
-type countByPriority [routes.NumPriorities]int
+// backlog is work that starts before a call.
+type backlog struct {
+	calls int
+	work  time.Duration // in slots
+}
+
+func (b backlog) plus(o backlog) backlog { return backlog{b.calls + o.calls, b.work + o.work} }
+
+// backlogByPriority is the work of each priority.
+type backlogByPriority [routes.NumPriorities]backlog
 
-// sum returns the number of items of all priorities.
-func (n countByPriority) sum() int {
-	sum := 0
-	for _, k := range n {
-		sum += k
+// total returns the work of all priorities.
+func (b backlogByPriority) total() backlog {
+	var sum backlog
+	for _, x := range b {
+		sum = sum.plus(x)
 	}
 	return sum
 }
 
-// countAhead counts the queued items that would start before it, if it were
-// queued among the late or the timely items of its priority.
-func (q *queue) countAhead(it *Item, late bool) countByPriority {
-	var n countByPriority
+// backlogAhead returns the queued work that would start before it, if it were queued among
+// the late or the timely items of its priority.
+func (q *queue) backlogAhead(it *Item, late bool) backlogByPriority {
+	var b backlogByPriority
 	for i := range q.levels[:it.Priority] {
-		n[i] = q.levels[i].timely.Len() + q.levels[i].late.Len()
+		b[i] = q.levels[i].backlog()
 	}
 	l := &q.levels[it.Priority]
 	if late {
-		n[it.Priority] = l.timely.Len() + l.late.countBefore(it)
+		b[it.Priority] = l.timely.backlog().plus(l.late.backlogBefore(it))
 	} else {
-		n[it.Priority] = l.timely.countBefore(it)
+		b[it.Priority] = l.timely.backlogBefore(it)
 	}
-	return n
+	return b
 }
 
-// counts returns the number of queued items of each priority.
-func (q *queue) counts() countByPriority {
-	var n countByPriority
+// backlog returns the queued work of each priority.
+func (q *queue) backlog() backlogByPriority {
+	var b backlogByPriority
 	for i := range q.levels {
-		n[i] = q.levels[i].timely.Len() + q.levels[i].late.Len()
+		b[i] = q.levels[i].backlog()
 	}
-	return n
+	return b
 }
 
+// backlog returns the work of a priority.
+func (l *level) backlog() backlog { return l.timely.backlog().plus(l.late.backlog()) }
+
 // lateIDs returns the ids of the items that can no longer meet their target.
 func (q *queue) lateIDs() []string {
 	var out []string
--- a/core/sim_test.go
+++ b/core/sim_test.go
@@ -35,6 +35,8 @@
 	lastID              int
 	isolatedZone        string // zone whose links to other zones are down
 	refusedWithFreeSlot int    // refusals by an upstream that had a free slot
+	nestedCalls         int    // calls that executions make
+	nestedRefused       int    // of these, that were refused for load
 	crossZone           int    // calls to another zone
 	crossZoneLarge      int    // calls to another zone with a large answer
 }
@@ -59,6 +61,7 @@
 
 // class describes a kind of request.
 type class struct {
+	name        string // set by newSimulation
 	service     string
 	priority    routes.Priority
 	safe        bool
@@ -151,6 +154,10 @@
 }
 
 func newSimulation(seed uint64, p policy, classes map[string]class) *simulation {
+	for name, c := range classes {
+		c.name = name
+		classes[name] = c
+	}
 	return &simulation{now: epoch, rng: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 3)), policy: p, classes: classes}
 }
 
@@ -433,10 +440,10 @@
 				s.deliver(u, refused)
 			}
 			onReply(r)
-			s.deliver(u, u.controller.Done(s.now, admit.Completion{Priority: c.priority, Result: result, Duration: s.now.Sub(started)}))
+			s.deliver(u, u.controller.Done(s.now, admit.Completion{Class: c.name, Priority: c.priority, Result: result, Duration: s.now.Sub(started)}))
 		})
 	}
-	it := admit.Item{ID: id, Priority: c.priority, Target: target, Deadline: deadline, WaitUntil: deadline}
+	it := admit.Item{ID: id, Class: c.name, Priority: c.priority, Target: target, Deadline: deadline, WaitUntil: deadline}
 	v, refusal, displaced := u.controller.Offer(s.now, it)
 	if v == admit.Wait {
 		u.waiting[id] = onDecision
@@ -504,7 +511,11 @@
 	s.after(time.Duration(duration), func() {
 		pending, failed := c.nestedCalls, false
 		for range c.nestedCalls {
+			s.nestedCalls++
 			s.sendCall(u.node, c.nested, deadline.Sub(s.now), func(r call.Reply) {
+				if r.Fate == call.NotRun {
+					s.nestedRefused++
+				}
 				if failed {
 					return
 				}
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -104,7 +104,7 @@
 		r := call.Refuse(call.NotRun, call.CauseUpstreamFailing, time.Second)
 		return admission, nil, &r
 	}
-	it := admit.Item{ID: id, Priority: c.Priority, Target: c.Target, Deadline: c.Deadline, WaitUntil: c.WaitUntil, Account: c.Account}
+	it := admit.Item{ID: id, Class: c.Class, Priority: c.Priority, Target: c.Target, Deadline: c.Deadline, WaitUntil: c.WaitUntil, Account: c.Account}
 	if c.Depth > 0 {
 		it.PossibleWaiters = g.callTracker.Waiting()
 	}
@@ -243,7 +243,7 @@
 	if g.cfg.NestedCallsUntraced && r.Fate == call.Answered {
 		countsForHealth = countsForHealth && result == admit.OK
 	}
-	g.notifyWaiters(admission.Done(now, admit.Completion{Priority: c.Priority, Result: result, Duration: took, NestedWait: nestedCalls.Waited}))
+	g.notifyWaiters(admission.Done(now, admit.Completion{Class: c.Class, Priority: c.Priority, Result: result, Duration: took, NestedWait: nestedCalls.Waited}))
 	if countsForHealth {
 		g.recordOutcome(now, c, r, result)
 	}
