pick: calls leave a full data centre only for one that accepts more

Cause: a call that its own data centre refused for load went on to two more gatekeepers.

Change: gatekeepers report which share of the recent calls of a class they accepted. While the own data centre accepts less than 0.9 of a class, calls leave it at once with a probability that grows with the difference, so that all end near the same share; a refused call goes on to another data centre only if that accepts three quarters or has not reported. New events: request_spilled with both shares and their age, request_not_moved.

--- a/core/admit/controller.go
+++ b/core/admit/controller.go
@@ -108,6 +108,7 @@
 	holdTime        time.Duration                // average time for which a call holds its slot
 	serviceTime     time.Duration                // holdTime without the time in which the server waited for its own nested calls
 	holdTimes       map[string]time.Duration     // holdTime by class, of those of which a call has ended
+	acceptances     map[string]*acceptance       // by class
 	noSamples       bool                         // holdTime and serviceTime have not been measured yet
 	used            usage                        // slots held by calls that have ended
 	started         usage                        // slots that the calls started from here on would hold
@@ -125,7 +126,7 @@
 	if cfg.MaxQueue <= 0 {
 		cfg.MaxQueue = defaultMaxQueue
 	}
-	c := &Controller{cfg: cfg, queue: newQueue(), holdTime: initialHoldTime, holdTimes: map[string]time.Duration{}, noSamples: true}
+	c := &Controller{cfg: cfg, queue: newQueue(), holdTime: initialHoldTime, holdTimes: map[string]time.Duration{}, acceptances: map[string]*acceptance{}, noSamples: true}
 	c.limit = max(1, float64(cfg.Slots))
 	return c
 }
@@ -174,12 +175,14 @@
 	c.checkShare(now, &it)
 	if c.inFlight < c.Limit() && c.queue.len() == 0 && c.quota.Take(now) {
 		c.inFlight++
+		c.countStart(now, it.Class)
 		c.recordStart(now, &it)
 		c.takeShare(now, &it)
 		return Start, Refusal{}, nil
 	}
 	late, refusal, ok := c.checkQueue(now, &it)
 	if !ok {
+		c.countRefusal(now, it.Class)
 		return Refuse, refusal, nil
 	}
 	c.takeShare(now, &it)
@@ -260,13 +263,19 @@
 		return nil
 	}
 	var out []Refusal
-	for _, id := range c.queue.lateIDs() {
-		c.dequeue(now, id)
-		out = append(out, Refusal{ID: id, Cause: c.overloadCause(now), RetryAfter: c.RetryAfter(now)})
+	for _, it := range c.queue.lateItems() {
+		out = append(out, c.refuseQueued(now, it, c.overloadCause(now)))
 	}
 	return out
 }
 
+// refuseQueued removes a call from the queue that will not start for want of room.
+func (c *Controller) refuseQueued(now time.Time, it *Item, cause Cause) Refusal {
+	c.dequeue(now, it.ID)
+	c.countRefusal(now, it.Class)
+	return Refusal{ID: it.ID, Cause: cause, RetryAfter: c.RetryAfter(now)}
+}
+
 // trimQueue refuses the calls at the end of the queue that will not start in
 // time, so that their callers learn it now and not when the wait is over.
 func (c *Controller) trimQueue(now time.Time) []Refusal {
@@ -282,9 +291,8 @@
 		if !start.After(it.WaitUntil) && !start.Add(minTimeLeft(it.hold)).After(it.Deadline) {
 			return out
 		}
-		c.dequeue(now, it.ID)
+		out = append(out, c.refuseQueued(now, it, c.overloadCause(now)))
 		c.overloadedUntil = now.Add(overloadPeriod)
-		out = append(out, Refusal{ID: it.ID, Cause: c.overloadCause(now), RetryAfter: c.RetryAfter(now)})
 	}
 }
 
@@ -315,21 +323,16 @@
 // advance refuses the expired calls and starts others while slots are free.
 func (c *Controller) advance(now time.Time) Dequeued {
 	var out Dequeued
-	for _, it := range c.queue.byID {
-		if c.expired(now, it) {
-			out.Refused = append(out.Refused, Refusal{ID: it.ID, Cause: CauseExpired, RetryAfter: c.RetryAfter(now)})
-			c.overloadedUntil = now.Add(overloadPeriod)
-		}
-	}
-	slices.SortFunc(out.Refused, func(a, b Refusal) int { return cmp.Compare(a.ID, b.ID) }) // the map order is random
-	for _, r := range out.Refused {
-		c.dequeue(now, r.ID)
+	for _, it := range c.expiredItems(now) {
+		out.Refused = append(out.Refused, c.refuseQueued(now, it, CauseExpired))
+		c.overloadedUntil = now.Add(overloadPeriod)
 	}
 	c.demote(now)
 	timelyFirst := c.overloaded(now)
 	for c.inFlight < c.Limit() && c.queue.len() > 0 && c.quota.Take(now) {
 		it := c.popNext(now, timelyFirst)
 		c.inFlight++
+		c.countStart(now, it.Class)
 		c.recordStart(now, it)
 		out.Started = append(out.Started, *it)
 	}
@@ -337,6 +340,18 @@
 	return out
 }
 
+// expiredItems returns the queued calls that it is too late to start, by id.
+func (c *Controller) expiredItems(now time.Time) []*Item {
+	var out []*Item
+	for _, it := range c.queue.byID {
+		if c.expired(now, it) {
+			out = append(out, it)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Item) int { return cmp.Compare(a.ID, b.ID) }) // the map order is random
+	return out
+}
+
 // expired reports whether it is too late to start a queued call.
 func (c *Controller) expired(now time.Time, it *Item) bool {
 	if now.After(it.WaitUntil) {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -311,13 +311,11 @@
 // backlog returns the work of a priority.
 func (l *level) backlog() backlog { return l.timely.backlog().plus(l.late.backlog()) }
 
-// lateIDs returns the ids of the items that can no longer meet their target.
-func (q *queue) lateIDs() []string {
-	var out []string
+// lateItems returns the items that can no longer meet their target.
+func (q *queue) lateItems() []*Item {
+	var out []*Item
 	for i := range q.levels {
-		for _, it := range q.levels[i].late.items {
-			out = append(out, it.ID)
-		}
+		out = append(out, q.levels[i].late.items...)
 	}
 	return out
 }
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -198,6 +198,12 @@
 	return r.Fate != NotRun || r.Shed || r.Cause == CauseMoved
 }
 
+// RefusedForLoad reports whether a node has refused the call for want of room at its backend
+// server.
+func (r Reply) RefusedForLoad() bool {
+	return r.Fate == NotRun && r.Replied && !r.MayHaveArrived() && !r.ResendIsFree()
+}
+
 // ResendIsFree reports whether the call may be sent to another upstream without
 // cost to the retry budget. That holds for refusals that don't come from load.
 // Their number is small, since a draining or fenced upstream can refuse a call
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -57,6 +57,10 @@
 	// Target is the time by which the call should be answered, zero if the call
 	// has no target.
 	Target time.Time
+	Class  string // of work, empty if not known
+	// Refused is set if a candidate has refused the call because of load. Then only those
+	// that may have room for it are chosen.
+	Refused bool
 }
 
 // Load is the load of an upstream. Its gatekeeper, the node that admits calls to
@@ -74,6 +78,9 @@
 	// another body to it, and for another large answer from it.
 	LinkWait    time.Duration
 	LinkOutWait time.Duration
+	// Acceptance is the share of the recent calls of the class of this one that it did not
+	// refuse for load, 0 if not known.
+	Acceptance float64
 }
 
 // Result classifies the end of an attempt at a candidate.
@@ -95,7 +102,8 @@
 type Outcome struct {
 	Result  Result
 	Latency time.Duration
-	Load    Load // zero without an answer
+	Load    Load   // zero without an answer
+	Class   string // of the call
 }
 
 // Config configures a Picker.
@@ -149,6 +157,7 @@
 	ejectedUntil        time.Time
 	ejectionPeriod      time.Duration // length of the last ejection
 	lastUsed            time.Time
+	acceptance          map[string]acceptance // by class
 }
 
 // Picker chooses upstreams and keeps their statistics. It is not safe for
@@ -183,6 +192,7 @@
 	for _, c := range candidates {
 		switch {
 		case slices.Contains(criteria.Exclude, c.ID):
+		case criteria.Refused && p.full(now, c, criteria):
 		case p.Ejected(now, c.ID):
 			ejected = append(ejected, c)
 		default:
@@ -191,14 +201,16 @@
 		}
 	}
 	if len(available) == 0 {
-		c, ok := p.selectBest(now, ejected, criteria)
+		c, _, ok := p.selectBest(now, ejected, criteria)
 		if !ok {
 			return c, CauseNoUpstream, false
 		}
 		return c, CausePanic, true
 	}
-	c, _ := p.selectBest(now, available, criteria)
+	c, cause, _ := p.selectBest(now, available, criteria)
 	switch {
+	case cause != "":
+		return c, cause, true
 	case !c.Remote:
 		return c, CauseLocal, true
 	case hasLocal:
@@ -209,10 +221,11 @@
 
 // selectBest returns the candidate with the lowest cost. It prefers a healthy
 // local candidate that is expected to answer within LocalTargetFraction of the
-// time until the target. It returns false if cs is empty.
-func (p *Picker) selectBest(now time.Time, cs []Candidate, criteria Criteria) (Candidate, bool) {
+// time until the target. While the own data centre is full, see spill, it returns the cause too.
+// It returns false if cs is empty.
+func (p *Picker) selectBest(now time.Time, cs []Candidate, criteria Criteria) (Candidate, Cause, bool) {
 	if len(cs) == 0 {
-		return Candidate{}, false
+		return Candidate{}, "", false
 	}
 	cs = p.sample(cs)
 	meanService := p.meanServiceTime(cs)
@@ -227,10 +240,15 @@
 			local, localCost = &cs[i], cost
 		}
 	}
+	if local != nil && !criteria.Refused {
+		if c, cause, ok := p.spill(now, *local, cs, criteria); ok {
+			return c, cause, true
+		}
+	}
 	if local != nil && !criteria.Target.IsZero() && localCost <= time.Duration(p.cfg.LocalTargetFraction*float64(criteria.Target.Sub(now))) {
-		return *local, true
+		return *local, "", true
 	}
-	return *best, true
+	return *best, "", true
 }
 
 // failureRate returns the smoothed failure rate of a candidate.
@@ -296,6 +314,7 @@
 	if o.Load.Limit > 0 {
 		s.load, s.loadAt, s.inFlightAtReport = o.Load, now, s.inFlight
 		s.bodyBytesSince, s.answerBytesSince = 0, 0
+		s.setAcceptance(now, o.Class, o.Load.Acceptance)
 	}
 	switch o.Result {
 	case Success:
--- a/core/sim_test.go
+++ b/core/sim_test.go
@@ -37,6 +37,7 @@
 	refusedWithFreeSlot int    // refusals by an upstream that had a free slot
 	nestedCalls         int    // calls that executions make
 	nestedRefused       int    // of these, that were refused for load
+	attempts            int    // calls sent to an upstream
 	crossZone           int    // calls to another zone
 	crossZoneLarge      int    // calls to another zone with a large answer
 }
@@ -48,6 +49,7 @@
 	noLocality  bool // no cost for another zone
 	noQuota     bool // upstreams ignore the rate limits that their servers name
 	hiddenQuota bool // upstreams do not tell the callers' nodes of those limits
+	alwaysMoves bool // a refused call goes on to other upstreams, whether or not they are full
 	noWaits     bool // the target counts from each arrival, also that of a caller that returns
 }
 
@@ -300,7 +302,7 @@
 		if s.policy.roundRobin {
 			return false
 		}
-		u := s.pickUpstream(from, c, target, tried)
+		u := s.pickUpstream(from, c, target, tried, false)
 		if u == nil || from.picker.AvoidResend(u.id) || !retryBudget.Spend() {
 			return false
 		}
@@ -308,11 +310,12 @@
 		return true
 	}})
 	var next func()
+	refused := false // by an upstream without room
 	next = func() {
 		u := grantedUpstream
 		grantedUpstream = nil
 		if u == nil {
-			u = s.pickUpstream(from, c, target, tried)
+			u = s.pickUpstream(from, c, target, tried, refused)
 		}
 		if u == nil {
 			if len(tried) > 0 {
@@ -326,8 +329,9 @@
 		from.picker.Sent(s.now, u.id)
 		sent := s.now
 		s.attempt(from, u, c, target, deadline, func(r call.Reply) {
-			from.picker.Done(s.now, u.id, pick.Outcome{Result: pickResult(r), Latency: s.now.Sub(sent), Load: r.Load})
+			from.picker.Done(s.now, u.id, pick.Outcome{Result: pickResult(r), Class: c.name, Latency: s.now.Sub(sent), Load: r.Load})
 			if tracker.Next(s.now, r) {
+				refused = r.RefusedForLoad() && !s.policy.alwaysMoves
 				next()
 				return
 			}
@@ -352,7 +356,7 @@
 }
 
 // pickUpstream chooses among the upstreams that the node does not know to have stopped.
-func (s *simulation) pickUpstream(from *simNode, c class, target time.Time, tried []string) *simUpstream {
+func (s *simulation) pickUpstream(from *simNode, c class, target time.Time, tried []string, refused bool) *simUpstream {
 	var cs []pick.Candidate
 	byID := map[string]*simUpstream{}
 	for _, u := range s.upstreams {
@@ -370,7 +374,7 @@
 		from.roundRobinIndex++
 		return byID[cs[from.roundRobinIndex%len(cs)].ID]
 	}
-	got, _, ok := from.picker.Pick(s.now, cs, pick.Criteria{Exclude: tried, LargeResponse: c.large, Target: target})
+	got, _, ok := from.picker.Pick(s.now, cs, pick.Criteria{Exclude: tried, LargeResponse: c.large, Target: target, Class: c.name, Refused: refused})
 	if !ok {
 		return nil
 	}
@@ -379,6 +383,7 @@
 
 // attempt sends a call to an upstream once.
 func (s *simulation) attempt(from *simNode, u *simUpstream, c class, target, deadline time.Time, onReply func(call.Reply)) {
+	s.attempts++
 	latency := sameZoneLatency
 	if u.node.zone != from.zone {
 		latency = crossZoneLatency
@@ -403,6 +408,9 @@
 	s.after(latency, func() {
 		s.offer(u, c, target, deadline, func(r call.Reply) {
 			r.Load = pick.Load{InFlight: u.controller.InFlight(), Queued: u.controller.Queued(), Limit: u.controller.Limit(), ServiceTime: u.controller.ServiceTime()}
+			if !s.policy.alwaysMoves {
+				r.Load.Acceptance = u.controller.Acceptance(s.now, c.name)
+			}
 			if rate, limited := u.controller.Quota().Rate(); limited && !s.policy.hiddenQuota {
 				r.Load.RateLimit, r.Load.QuotaWait = rate, u.controller.QuotaWait(s.now)
 			}
@@ -576,3 +584,18 @@
 func (t tally) String() string {
 	return fmt.Sprintf("requests %d, in time %d, late %d, refused %d, failed %d, value %.3f", t.requests, t.inTime, t.late, t.refused, t.failed, t.value)
 }
+
+// zoneValues returns the value of the answers to the requests of each zone.
+func (s *simulation) zoneValues(from, to time.Duration) []float64 {
+	var out []float64
+	for _, zone := range zones {
+		inZone := &simulation{classes: s.classes}
+		for _, req := range s.requests {
+			if req.zone == zone {
+				inZone.requests = append(inZone.requests, req)
+			}
+		}
+		out = append(out, inZone.tally("", from, to).value)
+	}
+	return out
+}
--- a/core/uneven_test.go
+++ b/core/uneven_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -67,3 +68,33 @@
 		}
 	}
 }
+
+// TestOverloadedZonesSwapFewCalls checks, while all upstreams of a service are full, that calls
+// leave their zone only to even out what the zones accept: at least a third fewer than if each
+// refused call went on to the next zone, with no less value, and no zone far behind the others.
+func TestOverloadedZonesSwapFewCalls(t *testing.T) {
+	const (
+		from, to     = 6 * sec, 22 * sec
+		seeds        = 3
+		maxZoneShare = 0.1 // of the mean value, by which a zone may be behind
+	)
+	var value, valueMoving float64
+	for seed := range uint64(seeds) {
+		s, moving := simulateUneven(policy{}, seed+1, nil), simulateUneven(policy{alwaysMoves: true}, seed+1, nil)
+		got, want := s.tally("", from, to).value, moving.tally("", from, to).value
+		byZone := s.zoneValues(from, to)
+		t.Logf("value %.3f, by zone %.3f, %d calls to another zone of %d", got, byZone, s.crossZone, s.attempts)
+		t.Logf("if refused calls go on: %.3f, by zone %.3f, %d of %d", want, moving.zoneValues(from, to), moving.crossZone, moving.attempts)
+		if s.crossZone > moving.crossZone*2/3 {
+			t.Errorf("%d calls went to another zone, %d if refused calls go on", s.crossZone, moving.crossZone)
+		}
+		if least := slices.Min(byZone); least < (1-maxZoneShare)*got {
+			t.Errorf("the value of a zone is %.3f, that of all %.3f", least, got)
+		}
+		value += got / seeds
+		valueMoving += want / seeds
+	}
+	if value < valueMoving-valueTolerance {
+		t.Errorf("value is %.3f, %.3f if refused calls go on", value, valueMoving)
+	}
+}
--- a/io/gate/statement.go
+++ b/io/gate/statement.go
@@ -116,6 +116,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l := g.load()
+	l.Acceptance = g.admission.Acceptance(time.Now(), c.Class)
 	q := g.admission.Quota()
 	n := call.ServerNotice{
 		Server: g.backend.logName(), StartMs: g.backend.StartMs, RateLimit: l.RateLimit,
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -45,6 +45,8 @@
 	event.RequestRefused:    true,
 	event.RequestRejected:   true,
 	event.RequestMoved:      true,
+	event.RequestSpilled:    true,
+	event.RequestNotMoved:   true,
 	event.RequestFenced:     true,
 	event.RequestReplayed:   true,
 	event.RequestUnknown:    true,
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -40,6 +41,7 @@
 	tried      []string // ids of the candidates that it was sent to
 	tracker    *resend.Tracker
 	summary    AttemptSummary
+	refused    bool    // the last attempt was refused for load
 	paidResend *choice // where to resend to, nil if the retry budget has not been charged
 	// versionChosen is set once it is decided whether the call goes to a version that gets
 	// a share of the calls.
@@ -64,17 +66,25 @@
 		case ended && !sent:
 			return call.Refuse(call.NotRun, call.CauseDraining, stoppingRetryAfter)
 		case sent:
+			if d.refused {
+				d.p.recordEvent(event.RequestNotMoved, d.call, fmt.Sprintf("refused by %d upstreams, the others refuse many such calls too", len(d.tried)))
+			}
 			return d.tracker.Final()
 		default:
 			return call.Refuse(call.NotRun, call.CauseNoUpstream, noUpstreamRetryAfter)
 		}
-		if c.cause != pick.CauseLocal {
+		switch {
+		case c.cause == pick.CauseLocal:
+		case c.cause.IsSpill():
+			d.p.recordEvent(event.RequestSpilled, d.call, "to "+c.target.Addr+": "+string(c.cause))
+		default:
 			d.p.recordEvent(event.RequestMoved, d.call, "to "+c.target.Addr+": "+string(c.cause))
 		}
 		r := d.attempt(ctx, c.target)
 		if r.Replied && r.Cause == call.CauseBrokenAnswer {
 			d.broken++
 		}
+		d.refused = r.RefusedForLoad()
 		if !d.tracker.Next(time.Now(), r) || ctx.Err() != nil || d.p.cfg.Policy == RoundRobin && !r.ResendIsFree() {
 			return d.tracker.Final()
 		}
@@ -155,6 +165,7 @@
 func (d *dispatchState) criteria() pick.Criteria {
 	c := d.p.linkCriteria(d.call, int64(len(d.call.Body)))
 	c.Exclude = d.tried
+	c.Refused = d.refused
 	return c
 }
 
@@ -268,7 +279,7 @@
 
 // recordOutcome tells the picker how an attempt ended.
 func (p *Proxy) recordOutcome(c call.Call, target pick.Candidate, r call.Reply, took time.Duration) {
-	o := pick.Outcome{Result: p.attemptResult(c, target, r), Latency: took, Load: r.Load}
+	o := pick.Outcome{Result: p.attemptResult(c, target, r), Latency: took, Load: r.Load, Class: c.Class}
 	p.mu.Lock()
 	ejected := p.picker.Done(time.Now(), target.ID, o)
 	p.mu.Unlock()
--- a/io/proxy/links.go
+++ b/io/proxy/links.go
@@ -115,7 +115,7 @@
 // linkCriteria returns what the choice of an upstream for c depends on, if its body has the
 // given length.
 func (p *Proxy) linkCriteria(c call.Call, bodyBytes int64) pick.Criteria {
-	criteria := pick.Criteria{LargeResponse: c.LargeResponse, Target: c.Target, BodyBytes: bodyBytes}
+	criteria := pick.Criteria{Class: c.Class, LargeResponse: c.LargeResponse, Target: c.Target, BodyBytes: bodyBytes}
 	if p.links.bounded() {
 		criteria.AnswerBytes = p.links.sizes.expect(c)
 		criteria.OutRate = p.cfg.LinkRate
--- a/io/proxy/meta.go
+++ b/io/proxy/meta.go
@@ -117,7 +117,7 @@
 		Length: int64(len(r.Body)), Digest: xxhash.Sum64(r.Body), RetryAfter: int64(r.RetryAfter), Node: r.Node, Below: r.NestedFailure,
 		Service: int64(r.Load.ServiceTime), Shed: r.Shed, Notice: encodeNotice(r.Notice, time.Now()),
 		RateLimit: r.Load.RateLimit, QuotaWait: int64(r.Load.QuotaWait),
-		LinkWait: int64(r.Load.LinkWait), LinkOutWait: int64(r.Load.LinkOutWait),
+		LinkWait: int64(r.Load.LinkWait), LinkOutWait: int64(r.Load.LinkOutWait), Acceptance: r.Load.Acceptance,
 	}
 }
 
@@ -148,7 +148,7 @@
 		Load: pick.Load{
 			InFlight: int(m.GetInFlight()), Queued: int(m.GetQueued()), Limit: int(m.GetLimit()),
 			ServiceTime: time.Duration(m.GetService()), RateLimit: m.GetRateLimit(), QuotaWait: time.Duration(m.GetQuotaWait()),
-			LinkWait: time.Duration(m.GetLinkWait()), LinkOutWait: time.Duration(m.GetLinkOutWait()),
+			LinkWait: time.Duration(m.GetLinkWait()), LinkOutWait: time.Duration(m.GetLinkOutWait()), Acceptance: m.GetAcceptance(),
 		},
 		Shed: m.GetShed(), Notice: decodeNotice(m.GetNotice(), time.Now()),
 	}, nil
