--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -65,27 +65,6 @@
 	ServiceExists              bool          // it is in the configuration, or has servers
 }
 
-// Report is what a node reports to the holder.
-type Report struct {
-	Node    string
-	Since   time.Time // when the tallies began; a process that restarts begins new ones
-	Order   OrderID
-	Phase   Phase // that the node is in
-	Tallies []*Tally
-	// Quiet is set if no call is in progress at a server of another version than the
-	// target, and none will be started there.
-	Quiet bool
-}
-
-// nodeState is what a node has reported.
-type nodeState struct {
-	at      time.Time
-	since   time.Time // Report.Since
-	phase   Phase
-	quiet   bool
-	tallies map[string]*Tally // by version
-}
-
 // Rollout decides the stages of one order at its holder. It is not safe for concurrent use.
 type Rollout struct {
 	cfg       Config
@@ -136,63 +115,6 @@
 	r.stage = s
 }
 
-// Report takes the report of a node. Its tallies count from the order on, or from the start of
-// its process, so a lost or repeated report does no harm.
-func (r *Rollout) Report(now time.Time, rep Report) {
-	n := r.nodes[rep.Node]
-	if n == nil {
-		n = &nodeState{tallies: map[string]*Tally{}}
-		r.nodes[rep.Node] = n
-	}
-	switch {
-	case rep.Since.Before(n.since):
-		return // of a process that has ended
-	case rep.Since.After(n.since):
-		n.since = rep.Since
-		clear(n.tallies)
-	}
-	n.at, n.phase, n.quiet = now, rep.Phase, rep.Quiet
-	for _, t := range rep.Tallies {
-		r.addTally(now, rep.Node, n, t)
-	}
-}
-
-// addTally adds what t has more than the last tally of the node's servers of that version.
-// Answers of the target version wait until there are some to compare them with.
-func (r *Rollout) addTally(now time.Time, node string, n *nodeState, t *Tally) {
-	if t.Version == r.stage.Target && !r.judge.Ready() && now.Sub(r.startedAt) < baselineWait {
-		return
-	}
-	last := n.tallies[t.Version]
-	timed := last != nil // the calls of a first tally ran at unknown times, and give no rate
-	if !timed {
-		last = NewTally(t.Version)
-		r.rate.begin(now)
-	}
-	n.tallies[t.Version] = t
-	for route, c := range t.Routes {
-		d := c.since(last.Routes[route])
-		r.calls += d.Calls
-		if timed {
-			r.rate.add(now, d.Calls)
-		}
-		if t.Version == r.stage.Target {
-			r.exposed += d.Calls
-			r.judge.AddTarget(node, route, d)
-		} else {
-			r.judge.AddOld(now, node, route, d)
-		}
-	}
-}
-
-// Heard returns when a node last reported, zero if it never did.
-func (r *Rollout) Heard(node string) time.Time {
-	if n := r.nodes[node]; n != nil {
-		return n.at
-	}
-	return time.Time{}
-}
-
 // Next returns the stage that follows the present one. ok is false if that is to stay.
 func (r *Rollout) Next(now time.Time, s Servers) (next Stage, ok bool) {
 	switch r.stage.Phase {
@@ -262,13 +184,6 @@
 	return next
 }
 
-// canaryServers returns the number of servers that get a share of the calls. Servers differ in
-// speed, so that few of them say little about their version, but each needs some answers.
-func (r *Rollout) canaryServers(share float64) int {
-	calls := r.exposureOf(share, r.order.Within-r.moveLead())
-	return min(max(int(calls/serverAnswers), minCanaryServers), maxCanaryServers)
-}
-
 // nextCanary decides whether the canary gets more load, or all calls are moved.
 func (r *Rollout) nextCanary(now time.Time, s Servers) (Stage, bool) {
 	if r.loadTestDue(now, s) {
@@ -282,35 +197,6 @@
 	return r.stage.With(Full, r.Progress()), true
 }
 
-// loadServers returns the number of servers that get the load of all calls.
-func (r *Rollout) loadServers(s Servers) int {
-	return max(minCanaryServers, int(canaryPart*r.cfg.Share*float64(s.TargetServers)))
-}
-
-// loadShare returns the share of the calls with which each of these servers has the load that
-// it has when all calls are moved.
-func (r *Rollout) loadShare(s Servers) float64 {
-	return min(1, testLoad*float64(r.loadServers(s))/float64(max(s.TargetServers, 1)))
-}
-
-// loadTestDue reports whether the canary is to get the load of all calls. That is not needed
-// if it has about that load already.
-func (r *Rollout) loadTestDue(now time.Time, s Servers) bool {
-	share, hold := r.loadShare(s), r.reaction(s)+minHold
-	if s.TargetServers == 0 || r.underTest() || share < minLoadGain*r.stage.Share || r.judge.Evidence() > maxEvidence || r.order.Deadline.Sub(now) > r.moveLead()+hold {
-		return false
-	}
-	return r.exposureOf(share, hold)+r.exposureOf(1, r.reaction(s)) <= r.Room(now)
-}
-
-// underTest reports whether the servers of the canary get the load of all calls.
-func (r *Rollout) underTest() bool { return r.stage.Share > canaryPart*r.cfg.Share }
-
-// moveLead returns how long before the deadline all calls are moved.
-func (r *Rollout) moveLead() time.Duration {
-	return min(maxMoveLead, time.Duration(moveLeadPart*float64(r.order.Within)))
-}
-
 // reasonToWait returns why all calls are not moved now.
 func (r *Rollout) reasonToWait(now time.Time, s Servers) (reason string, ok bool) {
 	left := r.order.Deadline.Sub(now)
@@ -338,26 +224,6 @@
 	return "", false
 }
 
-// neededSlots returns the number of slots that all calls occupy at the target version.
-func (r *Rollout) neededSlots() float64 { return r.rate.perSecond() * r.judge.TargetMean().Seconds() }
-
-// reaction returns the time in which a version to which all calls go is found bad and left.
-func (r *Rollout) reaction(s Servers) time.Duration {
-	return r.judge.SlowAfter() + s.ReportInterval + spreadTime
-}
-
-// exposureOf returns the number of calls that the target version gets with a share for a time.
-func (r *Rollout) exposureOf(share float64, d time.Duration) float64 {
-	return share * r.rate.perSecond() * d.Seconds()
-}
-
-// Room returns how many calls the target version may still get by the plan, if it is bad.
-func (r *Rollout) Room(now time.Time) float64 {
-	left := max(r.order.Deadline.Sub(now), 0)
-	expected := float64(r.calls) + futurePart*r.rate.perSecond()*left.Seconds()
-	return budgetPart*(r.cfg.Share*expected+r.cfg.Slack) - float64(r.exposed)
-}
-
 // nextFull decides whether the version is committed to, or its exposure has to end.
 func (r *Rollout) nextFull(now time.Time, s Servers) (Stage, bool) {
 	if s.TargetServers == 0 {
@@ -388,25 +254,6 @@
 	return r.order.Deadline.Sub(now) <= commitTime || r.Room(now) < nextReport
 }
 
-// count returns the number of nodes for which f holds, or which have not reported yet, of
-// those that are up or have reported lately.
-func (r *Rollout) count(now time.Time, s Servers, f func(n *nodeState) bool) int {
-	total := 0
-	up := map[string]bool{}
-	for _, id := range s.Nodes {
-		up[id] = true
-		if n := r.nodes[id]; n == nil || f(n) {
-			total++
-		}
-	}
-	for id, n := range r.nodes {
-		if !up[id] && now.Sub(n.at) < reportTTL && f(n) {
-			total++
-		}
-	}
-	return total
-}
-
 // nextCommitted decides whether the roll-out is complete. The servers of the old version
 // end at once then, so a node that still has a call in progress there is awaited beyond the
 // deadline. One that has not reported is not.
@@ -423,58 +270,7 @@
 	return r.stage, false
 }
 
-// callsInProgress reports whether a node has lately reported that a call is in progress at
-// a server of the old version.
-func (r *Rollout) callsInProgress(now time.Time) bool {
-	for _, n := range r.nodes {
-		if now.Sub(n.at) < reportTTL && n.phase >= Committed && !n.quiet {
-			return true
-		}
-	}
-	return false
-}
-
 // Progress describes the counts of the roll-out for events and the status.
 func (r *Rollout) Progress() string {
 	return fmt.Sprintf("%d calls, %d of them at the version, %d judged, %d bad, evidence %.2f of an alarm", r.calls, r.exposed, r.judge.Answers(), r.judge.Bad(), r.judge.Evidence())
 }
-
-// rateMeter measures the rate of events in successive spans, each of rateSpan or a little
-// more.
-type rateMeter struct {
-	since        time.Time // start of the present span
-	count        int       // events of the present span
-	last         float64   // events a second in the span before
-	lastComplete bool      // there is a span before
-	now          time.Time // of the last events
-}
-
-// begin starts the measurement at now, unless events have been counted.
-func (m *rateMeter) begin(now time.Time) {
-	if m.count == 0 && !m.lastComplete {
-		m.since = now
-	}
-}
-
-// add counts n events.
-func (m *rateMeter) add(now time.Time, n int) {
-	if span := now.Sub(m.since); span >= rateSpan {
-		m.last, m.lastComplete = float64(m.count)/span.Seconds(), true
-		m.since, m.count = now, 0
-	}
-	m.count += n
-	m.now = now
-}
-
-// perSecond returns the rate in the last complete span, or in the present one if there is
-// none.
-func (m *rateMeter) perSecond() float64 {
-	if m.lastComplete {
-		return m.last
-	}
-	span := m.now.Sub(m.since)
-	if span <= 0 {
-		return 0
-	}
-	return float64(m.count) / span.Seconds()
-}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -107,12 +107,6 @@
 	cancel       context.CancelFunc
 }
 
-// Crash is the end of a backend server by server.Faults.Crash.
-type Crash struct {
-	Instance string
-	At       time.Time
-}
-
 // InstanceSpecs returns the given number of instances for each service,
 // distributed over the data centres in round-robin order.
 func InstanceSpecs(dataCentres []string, services map[string]int) []InstanceSpec {
@@ -242,38 +236,6 @@
 	return m.blackholes[dataCentre].Dial(delayed)
 }
 
-// Isolation states what a data centre is disconnected from.
-type Isolation struct {
-	Store            bool
-	OtherDataCentres bool // all other data centres, in both directions
-}
-
-// Isolate disconnects a data centre from what iso states, or reconnects it if iso is
-// zero. It replaces the effect of earlier calls, also for other data centres. Data
-// on the affected open connections is dropped, but the connections are not closed.
-func (m *Mesh) Isolate(dataCentre string, iso Isolation) {
-	for _, c := range m.dataCentres {
-		if c != dataCentre {
-			m.blackholes[c].Set(func(addr string) bool { return iso.OtherDataCentres && m.centreByAddr[addr] == dataCentre })
-		}
-	}
-	m.blackholes[dataCentre].Set(func(addr string) bool {
-		target, known := m.centreByAddr[addr]
-		if !known {
-			return iso.Store
-		}
-		return iso.OtherDataCentres && target != dataCentre
-	})
-}
-
-// BlackholeOpenConns drops all data on the open connections between nodes, without
-// closing them. New connections are not affected.
-func (m *Mesh) BlackholeOpenConns() {
-	for _, c := range m.blackholes {
-		c.DropOpen(func(addr string) bool { return m.centreByAddr[addr] != "" })
-	}
-}
-
 // Store returns a client of the platform's store. Like that of an operator, it is
 // not subject to delays or injected network faults.
 func (m *Mesh) Store() tanagerchute.Store {
@@ -336,51 +298,6 @@
 	return nil
 }
 
-// crashBackend stops the backend server of instance i immediately, and starts it again
-// with the same faults at the same address after Config.CrashDowntime.
-func (m *Mesh) crashBackend(i int) {
-	in := m.Instances[i]
-	m.mu.Lock()
-	m.crashes = append(m.crashes, Crash{in.Spec.Name, time.Now()})
-	faults, addr := in.Backend.Faults(), in.backendAddr
-	m.mu.Unlock()
-	m.KillBackend(i)
-	time.AfterFunc(m.cfg.CrashDowntime, func() {
-		if m.ctx.Err() != nil {
-			return
-		}
-		if err := m.startBackend(i, addr, faults); err != nil {
-			m.cfg.Log.Error("backend_failed", zap.String("node", in.Spec.Name), zap.Error(err))
-		}
-	})
-}
-
-// Crashes returns the crashes of backend servers so far, oldest first.
-func (m *Mesh) Crashes() []Crash {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return slices.Clone(m.crashes)
-}
-
-// KillBackend stops the backend server of instance i immediately.
-func (m *Mesh) KillBackend(i int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	in := m.Instances[i]
-	if in.stopAnnouncing != nil {
-		in.stopAnnouncing()
-		_ = in.backendHTTP.Close()
-	}
-}
-
-// Kill stops the node and the backend server of instance i immediately, without
-// draining.
-func (m *Mesh) Kill(i int) {
-	m.Instances[i].Node.Kill()
-	m.KillBackend(i)
-	<-m.Instances[i].nodeDone
-}
-
 // Stop drains the node of instance i, waits until it has stopped, and then stops
 // its backend server.
 func (m *Mesh) Stop(i int) {
@@ -410,63 +327,6 @@
 	return v.Number, err
 }
 
-// WaitVersion waits until a version with at least the given number is in force at
-// all nodes.
-func (m *Mesh) WaitVersion(ctx context.Context, number uint64) error {
-	return m.waitAll(ctx, func(in *Instance) bool { return in.Node.Stamp().Number >= number })
-}
-
-// WaitReady waits until all nodes serve calls, see all members of their data
-// centre, and can reach the other data centres.
-func (m *Mesh) WaitReady(ctx context.Context) error {
-	counts := map[string]int{}
-	for _, in := range m.Instances {
-		counts[in.Spec.DataCentre]++
-	}
-	return m.waitAll(ctx, func(in *Instance) bool {
-		return in.Node.Serving() && m.seesAll(in, counts)
-	})
-}
-
-// seesAll reports whether a node sees all members of its data centre as up and
-// accepting calls, and can reach all other data centres. counts holds the number
-// of instances in each data centre. With NoBackends no member accepts calls, so
-// that is not checked.
-func (m *Mesh) seesAll(in *Instance, counts map[string]int) bool {
-	view := in.Node.View()
-	if len(view.UpIDs()) < counts[in.Spec.DataCentre] || len(view.Remote.Reachable) < len(m.dataCentres)-1 {
-		return false
-	}
-	if m.cfg.NoBackends {
-		return true
-	}
-	ready := 0
-	for _, r := range view.Members {
-		if r.AcceptsCalls() {
-			ready++
-		}
-	}
-	return ready >= counts[in.Spec.DataCentre]
-}
-
-// waitAll waits until cond is true for all instances.
-func (m *Mesh) waitAll(ctx context.Context, cond func(*Instance) bool) error {
-	for {
-		all := true
-		for _, in := range m.Instances {
-			all = all && cond(in)
-		}
-		if all {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(2 * time.Millisecond):
-		}
-	}
-}
-
 // Close stops everything immediately.
 func (m *Mesh) Close() {
 	m.cancel()
