waits: a caller that returns is recognised by its deadline

Cause: a caller that was refused and returns within a fifth of its time looked like a new one. Its target had partly passed, so it got a slot for an answer that was late, while new callers that could be in time were refused.

Change: ingress remembers what it refused with a time to come back, and takes the request that arrives then with the same deadline for the same caller's.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -52,6 +52,8 @@
 	Target           time.Time // time by which it should be answered, zero if only the deadline counts
 	Deadline         time.Time
 	WaitUntil        time.Time // end of the time that it may spend in a queue
+	CallerDeadline   time.Time // up to which its caller waits, zero if not known
+	AskedAt          time.Time // when its caller first asked, as far as that is known
 	Method           string
 	Host             string // as sent by the caller
 	Path             string // with the query, as sent by the caller
--- a/core/sim_test.go
+++ b/core/sim_test.go
@@ -44,13 +44,14 @@
 
 // policy disables parts of the product, for baselines to compare with.
 type policy struct {
-	roundRobin  bool // upstreams in turn, in any zone, without resends
-	noAdmission bool // first come, first served, without refusals
-	noLocality  bool // no cost for another zone
-	noQuota     bool // upstreams ignore the rate limits that their servers name
-	hiddenQuota bool // upstreams do not tell the callers' nodes of those limits
-	alwaysMoves bool // a refused call goes on to other upstreams, whether or not they are full
-	noWaits     bool // the target counts from each arrival, also that of a caller that returns
+	roundRobin      bool // upstreams in turn, in any zone, without resends
+	noAdmission     bool // first come, first served, without refusals
+	noLocality      bool // no cost for another zone
+	noQuota         bool // upstreams ignore the rate limits that their servers name
+	hiddenQuota     bool // upstreams do not tell the callers' nodes of those limits
+	forgetsRefusals bool // callers that return are not recognised by their deadline
+	alwaysMoves     bool // a refused call goes on to other upstreams, whether or not they are full
+	noWaits         bool // the target counts from each arrival, also that of a caller that returns
 }
 
 // Latencies and delays of the simulated network.
@@ -86,6 +87,7 @@
 type request struct {
 	class         string
 	zone          string
+	node          *simNode // on the instance of its client
 	at            time.Time
 	patience      float64 // share of the deadline of the class for which its client waits
 	attempts      int
@@ -245,15 +247,22 @@
 func (s *simulation) sendRequest(req *request) {
 	req.attempts++
 	c := s.classes[req.class]
+	if req.node == nil {
+		req.node = s.randomNode(req.zone)
+	}
+	left := req.at.Add(time.Duration(req.patience * float64(c.deadline))).Sub(s.now)
+	s.sendCall(req.node, req.class, left, func(r call.Reply) { s.handleReply(req, c, r) })
+}
+
+// randomNode returns a node of a zone.
+func (s *simulation) randomNode(zone string) *simNode {
 	var sameZone []*simNode
 	for _, n := range s.nodes {
-		if n.zone == req.zone {
+		if n.zone == zone {
 			sameZone = append(sameZone, n)
 		}
 	}
-	node := sameZone[s.rng.IntN(len(sameZone))]
-	left := req.at.Add(time.Duration(req.patience * float64(c.deadline))).Sub(s.now)
-	s.sendCall(node, req.class, left, func(r call.Reply) { s.handleReply(req, c, r) })
+	return sameZone[s.rng.IntN(len(sameZone))]
 }
 
 // handleReply records a reply to a client, or schedules a retry.
@@ -294,7 +303,16 @@
 	retryBudget.Earn()
 	target := s.now.Add(c.target)
 	if !s.policy.noWaits {
-		target = target.Add(-from.waits.Observe(s.now, className, left))
+		callerDeadline := s.now.Add(left)
+		asked := s.now.Add(-from.waits.Observe(s.now, className, left))
+		target = asked.Add(c.target)
+		reply := onReply
+		onReply = func(r call.Reply) {
+			if r.Fate == call.NotRun && r.RetryAfter > 0 && !s.policy.forgetsRefusals {
+				from.waits.Refused(s.now, waits.Refusal{Route: className, Deadline: callerDeadline, AskedAt: asked, ReturnAt: s.now.Add(r.RetryAfter)})
+			}
+			reply(r)
+		}
 	}
 	var tried []string
 	var grantedUpstream *simUpstream // chosen for a resend that the budget has granted
--- a/core/uneven_test.go
+++ b/core/uneven_test.go
@@ -98,3 +98,21 @@
 		t.Errorf("value is %.3f, %.3f if refused calls go on", value, valueMoving)
 	}
 }
+
+// TestReturningCallersAreRecognised checks, under lasting overload, that fewer answers are late
+// and more are in time if a node recognises the callers that it told to come back.
+func TestReturningCallersAreRecognised(t *testing.T) {
+	const from, to = 6 * sec, 22 * sec
+	var got, without tally
+	for seed := range uint64(3) {
+		a := simulateUneven(policy{}, seed+1, nil).tally("page", from, to)
+		b := simulateUneven(policy{forgetsRefusals: true}, seed+1, nil).tally("page", from, to)
+		t.Logf("%v", a)
+		t.Logf("not recognised: %v", b)
+		got.inTime, got.late = got.inTime+a.inTime, got.late+a.late
+		without.inTime, without.late = without.inTime+b.inTime, without.late+b.late
+	}
+	if got.late >= without.late || got.inTime <= without.inTime {
+		t.Errorf("%d in time and %d late, %d and %d if callers are not recognised", got.inTime, got.late, without.inTime, without.late)
+	}
+}
--- a/core/waits/waits.go
+++ b/core/waits/waits.go
@@ -7,6 +7,10 @@
 // of a route are willing to wait about equally long, so a request with much less
 // time left than the longest has probably been sent before.
 //
+// A caller that was told when to come back is known better: it returns at that time, and the
+// moment up to which it waits is the same as before. So the estimator keeps the refusals of the
+// last moments, and recognises the request that follows each of them.
+//
 // With the estimate, an overloaded upstream spends its slots on the answers that
 // can still meet their targets, and not on callers that return too late for it
 // while new ones become late in turn.
@@ -15,9 +19,13 @@
 //
 //	e := waits.New()
 //	waited := e.Observe(now, route, timeLeft)
+//	e.Refused(now, waits.Refusal{Route: route, Deadline: deadline, AskedAt: asked, ReturnAt: returnAt})
 package waits
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// windowLength is how long the longest time left is remembered at least, and
@@ -32,6 +40,13 @@
 	minShareOfFirst = 0.1
 	minRequests     = 20   // of a route, for an estimate
 	maxRoutes       = 4096 // routes that are tracked at most
+
+	// deadlineTolerance is how far apart the deadlines of two requests of one caller may
+	// seem, since its requests take different times to arrive.
+	deadlineTolerance = 10 * time.Millisecond
+	// returnTolerance is how much later than it was told a caller returns.
+	returnTolerance = 100 * time.Millisecond
+	maxRefusals     = 256 // refusals of a route that are kept at most
 )
 
 // Estimator keeps the longest times left by route. It is not safe for concurrent
@@ -42,6 +57,16 @@
 type route struct {
 	current, previous window
 	started           time.Time // start of the current window
+	refusals          []Refusal // whose callers have not returned, the oldest first
+}
+
+// Refusal is what is known of a request that was refused with a time at which its caller may
+// come back.
+type Refusal struct {
+	Route    string
+	Deadline time.Time // up to which its caller waits
+	AskedAt  time.Time // when its caller first asked
+	ReturnAt time.Time // when its caller was told to come back
 }
 
 // window counts the requests of a period.
@@ -60,6 +85,26 @@
 // Observe records a request of a route whose caller waits for timeLeft more. It
 // returns how long the caller has waited already at least, 0 if that is not known.
 func (e *Estimator) Observe(now time.Time, name string, timeLeft time.Duration) time.Duration {
+	r := e.route(now, name)
+	r.rotate(now)
+	r.current.add(timeLeft)
+	if asked, ok := r.takeRefusal(now, now.Add(timeLeft)); ok {
+		return now.Sub(asked)
+	}
+	return r.waited(timeLeft)
+}
+
+// Refused records a refusal.
+func (e *Estimator) Refused(now time.Time, f Refusal) {
+	r := e.route(now, f.Route)
+	r.dropRefusals(now)
+	if len(r.refusals) < maxRefusals {
+		r.refusals = append(r.refusals, f)
+	}
+}
+
+// route returns the state of a route.
+func (e *Estimator) route(now time.Time, name string) *route {
 	r, ok := e.routes[name]
 	if !ok {
 		if len(e.routes) >= maxRoutes {
@@ -68,9 +113,26 @@
 		r = &route{started: now}
 		e.routes[name] = r
 	}
-	r.rotate(now)
-	r.current.add(timeLeft)
-	return r.waited(timeLeft)
+	return r
+}
+
+// takeRefusal removes the refusal whose caller sends a request that arrives now, and returns
+// when that caller first asked.
+func (r *route) takeRefusal(now, deadline time.Time) (asked time.Time, ok bool) {
+	r.dropRefusals(now)
+	for i, f := range r.refusals {
+		if now.Before(f.ReturnAt) || deadline.Sub(f.Deadline).Abs() > deadlineTolerance {
+			continue
+		}
+		r.refusals = slices.Delete(r.refusals, i, i+1)
+		return f.AskedAt, true
+	}
+	return time.Time{}, false
+}
+
+// dropRefusals drops the refusals whose callers should have returned by now.
+func (r *route) dropRefusals(now time.Time) {
+	r.refusals = slices.DeleteFunc(r.refusals, func(f Refusal) bool { return now.After(f.ReturnAt.Add(returnTolerance)) })
 }
 
 // rotate starts a new window when the current one has ended.
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -3,12 +3,8 @@
 import (
 	"cmp"
 	"context"
-	"io"
-	"net"
 	"net/http"
-	"regexp"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -17,9 +13,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
-	"tanagerchute"
 	"tanagerchute/core/call"
-	"tanagerchute/core/crash"
 	"tanagerchute/core/dedup"
 	"tanagerchute/core/event"
 	"tanagerchute/core/routes"
@@ -128,6 +122,7 @@
 		if reply.Fate != call.Answered {
 			span.SetStatus(codes.Error, reply.Fate.String()+" "+reply.Cause)
 		}
+		p.rememberRefusal(c, reply)
 		p.reportResult(c, reply, summary, in.arrivedAt)
 		p.writeReply(ctx, w, c, reply)
 	})
@@ -206,9 +201,6 @@
 	return p.cfg.Claims.Claim(ctx, recordID(c, key.ID), time.Now())
 }
 
-// traceparentRE matches a W3C traceparent header.
-var traceparentRE = regexp.MustCompile(`^[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}(-.*)?$`)
-
 // Limits returns the limits on callers. They are those of the configuration
 // version in force, with defaults for limits that it does not set.
 func (p *Proxy) Limits() routes.Limits { return p.limits(p.cfg.Feed.Snapshot()) }
@@ -237,177 +229,6 @@
 	return def
 }
 
-// validateHeaders checks the size of the headers and the form of traceparent,
-// which do not depend on the class of the request.
-func validateHeaders(r *http.Request, limit int) *rejection {
-	size := 0
-	for k, vs := range r.Header {
-		for _, v := range vs {
-			size += len(k) + len(v) + len(": \r\n")
-		}
-	}
-	if size > limit {
-		return newRejection(http.StatusRequestHeaderFieldsTooLarge, "headers have more than "+strconv.Itoa(limit)+" bytes")
-	}
-	if tp := r.Header.Get("Traceparent"); tp != "" && !traceparentRE.MatchString(tp) {
-		return newRejection(http.StatusBadRequest, "traceparent is malformed")
-	}
-	return nil
-}
-
-// readCall reads the whole call and classifies it. If it is rejected, the returned
-// call holds what is known of it.
-func (p *Proxy) readCall(r *http.Request, in ingressRequest) (call.Call, *rejection) {
-	info, err := p.cfg.Dialect.ParseRequest(r.Header)
-	if err != nil {
-		return call.Call{Trace: in.trace}, newRejection(http.StatusBadRequest, err.Error())
-	}
-	c := call.Call{Trace: in.trace, ID: info.ID, Issued: in.arrivedAt, Method: r.Method, Host: r.Host, Path: pathOf(r), Depth: info.Depth}
-	if c.ID == "" {
-		c.ID, c.Issued = newID()
-	}
-	if info.Depth >= maxCallDepth {
-		return c, newRejection(http.StatusLoopDetected, "calls are nested more than 16 deep")
-	}
-	if in.snapshot == nil || !p.cfg.Feed.Ready() {
-		return c, newRejection(http.StatusServiceUnavailable, "node has no configuration yet")
-	}
-	rt, rej := p.classify(in.snapshot.Table, r, in.origin)
-	if rej != nil {
-		return c, rej
-	}
-	c.Service = rt.Pick(p.randomUint64())
-	c.Version = in.snapshot.Version.Number
-	c = c.WithRoute(rt, in.arrivedAt)
-	c, rej = p.identify(c, in, rt, info.Credential)
-	if rej != nil {
-		return c, rej
-	}
-	if rej := p.limitDeadline(&c, info, in); rej != nil {
-		return c, rej
-	}
-	if r.ContentLength > in.limits.MaxBodyBytes {
-		return c, newRejection(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
-	}
-	if !p.hasKey(c, r.Header) { // else the home of the key knows whether it has run
-		if refusal := p.refuseForLinks(c, r.ContentLength); refusal != nil {
-			return c, &rejection{refusal: refusal, linkFull: true}
-		}
-	}
-	if c.Body, rej = p.readBody(r, c, in.limits.MaxBodyBytes); rej != nil {
-		return c, rej
-	}
-	if rej := p.limitByProof(&c, info.Credential); rej != nil {
-		return c, rej
-	}
-	c.Header = endToEndHeaders(r.Header)
-	c.Header.Del(headerCall)
-	c.Header.Del(headerAnswer)
-	p.cfg.Dialect.PrepareRequest(c.Header, tanagerchute.RequestOrigin{Service: in.origin.Service, Accounts: in.snapshot.Table.Accounts() != nil})
-	c.Work = crash.Identify(crash.Request{Caller: in.origin.Service, Method: c.Method, Host: c.Host, Path: c.Path, Body: c.Body})
-	return c, nil
-}
-
-// pathOf returns the path and query exactly as the caller wrote them.
-func pathOf(r *http.Request) string {
-	if strings.HasPrefix(r.RequestURI, "/") {
-		return r.RequestURI
-	}
-	return r.URL.RequestURI()
-}
-
-// randomUint64 returns a random number for the choice of a service by the weights
-// of a traffic split.
-func (p *Proxy) randomUint64() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.cfg.Rand.Uint64()
-}
-
-// classify finds the route of a request by its host, method and path, and checks
-// that its origin may call that host.
-func (p *Proxy) classify(t *routes.Table, r *http.Request, origin Origin) (*routes.Route, *rejection) {
-	host := r.Host
-	if !t.HasHost(host) {
-		if bare, _, err := net.SplitHostPort(host); err == nil {
-			host = bare
-		}
-	}
-	if !t.HasHost(host) {
-		return nil, newRejection(http.StatusNotFound, "no service is called "+strconv.Quote(host))
-	}
-	rt, ok := t.Match(host, r.Method, r.URL.Path)
-	if origin.Backend && !t.MayCall(origin.Service, host) {
-		return nil, newRejection(http.StatusForbidden, "service "+origin.Service+" may not call "+host)
-	}
-	if !ok {
-		return nil, newRejection(http.StatusNotFound, "no class of "+host+" covers "+r.Method+" "+r.URL.Path)
-	}
-	return rt, nil
-}
-
-// limitDeadline shortens the deadline of a call if its caller, or the call that
-// it is nested in, has less time left than its class allows. WaitUntil and Target
-// are limited to the deadline.
-func (p *Proxy) limitDeadline(c *call.Call, info tanagerchute.RequestInfo, in ingressRequest) *rejection {
-	if info.TimeLeft > 0 {
-		c.Deadline = earlier(c.Deadline, in.arrivedAt.Add(info.TimeLeft))
-	}
-	if c.Deadline.IsZero() {
-		return newRejection(http.StatusBadRequest, "neither the request nor its route has a deadline")
-	}
-	if in.origin.Backend {
-		if parentDeadline, ok := p.cfg.Gate.Deadline(in.trace); ok {
-			c.Deadline = earlier(c.Deadline, parentDeadline)
-		}
-	}
-	c.WaitUntil = earlier(c.WaitUntil, c.Deadline)
-	if by := p.latestStart(*c); !by.IsZero() {
-		c.WaitUntil = earlier(c.WaitUntil, by)
-	}
-	if !c.Target.IsZero() {
-		c.Target = earlier(c.Target, c.Deadline).Add(-p.waitedBefore(c, info, in.arrivedAt))
-	}
-	return nil
-}
-
-// waitedBefore returns how long the caller had been waiting at least when its request
-// arrived, because an earlier request of it was refused. A nested call with little
-// time left counts as well: the call that made it is late.
-func (p *Proxy) waitedBefore(c *call.Call, info tanagerchute.RequestInfo, arrivedAt time.Time) time.Duration {
-	if info.TimeLeft <= 0 {
-		return 0
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.waits.Observe(arrivedAt, c.Class, info.TimeLeft)
-}
-
-// earlier returns the earlier of two times, ignoring a zero time.
-func earlier(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
-	}
-	return a
-}
-
-// readBody reads the whole body before the call is sent, so that a truncated body
-// never reaches a backend server, and so that the call can be resent. Its declared length
-// is within the limit.
-func (p *Proxy) readBody(r *http.Request, c call.Call, limit int64) ([]byte, *rejection) {
-	if p.links.callerIn.Bulk(r.ContentLength) {
-		return p.readBulkBody(r, c)
-	}
-	body, err := io.ReadAll(io.LimitReader(p.links.countReads(r), limit+1))
-	if err != nil {
-		return nil, newRejection(http.StatusBadRequest, "body was cut short")
-	}
-	if int64(len(body)) > limit {
-		return nil, newRejection(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
-	}
-	return body, nil
-}
-
 // writeReply writes a reply to the caller. It sets Content-Length, so that the
 // caller notices if the connection is closed early.
 func (p *Proxy) writeReply(ctx context.Context, w http.ResponseWriter, c call.Call, r call.Reply) {
--- /dev/null
+++ b/io/proxy/read.go
@@ -0,0 +1,144 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"tanagerchute"
+	"tanagerchute/core/call"
+	"tanagerchute/core/crash"
+	"tanagerchute/core/routes"
+)
+
+// traceparentRE matches a W3C traceparent header.
+var traceparentRE = regexp.MustCompile(`^[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}(-.*)?$`)
+
+// validateHeaders checks the size of the headers and the form of traceparent,
+// which do not depend on the class of the request.
+func validateHeaders(r *http.Request, limit int) *rejection {
+	size := 0
+	for k, vs := range r.Header {
+		for _, v := range vs {
+			size += len(k) + len(v) + len(": \r\n")
+		}
+	}
+	if size > limit {
+		return newRejection(http.StatusRequestHeaderFieldsTooLarge, "headers have more than "+strconv.Itoa(limit)+" bytes")
+	}
+	if tp := r.Header.Get("Traceparent"); tp != "" && !traceparentRE.MatchString(tp) {
+		return newRejection(http.StatusBadRequest, "traceparent is malformed")
+	}
+	return nil
+}
+
+// readCall reads the whole call and classifies it. If it is rejected, the returned
+// call holds what is known of it.
+func (p *Proxy) readCall(r *http.Request, in ingressRequest) (call.Call, *rejection) {
+	info, err := p.cfg.Dialect.ParseRequest(r.Header)
+	if err != nil {
+		return call.Call{Trace: in.trace}, newRejection(http.StatusBadRequest, err.Error())
+	}
+	c := call.Call{Trace: in.trace, ID: info.ID, Issued: in.arrivedAt, Method: r.Method, Host: r.Host, Path: pathOf(r), Depth: info.Depth}
+	if c.ID == "" {
+		c.ID, c.Issued = newID()
+	}
+	if info.Depth >= maxCallDepth {
+		return c, newRejection(http.StatusLoopDetected, "calls are nested more than 16 deep")
+	}
+	if in.snapshot == nil || !p.cfg.Feed.Ready() {
+		return c, newRejection(http.StatusServiceUnavailable, "node has no configuration yet")
+	}
+	rt, rej := p.classify(in.snapshot.Table, r, in.origin)
+	if rej != nil {
+		return c, rej
+	}
+	c.Service = rt.Pick(p.randomUint64())
+	c.Version = in.snapshot.Version.Number
+	c = c.WithRoute(rt, in.arrivedAt)
+	c, rej = p.identify(c, in, rt, info.Credential)
+	if rej != nil {
+		return c, rej
+	}
+	if rej := p.limitDeadline(&c, info, in); rej != nil {
+		return c, rej
+	}
+	if r.ContentLength > in.limits.MaxBodyBytes {
+		return c, newRejection(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
+	}
+	if !p.hasKey(c, r.Header) { // else the home of the key knows whether it has run
+		if refusal := p.refuseForLinks(c, r.ContentLength); refusal != nil {
+			return c, &rejection{refusal: refusal, linkFull: true}
+		}
+	}
+	if c.Body, rej = p.readBody(r, c, in.limits.MaxBodyBytes); rej != nil {
+		return c, rej
+	}
+	if rej := p.limitByProof(&c, info.Credential); rej != nil {
+		return c, rej
+	}
+	c.Header = endToEndHeaders(r.Header)
+	c.Header.Del(headerCall)
+	c.Header.Del(headerAnswer)
+	p.cfg.Dialect.PrepareRequest(c.Header, tanagerchute.RequestOrigin{Service: in.origin.Service, Accounts: in.snapshot.Table.Accounts() != nil})
+	c.Work = crash.Identify(crash.Request{Caller: in.origin.Service, Method: c.Method, Host: c.Host, Path: c.Path, Body: c.Body})
+	return c, nil
+}
+
+// pathOf returns the path and query exactly as the caller wrote them.
+func pathOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// randomUint64 returns a random number for the choice of a service by the weights
+// of a traffic split.
+func (p *Proxy) randomUint64() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cfg.Rand.Uint64()
+}
+
+// classify finds the route of a request by its host, method and path, and checks
+// that its origin may call that host.
+func (p *Proxy) classify(t *routes.Table, r *http.Request, origin Origin) (*routes.Route, *rejection) {
+	host := r.Host
+	if !t.HasHost(host) {
+		if bare, _, err := net.SplitHostPort(host); err == nil {
+			host = bare
+		}
+	}
+	if !t.HasHost(host) {
+		return nil, newRejection(http.StatusNotFound, "no service is called "+strconv.Quote(host))
+	}
+	rt, ok := t.Match(host, r.Method, r.URL.Path)
+	if origin.Backend && !t.MayCall(origin.Service, host) {
+		return nil, newRejection(http.StatusForbidden, "service "+origin.Service+" may not call "+host)
+	}
+	if !ok {
+		return nil, newRejection(http.StatusNotFound, "no class of "+host+" covers "+r.Method+" "+r.URL.Path)
+	}
+	return rt, nil
+}
+
+// readBody reads the whole body before the call is sent, so that a truncated body
+// never reaches a backend server, and so that the call can be resent. Its declared length
+// is within the limit.
+func (p *Proxy) readBody(r *http.Request, c call.Call, limit int64) ([]byte, *rejection) {
+	if p.links.callerIn.Bulk(r.ContentLength) {
+		return p.readBulkBody(r, c)
+	}
+	body, err := io.ReadAll(io.LimitReader(p.links.countReads(r), limit+1))
+	if err != nil {
+		return nil, newRejection(http.StatusBadRequest, "body was cut short")
+	}
+	if int64(len(body)) > limit {
+		return nil, newRejection(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
+	}
+	return body, nil
+}
