--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -9,11 +9,15 @@
 // The limit is the number of slots. It is reduced while the server sheds calls
 // even though no more than its slots are in use.
 //
-// Queued calls start by priority, and within a priority by earliest target. A
+// Queued calls start by priority, and within a priority by the latest start that
+// meets their target: the target less the time that calls of their class take. A
 // call that can no longer meet its target starts after those that can, by
 // earliest deadline. An overloaded server thus spends its time on the answers
 // that are worth most.
 //
+// Acceptance tells callers which share of the calls of a class was not refused, so
+// that they need not ask where they would be refused.
+//
 // A call is refused on arrival if it can't start before the end of its maximum
 // wait, or if its answer would come far too late, so that the caller can try
 // another upstream. A queued call is refused as soon as the estimate shows that
--- a/core/admit/estimate.go
+++ b/core/admit/estimate.go
@@ -18,7 +18,7 @@
 	return c.serviceTime
 }
 
-// maxClasses bounds the classes whose hold times are kept apart.
+// maxClasses bounds the classes whose hold times and acceptance are kept apart.
 const maxClasses = 256
 
 // holdTimeOf returns the average time for which a call of a class holds its slot. Classes of
--- a/core/canary/tally.go
+++ b/core/canary/tally.go
@@ -72,17 +72,6 @@
 	return time.Duration(float64(bucketStart(b)) * math.Exp2(1.0/(2*bucketsPerTwice)))
 }
 
-// Median returns the median. It is 0 without times.
-func (h Histogram) Median() time.Duration {
-	left := (h.Count() + 1) / 2
-	for b, c := range h {
-		if left -= int(c); left <= 0 && c > 0 {
-			return bucketMiddle(b)
-		}
-	}
-	return 0
-}
-
 // Mean returns the approximate mean. It is 0 without times.
 func (h Histogram) Mean() time.Duration {
 	n := h.Count()
@@ -113,11 +102,6 @@
 	Times    Histogram // of the other ones, without those that are not judged
 }
 
-// plus returns the sum of c and o.
-func (c RouteCounts) plus(o RouteCounts) RouteCounts {
-	return RouteCounts{c.Calls + o.Calls, c.Failures + o.Failures, c.Times.plus(o.Times)}
-}
-
 // since returns what c has more than o.
 func (c RouteCounts) since(o RouteCounts) RouteCounts {
 	return RouteCounts{max(c.Calls-o.Calls, 0), max(c.Failures-o.Failures, 0), c.Times.since(o.Times)}
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -9,7 +9,8 @@
 //
 // Candidates in other data centres carry a penalty, which is much larger for
 // calls with a large answer. A call that a healthy local candidate is expected
-// to answer well before the call's target stays in its data centre. A candidate
+// to answer well before the call's target stays in its data centre, and one whose
+// data centre is full leaves it only for one that accepts more calls. A candidate
 // that fails several times in a row is ejected for a while.
 //
 // # Usage
--- a/io/proxy/meta.go
+++ b/io/proxy/meta.go
@@ -148,12 +148,20 @@
 		Load: pick.Load{
 			InFlight: int(m.GetInFlight()), Queued: int(m.GetQueued()), Limit: int(m.GetLimit()),
 			ServiceTime: time.Duration(m.GetService()), RateLimit: m.GetRateLimit(), QuotaWait: time.Duration(m.GetQuotaWait()),
-			LinkWait: time.Duration(m.GetLinkWait()), LinkOutWait: time.Duration(m.GetLinkOutWait()), Acceptance: m.GetAcceptance(),
+			LinkWait: time.Duration(m.GetLinkWait()), LinkOutWait: time.Duration(m.GetLinkOutWait()), Acceptance: validShare(m.GetAcceptance()),
 		},
 		Shed: m.GetShed(), Notice: decodeNotice(m.GetNotice(), time.Now()),
 	}, nil
 }
 
+// validShare returns a share that another node has reported, 0 for unknown if it is none.
+func validShare(share float64) float64 {
+	if share >= 0 && share <= 1 {
+		return share
+	}
+	return 0 // also if it is not a number
+}
+
 // hopHeaders are the hop-by-hop headers, which are not forwarded. Content-Length
 // is among them, since it is set anew for the forwarded body.
 var hopHeaders = []string{
