--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -216,6 +217,40 @@
 	return os.WriteFile(m.settings, []byte(text), 0o600)
 }
 
+// running holds the nodes that have been started and have not ended, see killNodes.
+var running struct {
+	sync.Mutex
+	ended bool
+	cmds  map[*exec.Cmd]bool
+}
+
+// startNode starts cmd unless all nodes were killed.
+func startNode(cmd *exec.Cmd) error {
+	running.Lock()
+	defer running.Unlock()
+	if running.ended {
+		return errors.New("the case has ended")
+	}
+	if running.cmds == nil {
+		running.cmds = map[*exec.Cmd]bool{}
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	running.cmds[cmd] = true
+	return nil
+}
+
+// killNodes kills all nodes, and makes startNode start no more.
+func killNodes() {
+	running.Lock()
+	defer running.Unlock()
+	running.ended = true
+	for cmd := range running.cmds {
+		_ = cmd.Process.Kill()
+	}
+}
+
 // start starts the node as the deploy file says.
 func (m *machine) start() error {
 	m.mu.Lock()
@@ -231,12 +266,15 @@
 	cmd := exec.Command("target/tanagerchute", "node")
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + m.d.dir, "TANAGERCHUTE_CONFIG=" + m.settings}
 	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	if err := startNode(cmd); err != nil {
 		return err
 	}
 	exited := make(chan struct{})
 	go func() {
 		_ = cmd.Wait()
+		running.Lock()
+		delete(running.cmds, cmd)
+		running.Unlock()
 		close(exited)
 	}()
 	m.process, m.exited, m.startedAt, m.troubleAt = cmd, exited, time.Now(), time.Now()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,6 +13,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes.
@@ -41,6 +43,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitCannotRun)
 	}
+	go endOnSignal()
 	code, err := cases[os.Args[1]](rec, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		rec.add("the case could not run: %v", err)
@@ -50,3 +53,12 @@
 	rec.close()
 	os.Exit(code)
 }
+
+// endOnSignal ends all nodes and this process when it is told to end.
+func endOnSignal() {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGINT, syscall.SIGTERM)
+	<-c
+	killNodes()
+	os.Exit(exitCannotRun)
+}
