node: events for a failed handler, a discarded answer and high memory

The hypotheses on lost requests could not be told apart: a handler that ends by a panic is written to standard error without a counter, the bytes that were discarded in place of an answer were not named, and nothing said that a process comes close to its memory. handler_failed, answer_discarded and memory_high are logged and counted, and memory_bytes stands beside memory_limit_bytes. limits.memory_mb (256 if not set) is the memory of the process; on the users' platform it is MemoryMb.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -96,7 +96,11 @@
 	RolloutStage       Kind = "rollout_stage"       // another stage is in effect at this node
 	RolloutUnconfirmed Kind = "rollout_unconfirmed" // the holder is silent, so that all calls go to the old version
 	RolloutConfirmed   Kind = "rollout_confirmed"
-	FrameDropped       Kind = "frame_dropped" // a message of a peer was malformed or not expected
+	AnswerDiscarded    Kind = "answer_discarded" // the own backend server sent something that is no answer to the request
+	HandlerFailed      Kind = "handler_failed"   // a request was not answered, since the code that serves it failed
+	MemoryHigh         Kind = "memory_high"      // the process comes close to the memory of its instance
+
+	FrameDropped Kind = "frame_dropped" // a message of a peer was malformed or not expected
 )
 
 // Event is one decision or observation of a node.
--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -39,6 +39,8 @@
 	// onRefusedConn is called with the address of the server when it refuses a
 	// connection.
 	onRefusedConn func(addr string)
+	// onDiscarded is called when what the server sent is no answer to a call.
+	onDiscarded func(c call.Call, err error)
 }
 
 func newClient(cfg Config) *client {
@@ -103,7 +105,11 @@
 	a, err := cl.pool.Do(ctx, server.Address, r)
 	if err != nil {
 		cl.reportRefusedConn(server.Address, err)
-		return replyForError(ctx, err), nil
+		r := replyForError(ctx, err)
+		if r.Cause == call.CauseBrokenAnswer || r.Cause == call.CauseAnswerTooLarge {
+			cl.onDiscarded(c, err)
+		}
+		return r, nil
 	}
 	info := cl.dialect.ParseResponse(a.Response)
 	switch {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -99,6 +99,7 @@
 		tickRequested: make(chan struct{}, 1),
 	}
 	g.client.onRefusedConn = g.observeRefusedConn
+	g.client.onDiscarded = func(c call.Call, err error) { g.recordCallEvent(event.AnswerDiscarded, c, err.Error()) }
 	return g
 }
 
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -50,6 +50,8 @@
 	event.RequestFenced:     true,
 	event.RequestReplayed:   true,
 	event.RequestUnknown:    true,
+	event.AnswerDiscarded:   true,
+	event.HandlerFailed:     true,
 	event.HeartbeatStale:    true,
 	event.DataCentreChanged: true,
 	event.PeerChanged:       true,
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -112,6 +112,7 @@
 
 // startComponents starts the background work of the components.
 func (n *Node) startComponents(ctx context.Context, wg *sync.WaitGroup) {
+	wg.Go(func() { n.watchMemory().Run(ctx) })
 	wg.Go(func() { n.fleet.Run(ctx) })
 	wg.Go(func() { n.feed.Run(ctx) })
 	wg.Go(func() { n.gate.Run(ctx) })
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -47,9 +47,9 @@
 	pipeline := n.newPipeline()
 	s := &servers{
 		pipeline:    pipeline,
-		callers:     peer.NewServer(pipeline.Handler()),
-		egress:      peer.NewServer(n.proxy.Ingress(proxy.Origin{Service: n.cfg.Settings.Service, Backend: true})),
-		peers:       peer.NewServer(n.proxy.Peer(control)),
+		callers:     peer.NewServer(n.recordFailures(pipeline.Handler())),
+		egress:      peer.NewServer(n.recordFailures(n.proxy.Ingress(proxy.Origin{Service: n.cfg.Settings.Service, Backend: true}))),
+		peers:       peer.NewServer(n.recordFailures(n.proxy.Peer(control))),
 		admin:       peer.NewServer(admin.Handler(admin.Config{Node: adminNode{n}, Vars: n.vars})),
 		callerConns: newConnTracker(),
 	}
--- a/io/node/vars.go
+++ b/io/node/vars.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"syscall"
 
+	"tanagerchute/io/memory"
 	"tanagerchute/io/metric"
 	"tanagerchute/io/quotas"
 	"tanagerchute/io/xfer"
@@ -41,6 +42,8 @@
 		{"key_proof_asks_answered", "Requests to other nodes for a proof that were answered with one.", func() int64 { return n.feed.ProofStats().Answered }},
 		{"rollouts_running", "Roll-outs that have not ended.", n.rollouts.Running},
 		{"rollout_target_calls", "Calls that this node has given to a version with a share of the calls.", n.rollouts.TargetCalls},
+		{"memory_bytes", "Memory that the process holds.", func() int64 { return memory.Read().Process }},
+		{"memory_limit_bytes", "Memory that the process may use.", n.cfg.Settings.Limits.MemoryBytes},
 		{"goroutines", "Goroutines.", func() int64 { return int64(runtime.NumGoroutine()) }},
 		{"log_lines_skipped", "Lines of requests that were left out.", func() int64 { return int64(n.requests.Skipped()) }},
 		{"log_lines_dropped", "Lines that were not written, since nobody read the output fast enough.", func() int64 { return int64(n.cfg.LogSink.Dropped()) }},
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -141,6 +141,8 @@
 	AnswerBytes  int64 `json:"answer_bytes,omitempty"`  // of the body of an answer
 	Connections  int   `json:"connections,omitempty"`   // to the backend server
 	Events       int   `json:"events,omitempty"`        // kept in the journal
+	// MemoryMB is the memory that the process may use, in units of 2^20 bytes.
+	MemoryMB float64 `json:"memory_mb,omitempty"`
 	// RetryShare is the number of resends that each call adds to the retry
 	// budget. RetrySlack is the number of resends to a service that can be saved
 	// up by all nodes together.
@@ -148,6 +150,12 @@
 	RetrySlack float64 `json:"retry_slack,omitempty"`
 }
 
+// bytesPerMB is the number of bytes in the unit of Limits.MemoryMB.
+const bytesPerMB = 1 << 20
+
+// MemoryBytes returns the memory that the process may use.
+func (l Limits) MemoryBytes() int64 { return int64(l.MemoryMB * bytesPerMB) }
+
 // Trace holds the settings of the span export. Only one of OTLP and File can be
 // set.
 type Trace struct {
@@ -188,6 +196,8 @@
 	DefaultDrainTimeout = 30 * time.Second
 	DefaultLinger       = 6 * time.Second        // for callers to move to other nodes, and for new homes of keys to ask this one
 	DefaultSlowSpan     = 250 * time.Millisecond // default of Trace.Slow
+	DefaultMemoryMB     = 256
+	minMemoryMB         = 64 // a node with fewer can't hold the state of the fleet and requests
 	defaultLogLevel     = "info"
 )
 
@@ -248,6 +258,9 @@
 	if n.Drain.Linger == 0 {
 		n.Drain.Linger = jsonc.Duration(DefaultLinger)
 	}
+	if n.Limits.MemoryMB == 0 {
+		n.Limits.MemoryMB = DefaultMemoryMB
+	}
 	if n.Trace.Slow == 0 {
 		n.Trace.Slow = jsonc.Duration(DefaultSlowSpan)
 	}
@@ -335,6 +348,9 @@
 	if n.Limits.RequestBytes < 0 || n.Limits.AnswerBytes < 0 || n.Limits.Connections < 0 || n.Limits.Events < 0 || n.Limits.RetryShare < 0 || n.Limits.RetrySlack < 0 {
 		c.Add("limits", "must not be negative")
 	}
+	if n.Limits.MemoryMB != 0 && n.Limits.MemoryMB < minMemoryMB {
+		c.Add("limits.memory_mb", "must be at least %d", minMemoryMB)
+	}
 	if n.Drain.Timeout < 0 || n.Drain.Linger < 0 {
 		c.Add("drain", "must not be negative")
 	}
