memory: bodies and answers are held within the memory of the instance

Callers saw their connections end without an answer, for bookings that ran: five bodies of 60 MiB at once, as the configuration allows, brought a process to 557 MB of its 284 MB (776 MB without a declared length), and the system killed it. The same came of answers: 250 callers that don't read answers of 4 MiB brought the code before this to 645 MB (1 run of TestSlowReadersKeepMemory).

Cause: each body and answer was read whole into memory, in buffers that are copied as they grow, and nothing bounded their sum. The class of fault is a resource that is bounded for each request and not over all of them.

Now every body and answer asks for memory before it is read, out of one budget derived from the settings (core/room decides, io/memory hands out buffers that count until they are collected). Whoever has no room waits with its socket unread, or is refused as not run with the time at which there is room; small messages and answers have shares of their own; callers that do not read lose their connection 5 s after their deadline.

--- a/cmd/tanagerchute/measure.go
+++ b/cmd/tanagerchute/measure.go
@@ -13,6 +13,7 @@
 
 	"tanagerchute/io/bench"
 	"tanagerchute/io/feed"
+	"tanagerchute/io/setup"
 )
 
 // measureCmd runs a benchmark.
@@ -76,7 +77,7 @@
 		return exitUsage("measure: -mode is tree, watch-all or full-flood, and -nodes a list of numbers")
 	}
 	if measurement == "path" || measurement == "overload" {
-		configureGC()
+		configureGC(setup.DefaultMemoryMB << 20)
 	}
 	m.fleet.Mode, m.fleet.Nodes = mode, sizes
 	m.overload.Duration, m.overload.Work = m.path.Duration, m.path.Work
--- a/cmd/tanagerchute/node.go
+++ b/cmd/tanagerchute/node.go
@@ -49,7 +49,6 @@
 	if f.NArg() != 0 {
 		return exitUsage("node takes no arguments")
 	}
-	configureGC()
 	file, read := n.settings, setup.ReadNode
 	if file == "" {
 		file, read = platform.SettingsFile(), readPlatformSettings
@@ -96,6 +95,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	configureGC(s.Limits.MemoryBytes())
 	log, err := logs.New(logs.Config{Level: s.Log, Out: logOut})
 	if err != nil {
 		return nil, nil, err
@@ -114,6 +114,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	configureGC(s.Node.Limits.MemoryBytes())
 	log, err := logs.New(logs.Config{Level: s.Node.Log, Out: logOut})
 	if err != nil {
 		return nil, nil, err
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -155,6 +155,7 @@
 	CauseCrashesServers    = "crashes_servers"      // backend servers end when they run it, see package crash
 	CauseKeysUnproved      = "keys_unproved"        // the node can't tell whether the key of the client account has been withdrawn
 	CauseLinkFull          = "link_full"            // no link has room for the body or the answer in time
+	CauseMemoryFull        = "memory_full"          // the node has no memory for the body in time
 	CauseSilent            = "silent"               // the node did not acknowledge the call in time
 	CauseQuotaExceeded     = "quota_exceeded"       // the client account is over its quota
 	CauseQuotaUnknown      = "quota_unknown"        // the keeper of the quota of the client account did not answer in time
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -98,6 +98,8 @@
 	RolloutConfirmed   Kind = "rollout_confirmed"
 	AnswerDiscarded    Kind = "answer_discarded" // the own backend server sent something that is no answer to the request
 	HandlerFailed      Kind = "handler_failed"   // a request was not answered, since the code that serves it failed
+	MemoryWaited       Kind = "memory_waited"    // a body or an answer was read after a wait for memory
+	MemoryRefused      Kind = "memory_refused"   // there is no memory in time for a body or an answer
 	MemoryHigh         Kind = "memory_high"      // the process comes close to the memory of its instance
 
 	FrameDropped Kind = "frame_dropped" // a message of a peer was malformed or not expected
--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -48,7 +48,7 @@
 		cfg.MaxAnswerBytes = defaultMaxAnswerBytes
 	}
 	c := &client{dialect: cfg.Dialect, dialer: net.Dialer{Timeout: dialTimeout}, maxConns: maxConnsOrDefault(cfg.MaxConns)}
-	c.pool = upconn.New(upconn.Config{MaxConns: c.maxConns, MaxAnswerBytes: cfg.MaxAnswerBytes, AnswerID: c.answerID})
+	c.pool = upconn.New(upconn.Config{MaxConns: c.maxConns, MaxAnswerBytes: cfg.MaxAnswerBytes, Memory: cfg.Memory, AnswerID: c.answerID})
 	return c
 }
 
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -13,6 +13,7 @@
 	"tanagerchute/core/health"
 	"tanagerchute/core/member"
 	"tanagerchute/core/nested"
+	"tanagerchute/io/memory"
 	"tanagerchute/io/runner"
 )
 
@@ -34,7 +35,8 @@
 	// OnUpstreamChange, if not nil, is called on the goroutine of Run when the
 	// state of the backend server that other nodes need has changed.
 	OnUpstreamChange func(member.Upstream)
-	MaxAnswerBytes   int64 // maximum size of an answer, 0 for the default
+	MaxAnswerBytes   int64        // maximum size of an answer, 0 for the default
+	Memory           *memory.Room // for answers, nil for no limit
 	// MaxConns returns the maximum number of connections to the backend server.
 	// The default applies if it is nil or returns 0.
 	MaxConns func() int
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -52,6 +52,8 @@
 	event.RequestUnknown:    true,
 	event.AnswerDiscarded:   true,
 	event.HandlerFailed:     true,
+	event.MemoryWaited:      true,
+	event.MemoryRefused:     true,
 	event.HeartbeatStale:    true,
 	event.DataCentreChanged: true,
 	event.PeerChanged:       true,
--- a/io/node/callers.go
+++ b/io/node/callers.go
@@ -25,8 +25,9 @@
 // first closes the listener, and calls Shutdown only when no connection has a
 // request in progress.
 type connTracker struct {
-	mu     sync.Mutex
-	byConn map[net.Conn]connState
+	onCount func(open int)
+	mu      sync.Mutex
+	byConn  map[net.Conn]connState
 }
 
 // connState is the state of a connection.
@@ -35,7 +36,11 @@
 	changes int // number of state changes so far
 }
 
-func newConnTracker() *connTracker { return &connTracker{byConn: map[net.Conn]connState{}} }
+// newConnTracker returns a tracker that calls onCount, which must not block, with the number
+// of open connections when that has changed.
+func newConnTracker(onCount func(open int)) *connTracker {
+	return &connTracker{onCount: onCount, byConn: map[net.Conn]connState{}}
+}
 
 // activityConn is a connection that is told whether a request is in progress.
 type activityConn interface {
@@ -57,8 +62,12 @@
 	defer c.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
 		delete(c.byConn, conn)
+		c.onCount(len(c.byConn))
 		return
 	}
+	if _, known := c.byConn[conn]; !known {
+		defer func() { c.onCount(len(c.byConn)) }()
+	}
 	c.byConn[conn] = connState{state, c.byConn[conn].changes + 1}
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -30,6 +30,7 @@
 	"tanagerchute/io/ledger"
 	"tanagerchute/io/link"
 	"tanagerchute/io/logs"
+	"tanagerchute/io/memory"
 	"tanagerchute/io/metric"
 	"tanagerchute/io/native"
 	"tanagerchute/io/peer"
@@ -87,6 +88,7 @@
 	rollouts         *stage.Manager
 	eras             *storeEras
 	byteMeters       byteMeters
+	memory           *memory.Room
 	vars             *expvar.Map
 	attached         []attachedHandler
 	settings         atomic.Pointer[settingsState]
@@ -206,6 +208,7 @@
 		ID: n.id, Addr: s.Listen.PeerAddr(), DataCentre: s.DataCentre, Region: s.Region, Service: s.Service,
 		Incarnation: 1, StartMs: now.UnixMilli(), LinkRate: s.Link.BytesPerSecond(),
 	}
+	n.memory = n.newMemory()
 	n.client = peer.NewClient(peer.Config{
 		Deployment: n.deploymentID(),
 		Dial:       n.byteMeters.control.Dial(n.cfg.WrapDial(link.Direct), n.isRemoteAddr),
@@ -220,7 +223,7 @@
 	n.buildSeedsAndFeed()
 	n.rollouts = stage.New(n.rolloutConfig())
 	n.gate = gate.New(gate.Config{
-		Node: n.id, Journal: n.journal, MaxAnswerBytes: s.Limits.AnswerBytes, MaxConns: n.maxConns,
+		Node: n.id, Journal: n.journal, MaxAnswerBytes: s.Limits.AnswerBytes, Memory: n.memory, MaxConns: n.maxConns,
 		SpendRetry: func() bool { return n.proxy.SpendRetry(s.Service) },
 		Service:    s.Service, Dialect: n.cfg.Dialect, NoProbe: s.TrustHeartbeats, NestedCallsUntraced: s.LocalCallers,
 		Crashes:          n.fleet.Crashes(),
@@ -237,7 +240,7 @@
 		Fleet: n.fleet, Feed: n.feed, Gate: n.gate, Client: n.client, Journal: n.journal,
 		WrapDial: func(d link.Dial) link.Dial { return n.byteMeters.calls.Dial(n.cfg.WrapDial(d), n.isRemoteAddr) },
 		Tracer:   n.tracer.Tracer(), Claims: n.proxyClaims(), Rand: n.newRand("proxy"),
-		MaxBodyBytes: s.Limits.RequestBytes, MaxAnswerBytes: s.Limits.AnswerBytes,
+		MaxBodyBytes: s.Limits.RequestBytes, MaxAnswerBytes: s.Limits.AnswerBytes, Memory: n.memory,
 		NestedCallsUntraced: s.LocalCallers, KeysUnused: s.KeysUnused, Retry: retryLimits(s),
 		Quotas: n.quotas, LinkRate: s.Link.BytesPerSecond(), LocalCallers: s.LocalCallers,
 		Hedge: s.Hedge != nil && *s.Hedge, Policy: n.cfg.Policy, Rollouts: n.proxyRollouts(), OnCall: n.recordCall, OnAttempt: n.recordAttempt,
--- a/io/node/vars.go
+++ b/io/node/vars.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"syscall"
 
+	"tanagerchute/core/room"
 	"tanagerchute/io/memory"
 	"tanagerchute/io/metric"
 	"tanagerchute/io/quotas"
@@ -44,6 +45,11 @@
 		{"rollout_target_calls", "Calls that this node has given to a version with a share of the calls.", n.rollouts.TargetCalls},
 		{"memory_bytes", "Memory that the process holds.", func() int64 { return memory.Read().Process }},
 		{"memory_limit_bytes", "Memory that the process may use.", n.cfg.Settings.Limits.MemoryBytes},
+		{"memory_bodies_bytes", "Memory of bodies.", func() int64 { return n.memory.State().Used[room.Body] }},
+		{"memory_answers_bytes", "Memory of large answers.", func() int64 { return n.memory.State().Used[room.Answer] }},
+		{"memory_small_bytes", "Memory of small bodies and answers.", func() int64 { return n.memory.State().Used[room.Small] }},
+		{"memory_waited", "Bodies and answers that waited for memory.", func() int64 { return n.memory.Counts().Waited }},
+		{"memory_refused", "Bodies and answers that had no memory in time.", func() int64 { return n.memory.Counts().Refused }},
 		{"goroutines", "Goroutines.", func() int64 { return int64(runtime.NumGoroutine()) }},
 		{"log_lines_skipped", "Lines of requests that were left out.", func() int64 { return int64(n.requests.Skipped()) }},
 		{"log_lines_dropped", "Lines that were not written, since nobody read the output fast enough.", func() int64 { return int64(n.cfg.LogSink.Dropped()) }},
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagerchute/core/event"
+	"tanagerchute/core/room"
 	"tanagerchute/io/memory"
 )
 
@@ -17,6 +18,24 @@
 	}}
 }
 
+// connBytes is what an open connection of a caller takes, with its goroutine and buffers.
+const connBytes = 28 << 10
+
+// newMemory returns the memory for bodies and answers.
+func (n *Node) newMemory() *memory.Room {
+	record := func(k event.Kind) func(memory.Request, time.Duration, room.State) {
+		return func(r memory.Request, waited time.Duration, s room.State) {
+			n.journal.Add(event.Event{At: time.Now(), Kind: k, Subject: r.Call, Cause: fmt.Sprintf(
+				"%v of %d bytes, waited %v; bodies hold %d bytes, answers %d, small messages %d, %d wait",
+				r.Class, r.Bytes, waited.Round(time.Millisecond), s.Used[room.Body], s.Used[room.Answer], s.Used[room.Small], s.Waiting)})
+		}
+	}
+	return memory.NewRoom(memory.Config{
+		Bytes:  memory.RoomBytes(n.cfg.Settings.Limits.MemoryBytes()),
+		OnWait: record(event.MemoryWaited), OnRefuse: record(event.MemoryRefused),
+	})
+}
+
 // recordFailures records the panics of h. The server then ends the connection.
 func (n *Node) recordFailures(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/io/proxy/ack_test.go
+++ b/io/proxy/ack_test.go
@@ -59,7 +59,7 @@
 		p.cfg.Feed = feed.New(feed.Config{})
 		c, _, err := p.readPeerHead(r)
 		if err == nil {
-			c.Body, err = p.readPeerBody(r)
+			c.Body, err = p.readPeerBody(r, call.Call{})
 		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
--- a/io/proxy/callerbody.go
+++ b/io/proxy/callerbody.go
@@ -14,6 +14,12 @@
 func (p *Proxy) readBulkBody(r *http.Request, c call.Call) ([]byte, *rejection) {
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
+	m := bodyMemory(c)
+	m.Bytes = r.ContentLength
+	body, err := p.cfg.Memory.Buffer(ctx, m)
+	if err != nil {
+		return nil, p.rejectBody(r, c, err)
+	}
 	d := p.links.callerIn.Acquire(ctx, band.Transfer{
 		Call: c.ID, Bytes: r.ContentLength, Priority: int(c.Priority), Target: c.Target, Deadline: c.Deadline, Detached: true,
 	})
@@ -22,12 +28,11 @@
 		if p.hasKey(c, r.Header) {
 			refusal = withUnknownFate(refusal)
 		}
-		return nil, &rejection{refusal: &refusal, linkFull: true}
+		return nil, &rejection{refusal: &refusal, unread: true}
 	}
 	defer p.links.callerIn.Done(d.ID)
-	body, err := xfer.Read(ctx, r.Body, r.ContentLength, xfer.NewPace(p.links.callerIn.Rate()))
-	if err != nil {
-		return nil, newRejection(http.StatusBadRequest, "body was cut short")
+	if err := xfer.Read(ctx, r.Body, body, xfer.NewPace(p.links.callerIn.Rate())); err != nil {
+		return nil, p.rejectBody(r, c, err)
 	}
 	return body, nil
 }
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -318,7 +318,7 @@
 		return pick.AmbiguousError
 	case r.Fate == call.Answered && (r.Status < 500 || r.NestedFailure):
 		return pick.Success
-	case r.Cause == call.CauseCanceled, r.Cause == call.CauseSilent, r.Cause == call.CauseLinkFull:
+	case r.Cause == call.CauseCanceled, r.Cause == call.CauseSilent, r.Cause == call.CauseLinkFull, r.Cause == call.CauseMemoryFull:
 		return pick.Unjudged // given up by the caller, recorded by recordSilent, or fit for small calls
 	case r.Fate == call.Answered || r.Cause == call.CauseUpstreamFailing:
 		return pick.UpstreamError
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -16,6 +16,7 @@
 	"tanagerchute/core/call"
 	"tanagerchute/core/dedup"
 	"tanagerchute/core/event"
+	"tanagerchute/core/room"
 	"tanagerchute/core/routes"
 	"tanagerchute/core/vers"
 )
@@ -55,9 +56,9 @@
 	// holds. status and msg do not apply then.
 	refusal *call.Reply
 	cause   string
-	// linkFull is set with refusal if no link has room for the body, which was not read
-	// then.
-	linkFull bool
+	// unread is set with refusal if there is no room for the body, which was not read
+	// whole then.
+	unread bool
 }
 
 func newRejection(status int, msg string) *rejection { return &rejection{status: status, msg: msg} }
@@ -103,7 +104,7 @@
 		if rej != nil {
 			span.SetStatus(codes.Error, rej.msg)
 			endNested(true)
-			if rej.linkFull {
+			if rej.unread {
 				p.refuseUnread(w, r, c, *rej.refusal, in.arrivedAt)
 				return
 			}
@@ -243,8 +244,26 @@
 	if c.Method != http.MethodHead && bodyAllowed(r.Status) {
 		h.Set("Content-Length", strconv.Itoa(len(r.Body)))
 	}
+	if len(r.Body) > room.SmallBytes {
+		rc := http.NewResponseController(w)
+		_ = rc.SetWriteDeadline(writeDeadline(c)) // not supported by a response that is kept, see package ahead
+		defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
+	}
 	w.WriteHeader(r.Status)
-	_ = p.links.writeToCaller(ctx, w, c, r.Body) // fails only if the caller has disconnected
+	_ = p.links.writeToCaller(ctx, w, c, r.Body) // fails only if the caller has left or doesn't read
+}
+
+// slowReaderGrace is how long after the deadline of its request a caller may take to read a
+// large answer. The answer takes memory until then.
+const slowReaderGrace = 5 * time.Second
+
+// writeDeadline returns when the caller of c must have read a large answer.
+func writeDeadline(c call.Call) time.Time {
+	at := time.Now()
+	if c.Deadline.After(at) {
+		at = c.Deadline
+	}
+	return at.Add(slowReaderGrace)
 }
 
 // bodyAllowed reports whether a response with the given status may have a body.
--- a/io/proxy/linkrefuse.go
+++ b/io/proxy/linkrefuse.go
@@ -24,10 +24,15 @@
 // refuseLinkFull returns the refusal of a call for which no link has room. The time until
 // there is room is spread over the callers.
 func (p *Proxy) refuseLinkFull(untilRoom time.Duration) call.Reply {
+	return call.Refuse(call.NotRun, call.CauseLinkFull, p.spread(max(untilRoom, minLinkRetryAfter)))
+}
+
+// spread returns a random time of at least d, so that callers that were refused at the same
+// time don't return at the same time.
+func (p *Proxy) spread(d time.Duration) time.Duration {
 	p.mu.Lock()
-	spread := 1 + retrySpread*p.cfg.Rand.Float64()
-	p.mu.Unlock()
-	return call.Refuse(call.NotRun, call.CauseLinkFull, time.Duration(spread*float64(max(untilRoom, minLinkRetryAfter))))
+	defer p.mu.Unlock()
+	return time.Duration((1 + retrySpread*p.cfg.Rand.Float64()) * float64(d))
 }
 
 // refuseForLinks returns a refusal if a call whose body was not read yet can't pass the links
--- a/io/proxy/peerbody.go
+++ b/io/proxy/peerbody.go
@@ -9,6 +9,7 @@
 
 	"tanagerchute/core/band"
 	"tanagerchute/core/call"
+	"tanagerchute/io/memory"
 	"tanagerchute/io/xfer"
 )
 
@@ -42,24 +43,30 @@
 // readAnswer reads the body of an answer of another node, a large one when the link admits
 // it.
 func (p *Proxy) readAnswer(ctx context.Context, c call.Call, res *http.Response) ([]byte, error) {
-	in := p.links.in
+	in, m := p.links.in, answerMemory(c)
 	if !in.Bulk(res.ContentLength) {
-		body, err := io.ReadAll(io.LimitReader(res.Body, p.cfg.MaxAnswerBytes+1))
-		if err == nil && int64(len(body)) > p.cfg.MaxAnswerBytes {
-			err = errAnswerTooLarge
+		length := res.ContentLength
+		if res.Body == http.NoBody {
+			length = 0
 		}
+		body, err := p.cfg.Memory.Read(ctx, res.Body, length, p.cfg.MaxAnswerBytes, m)
 		in.Pass(int64(len(body)) + messageOverhead)
 		return body, err
 	}
 	if res.ContentLength > p.cfg.MaxAnswerBytes {
-		return nil, errAnswerTooLarge
+		return nil, memory.ErrTooLong
+	}
+	m.Bytes = res.ContentLength
+	body, err := p.cfg.Memory.Buffer(ctx, m)
+	if err != nil {
+		return nil, err
 	}
 	d := in.Acquire(ctx, band.Transfer{Call: c.ID, Bytes: res.ContentLength, Priority: int(c.Priority), Target: c.Target})
 	if !d.Admitted {
 		return nil, ctx.Err()
 	}
 	defer in.Done(d.ID)
-	return xfer.Read(ctx, res.Body, res.ContentLength, xfer.NewPace(in.Rate()))
+	return body, xfer.Read(ctx, res.Body, body, xfer.NewPace(in.Rate()))
 }
 
 // headerGrant is the header of the informational response by which a node admits the body
@@ -82,6 +89,15 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	load := p.cfg.Gate.Load()
+	m := peerBodyMemory(*c)
+	m.Bytes = n
+	body, err := p.cfg.Memory.Buffer(ctx, m)
+	if refusal := p.refuseForMemory(err); refusal != nil {
+		return refusal, nil
+	}
+	if err != nil {
+		return nil, err
+	}
 	t := band.Transfer{Call: c.ID, Bytes: n, Priority: int(c.Priority), Target: c.Target, Deadline: c.Deadline.Add(-load.ServiceTime)}
 	if !t.Target.IsZero() {
 		t.Target = t.Target.Add(-load.ServiceTime)
@@ -96,8 +112,8 @@
 	w.Header().Set(headerGrant, strconv.FormatFloat(p.links.in.Rate(), 'f', 0, 64))
 	w.WriteHeader(http.StatusProcessing)
 	w.Header().Del(headerGrant)
-	c.Body = make([]byte, n)
-	_, err := io.ReadFull(r.Body, c.Body)
+	c.Body = body
+	_, err = io.ReadFull(r.Body, c.Body)
 	return nil, err
 }
 
--- a/io/proxy/peers.go
+++ b/io/proxy/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -81,7 +80,11 @@
 		refusal, err := p.admitPeerBody(w, r, &c, announced)
 		return c, refusal, err
 	}
-	if c.Body, err = p.readPeerBody(r); err != nil {
+	c.Body, err = p.readPeerBody(r, c)
+	if refusal := p.refuseForMemory(err); refusal != nil {
+		return c, refusal, nil
+	}
+	if err != nil {
 		return call.Call{}, nil, err
 	}
 	acknowledge(w)
@@ -112,15 +115,11 @@
 }
 
 // readPeerBody reads a body that was sent without waiting for admission.
-func (p *Proxy) readPeerBody(r *http.Request) ([]byte, error) {
-	limit := p.Limits().MaxBodyBytes
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+func (p *Proxy) readPeerBody(r *http.Request, c call.Call) ([]byte, error) {
+	body, err := p.cfg.Memory.Read(r.Context(), r.Body, r.ContentLength, p.Limits().MaxBodyBytes, peerBodyMemory(c))
 	if err != nil {
 		return nil, err
 	}
-	if int64(len(body)) > limit {
-		return nil, errBodyTooLarge
-	}
 	p.links.in.Pass(int64(len(body)) + messageOverhead)
 	return body, nil
 }
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"tanagerchute/io/fleet"
 	"tanagerchute/io/gate"
 	"tanagerchute/io/link"
+	"tanagerchute/io/memory"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/quotas"
 	"tanagerchute/io/timer"
@@ -42,11 +43,12 @@
 	Quotas              *quotas.Quotas // of client accounts, nil if there are none
 	KeysUnused          bool           // ignore idempotency keys
 	Rand                *rand.Rand
-	MaxBodyBytes        int64   // of a request
-	MaxAnswerBytes      int64   // of an answer
-	LinkRate            float64 // of the instance's link in each direction, bytes a second, 0 for no bound
-	LocalCallers        bool    // callers are on the node's own instance, so that their requests take no link
-	Hedge               bool    // send slow idempotent calls to a second upstream
+	MaxBodyBytes        int64        // of a request
+	MaxAnswerBytes      int64        // of an answer
+	LinkRate            float64      // of the instance's link in each direction, bytes a second, 0 for no bound
+	Memory              *memory.Room // for bodies and answers, nil for no limit
+	LocalCallers        bool         // callers are on the node's own instance, so that their requests take no link
+	Hedge               bool         // send slow idempotent calls to a second upstream
 	Retry               RetryLimits
 	NestedCallsUntraced bool // see gate.Config
 	Policy              Policy
--- a/io/proxy/read.go
+++ b/io/proxy/read.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"regexp"
@@ -71,7 +70,7 @@
 	}
 	if !p.hasKey(c, r.Header) { // else the home of the key knows whether it has run
 		if refusal := p.refuseForLinks(c, r.ContentLength); refusal != nil {
-			return c, &rejection{refusal: refusal, linkFull: true}
+			return c, &rejection{refusal: refusal, unread: true}
 		}
 	}
 	if c.Body, rej = p.readBody(r, c, in.limits.MaxBodyBytes); rej != nil {
@@ -133,12 +132,9 @@
 	if p.links.callerIn.Bulk(r.ContentLength) {
 		return p.readBulkBody(r, c)
 	}
-	body, err := io.ReadAll(io.LimitReader(p.links.countReads(r), limit+1))
+	body, err := p.cfg.Memory.Read(r.Context(), p.links.countReads(r), r.ContentLength, limit, bodyMemory(c))
 	if err != nil {
-		return nil, newRejection(http.StatusBadRequest, "body was cut short")
-	}
-	if int64(len(body)) > limit {
-		return nil, newRejection(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
+		return nil, p.rejectBody(r, c, err)
 	}
 	return body, nil
 }
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -31,8 +31,6 @@
 // its node in the time in which the node should have acknowledged it.
 var errUnreachable = errors.New("no connection to the node in time")
 
-var errAnswerTooLarge = errors.New("the answer exceeds the size limit")
-
 // propagator injects and extracts the traceparent header.
 var propagator = propagation.TraceContext{}
 
--- a/io/upconn/exchange.go
+++ b/io/upconn/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"math"
 	"net"
@@ -9,6 +10,9 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"tanagerchute/core/room"
+	"tanagerchute/io/memory"
 )
 
 const (
@@ -25,6 +29,9 @@
 	// maxDropped bounds the answers that are dropped for one request: interim ones, and
 	// those to other requests.
 	maxDropped = 8
+	// defaultMemoryWait bounds the wait of an answer for memory if its request has no
+	// deadline.
+	defaultMemoryWait = time.Second
 	// writeGrace bounds the wait for the rest of a request to be written after its
 	// answer has been read. The server may still be reading the request.
 	writeGrace = 50 * time.Millisecond
@@ -57,7 +64,7 @@
 
 // exchange writes a request and reads its answer. reusable reports whether the
 // connection can carry another request.
-func (p *Pool) exchange(c *conn, r Request) (a Answer, reusable bool, err error) {
+func (p *Pool) exchange(ctx context.Context, c *conn, r Request) (a Answer, reusable bool, err error) {
 	var head bytes.Buffer
 	if err := r.writeHead(&head); err != nil {
 		return Answer{}, false, &Error{Err: err}
@@ -76,7 +83,7 @@
 			written <- err
 		}()
 	}
-	a, clean, err := p.readAnswer(c, r)
+	a, clean, err := p.readAnswer(ctx, c, r)
 	if err != nil {
 		return Answer{}, false, &Error{Sent: true, Err: err}
 	}
@@ -100,7 +107,7 @@
 // readAnswer reads answers until one belongs to the request, and drops the others.
 // There must be fewer than maxDropped of these, no larger than one answer. clean reports whether the
 // connection can be reused.
-func (p *Pool) readAnswer(c *conn, r Request) (a Answer, clean bool, err error) {
+func (p *Pool) readAnswer(ctx context.Context, c *conn, r Request) (a Answer, clean bool, err error) {
 	clean = true
 	c.limit.left = maxHeadBytes
 	for range maxDropped {
@@ -129,7 +136,7 @@
 			continue
 		}
 		c.limit.left = math.MaxInt64 // readBody has its own limit
-		body, err := readBody(res, p.cfg.MaxAnswerBytes)
+		body, err := p.readBody(ctx, r.ID, res)
 		if err != nil {
 			return Answer{}, false, err
 		}
@@ -146,22 +153,23 @@
 	return Answer{}, false, errors.New("too many interim answers or answers to other requests")
 }
 
-// readBody reads a body up to its declared end, or returns ErrAnswerTooLarge if it
-// is longer than limit.
-func readBody(res *http.Response, limit int64) ([]byte, error) {
-	if res.ContentLength > limit {
-		return nil, ErrAnswerTooLarge
-	}
-	var b bytes.Buffer
-	if res.ContentLength > 0 {
-		b.Grow(int(res.ContentLength) + bytes.MinRead)
+// readBody reads the body of the answer to a request up to its declared end, or returns
+// ErrAnswerTooLarge if it is too long. It waits for memory until ctx ends.
+func (p *Pool) readBody(ctx context.Context, id string, res *http.Response) ([]byte, error) {
+	length := res.ContentLength
+	if res.Body == http.NoBody { // the answer to a HEAD request may declare a length
+		length = 0
 	}
-	n, err := b.ReadFrom(io.LimitReader(res.Body, limit+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read body")
+	until, ok := ctx.Deadline()
+	if !ok {
+		until = time.Now().Add(defaultMemoryWait)
 	}
-	if n > limit {
+	b, err := p.cfg.Memory.Read(ctx, res.Body, length, p.cfg.MaxAnswerBytes, memory.Request{Call: id, Class: room.Answer, Until: until})
+	switch {
+	case errors.Is(err, memory.ErrTooLong):
 		return nil, ErrAnswerTooLarge
+	case err != nil:
+		return nil, errors.Wrap(err, "read body")
 	}
-	return b.Bytes(), nil
+	return b, nil
 }
--- a/io/upconn/pool.go
+++ b/io/upconn/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tanagerchute/io/link"
+	"tanagerchute/io/memory"
 )
 
 // Config configures a Pool.
@@ -15,6 +16,8 @@
 	// is called for each new connection.
 	MaxConns       func() int
 	MaxAnswerBytes int64 // maximum size of an answer's body
+	// Memory holds the answers' bodies, nil for no limit.
+	Memory *memory.Room
 	// AnswerID returns the id of the request that res answers, empty if it names none.
 	// An answer to another request is read and dropped. nil accepts all answers.
 	AnswerID func(res *http.Response) string
@@ -91,7 +94,7 @@
 // the pool, or closes it.
 func (p *Pool) roundTrip(ctx context.Context, c *conn, r Request) (Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // unblocks reads and writes
-	a, reusable, err := p.exchange(c, r)
+	a, reusable, err := p.exchange(ctx, c, r)
 	if !stop() || err != nil || !reusable {
 		p.closeConn(c)
 	} else {
--- a/io/xfer/lane_test.go
+++ b/io/xfer/lane_test.go
@@ -51,8 +51,8 @@
 	is := is.New(t)
 	body := bytes.Repeat([]byte("0123456789"), 10_000)
 	start := time.Now()
-	got, err := xfer.Read(context.Background(), bytes.NewReader(body), int64(len(body)), xfer.NewPace(rate, 0))
-	is.NoErr(err)
+	got := make([]byte, len(body))
+	is.NoErr(xfer.Read(context.Background(), bytes.NewReader(body), got, xfer.NewPace(rate, 0)))
 	is.True(bytes.Equal(got, body))
 	is.True(time.Since(start) > 60*time.Millisecond) // 80 ms without the first pieces
 	var none *xfer.Lane
--- a/io/xfer/pace.go
+++ b/io/xfer/pace.go
@@ -50,20 +50,19 @@
 	return n, nil
 }
 
-// Read reads n bytes of r at a pace. It returns io.ErrUnexpectedEOF if there are fewer.
-func Read(ctx context.Context, r io.Reader, n int64, p *Pace) ([]byte, error) {
-	out := make([]byte, n)
-	for done := int64(0); done < n; {
-		piece, err := p.Next(ctx, n-done)
+// Read fills b from r at a pace. It returns io.ErrUnexpectedEOF if there are fewer bytes.
+func Read(ctx context.Context, r io.Reader, b []byte, p *Pace) error {
+	for len(b) > 0 {
+		piece, err := p.Next(ctx, int64(len(b)))
 		if err != nil {
-			return nil, err
+			return err
 		}
-		if _, err := io.ReadFull(r, out[done:done+piece]); err != nil {
-			return nil, err
+		if _, err := io.ReadFull(r, b[:piece]); err != nil {
+			return err
 		}
-		done += piece
+		b = b[piece:]
 	}
-	return out, nil
+	return nil
 }
 
 // Write writes b to w at a pace, and calls flush after each piece.
