author: one rule for what counts as an answer of a backend server

Cause: an answer without an id on a new connection was taken for the one that was asked for, and nothing asked for the seal, or what a status promises. core/author now decides on the head of each answer, of all statuses, on new connections and used ones, and again on what another node passes on. What is not shown to be the upstream's answer leaves the request unknown: 502, and work that may run once is not sent again. The own interface keeps its optional id, and no longer passes on Tanager-Outcome and Tanager-Cause of a backend server.

--- a/dialect.go
+++ b/dialect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tanagerchute/core/acct"
+	"tanagerchute/core/author"
 	"tanagerchute/core/call"
 )
 
@@ -43,8 +44,17 @@
 	// Misdirected reports that the answer is from another backend server than
 	// ForwardInfo.Instance, which has not run the request.
 	Misdirected bool
-	RetryAfter  time.Duration // 0 if absent
-	Server      ServerStatement
+	// Marked reports that the answer bears the mark by which answers of backend servers are
+	// known, and its body as the server made it. Without such a mark it is always set.
+	Marked     bool
+	RetryAfter time.Duration // 0 if absent
+	Server     ServerStatement
+}
+
+// Author returns what decides whether an answer with the given status is of the backend
+// server.
+func (i ResponseInfo) Author(status int) author.Answer {
+	return author.Answer{Status: status, Named: i.ID, Marked: i.Marked, NotRun: i.NotRun, Misdirected: i.Misdirected}
 }
 
 // ServerStatement is what a backend server says about itself in an answer.
@@ -84,6 +94,8 @@
 	SetForwardHeaders(h http.Header, info ForwardInfo)
 	// ParseResponse reads the status and headers of a backend server's answer.
 	ParseResponse(res *http.Response) ResponseInfo
+	// AnswerRules returns what the answers of backend servers bear.
+	AnswerRules() author.Rules
 	// ParseHealthCheck reads the answer to a health check and returns the id
 	// of the backend server. ok is false if the server does not accept
 	// requests, or if the answer holds no id.
--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"tanagerchute"
+	"tanagerchute/core/author"
 	"tanagerchute/core/call"
 	"tanagerchute/io/upconn"
 )
@@ -48,7 +49,7 @@
 		cfg.MaxAnswerBytes = defaultMaxAnswerBytes
 	}
 	c := &client{dialect: cfg.Dialect, dialer: net.Dialer{Timeout: dialTimeout}, maxConns: maxConnsOrDefault(cfg.MaxConns)}
-	c.pool = upconn.New(upconn.Config{MaxConns: c.maxConns, MaxAnswerBytes: cfg.MaxAnswerBytes, Memory: cfg.Memory, AnswerID: c.answerID})
+	c.pool = upconn.New(upconn.Config{MaxConns: c.maxConns, MaxAnswerBytes: cfg.MaxAnswerBytes, Memory: cfg.Memory, Parse: c.parseHead, Rules: cfg.Dialect.AnswerRules()})
 	return c
 }
 
@@ -63,8 +64,10 @@
 	}
 }
 
-// answerID returns the id of the request that res answers, empty if it names none.
-func (cl *client) answerID(res *http.Response) string { return cl.dialect.ParseResponse(res).ID }
+// parseHead returns what the head of an answer says about its author.
+func (cl *client) parseHead(res *http.Response) author.Answer {
+	return cl.dialect.ParseResponse(res).Author(res.StatusCode)
+}
 
 // closeIdle closes the idle connections to the server.
 func (cl *client) closeIdle() { cl.pool.CloseIdle() }
@@ -112,10 +115,10 @@
 		return r, nil
 	}
 	info := cl.dialect.ParseResponse(a.Response)
-	switch {
-	case info.Misdirected:
+	switch a.Verdict {
+	case author.Misdirected:
 		return call.Refuse(call.NotRun, call.CauseMoved, 0), nil
-	case info.NotRun:
+	case author.NotRun:
 		r := call.Refuse(call.NotRun, call.CauseUpstreamShed, info.RetryAfter)
 		r.Shed = true
 		return r, &info.Server
--- a/io/native/native.go
+++ b/io/native/native.go
@@ -9,6 +9,7 @@
 
 	"tanagerchute"
 	"tanagerchute/core/acct"
+	"tanagerchute/core/author"
 	"tanagerchute/core/call"
 	"tanagerchute/core/quota"
 )
@@ -81,8 +82,15 @@
 func (Dialect) PrepareResponse(h http.Header) {
 	h.Del(HeaderRequest)
 	h.Del(HeaderRateLimit)
+	// Callers take these for what a node says.
+	h.Del(HeaderOutcome)
+	h.Del(HeaderCause)
 }
 
+// AnswerRules implements tanagerchute.Dialect. Backend servers need not name the request,
+// and the status promises nothing without HeaderOutcome.
+func (Dialect) AnswerRules() author.Rules { return author.Rules{} }
+
 // WriteRefusal implements tanagerchute.Dialect.
 func (Dialect) WriteRefusal(w http.ResponseWriter, r call.Reply) {
 	h := w.Header()
@@ -151,7 +159,7 @@
 // ParseResponse implements tanagerchute.Dialect. A backend server reports that it
 // has not run a call with status 503 or 429 and the outcome not_run.
 func (Dialect) ParseResponse(res *http.Response) tanagerchute.ResponseInfo {
-	info := tanagerchute.ResponseInfo{ID: res.Header.Get(HeaderRequest)}
+	info := tanagerchute.ResponseInfo{ID: res.Header.Get(HeaderRequest), Marked: true}
 	s := &info.Server
 	s.RateLimit, s.Limited, s.Malformed = quota.ParseRate(res.Header.Values(HeaderRateLimit))
 	refused := res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests
--- a/io/proxy/meta.go
+++ b/io/proxy/meta.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
+	"tanagerchute/core/author"
 	"tanagerchute/core/call"
 	"tanagerchute/core/crash"
 	"tanagerchute/core/pick"
@@ -121,6 +122,20 @@
 	}
 }
 
+// judgeReply returns an error if the answer that another node passes on is not shown to be
+// one of its backend server to c, see package author.
+func (p *Proxy) judgeReply(c call.Call, r call.Reply) error {
+	if r.Fate != call.Answered {
+		return nil
+	}
+	a := p.cfg.Dialect.ParseResponse(&http.Response{StatusCode: r.Status, Header: r.Header}).Author(r.Status)
+	a.Asked, a.FirstOnly = c.ID, true
+	if v, reason := author.Judge(p.cfg.Dialect.AnswerRules(), a); v != author.Answered {
+		return errors.Errorf("the answer with status %d is not one of the backend server to the call: %s", r.Status, reason)
+	}
+	return nil
+}
+
 // decodeReply returns the reply in res and body, or an error if it is not a
 // complete answer to c.
 func decodeReply(c call.Call, res *http.Response, body []byte) (call.Reply, error) {
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -112,6 +112,9 @@
 		return failedReply(ctx, a)
 	}
 	r, err := decodeReply(c, res, answer)
+	if err == nil {
+		err = p.judgeReply(c, r)
+	}
 	if err != nil {
 		p.recordEvent(event.FrameDropped, c, addr+": "+err.Error())
 		return failedReply(ctx, a)
--- a/io/upconn/doc.go
+++ b/io/upconn/doc.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	p := upconn.New(upconn.Config{MaxConns: maxConns, MaxAnswerBytes: 8 << 20, AnswerID: idOf})
+//	p := upconn.New(upconn.Config{MaxConns: maxConns, MaxAnswerBytes: 8 << 20, Parse: parse, Rules: rules})
 //	a, err := p.Do(ctx, "10.0.0.7:8080", upconn.Request{Method: "GET", Path: "/x", ID: id})
 //	var e *upconn.Error
 //	if errors.As(err, &e) && !e.Sent { … the request has not run … }
--- a/io/upconn/exchange.go
+++ b/io/upconn/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"tanagerchute/core/author"
 	"tanagerchute/core/room"
 	"tanagerchute/io/memory"
 )
@@ -40,7 +41,8 @@
 // Answer is an answer whose body has been read.
 type Answer struct {
 	*http.Response
-	BodyBytes []byte // the body
+	Verdict   author.Verdict // neither Other nor Foreign
+	BodyBytes []byte         // the body
 }
 
 // Error is the error of a request that got no answer.
@@ -60,6 +62,7 @@
 var (
 	ErrAnswerTooLarge = errors.New("answer is too large")
 	ErrConnLimit      = errors.New("all connections to the backend server are in use")
+	ErrForeign        = errors.New("not shown to be an answer of the server")
 )
 
 // exchange writes a request and reads its answer. reusable reports whether the
@@ -118,20 +121,17 @@
 		if res.StatusCode >= 100 && res.StatusCode < 200 {
 			continue
 		}
-		id := r.ID
-		if p.cfg.AnswerID != nil {
-			id = p.cfg.AnswerID(res)
-		}
-		if id != "" && id != r.ID {
+		verdict, named, reason := p.judge(c, r, res)
+		switch verdict {
+		case author.Foreign:
+			return Answer{}, false, errors.Wrapf(ErrForeign, "status %d: %s", res.StatusCode, reason)
+		case author.Other:
 			if clean {
 				c.limit.left += p.cfg.MaxAnswerBytes // one answer, which may be large
 			}
 			clean = false
-			if res.Close {
-				return Answer{}, false, errors.New("the answer is to another request")
-			}
-			if _, err := io.Copy(io.Discard, res.Body); err != nil {
-				return Answer{}, false, errors.Wrap(err, "read answer to another request")
+			if err := dropAnswer(res); err != nil {
+				return Answer{}, false, err
 			}
 			continue
 		}
@@ -140,19 +140,36 @@
 		if err != nil {
 			return Answer{}, false, err
 		}
-		if p.cfg.AnswerID != nil && id == "" {
-			// On a new connection it can only be to the one request that was sent.
-			if !c.idleSince.IsZero() {
-				return Answer{}, false, errors.New("the answer does not say to which request it is")
-			}
-			clean = false
-		}
 		c.applyKeepAlive(res.Header.Get("Keep-Alive"))
-		return Answer{res, body}, clean && !res.Close && c.br.Buffered() == 0, nil
+		clean = clean && named && !res.Close && c.br.Buffered() == 0
+		return Answer{Response: res, Verdict: verdict, BodyBytes: body}, clean, nil
 	}
 	return Answer{}, false, errors.New("too many interim answers or answers to other requests")
 }
 
+// judge decides on the head of an answer. named reports that it says which request it is to,
+// so that further answers on the connection can be told apart.
+func (p *Pool) judge(c *conn, r Request, res *http.Response) (v author.Verdict, named bool, reason string) {
+	if p.cfg.Parse == nil {
+		return author.Answered, true, ""
+	}
+	a := p.cfg.Parse(res)
+	a.Asked, a.FirstOnly = r.ID, c.idleSince.IsZero()
+	v, reason = author.Judge(p.cfg.Rules, a)
+	return v, a.Named != "", reason
+}
+
+// dropAnswer reads the body of an answer to another request.
+func dropAnswer(res *http.Response) error {
+	if res.Close {
+		return errors.New("the answer is to another request")
+	}
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return errors.Wrap(err, "read answer to another request")
+	}
+	return nil
+}
+
 // readBody reads the body of the answer to a request up to its declared end, or returns
 // ErrAnswerTooLarge if it is too long. It waits for memory until ctx ends.
 func (p *Pool) readBody(ctx context.Context, id string, res *http.Response) ([]byte, error) {
--- a/io/upconn/pool.go
+++ b/io/upconn/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"tanagerchute/core/author"
 	"tanagerchute/io/link"
 	"tanagerchute/io/memory"
 )
@@ -18,9 +19,11 @@
 	MaxAnswerBytes int64 // maximum size of an answer's body
 	// Memory holds the answers' bodies, nil for no limit.
 	Memory *memory.Room
-	// AnswerID returns the id of the request that res answers, empty if it names none.
-	// An answer to another request is read and dropped. nil accepts all answers.
-	AnswerID func(res *http.Response) string
+	// Parse returns what the head of an answer says. Judged by Rules, an answer to another
+	// request is read and dropped, and one that is foreign fails the request. nil accepts all
+	// answers.
+	Parse func(res *http.Response) author.Answer
+	Rules author.Rules
 	// Dial opens connections. The default gives a server unreadTimeout to read.
 	Dial link.Dial
 }
--- a/io/upconn/pool_test.go
+++ b/io/upconn/pool_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"tanagerchute/core/author"
 	"tanagerchute/io/upconn"
 )
 
@@ -203,7 +204,9 @@
 func TestLateCopyWithoutID(t *testing.T) {
 	is := is.New(t)
 	addr := lateCopyServer(t)
-	p := upconn.New(upconn.Config{MaxAnswerBytes: 1000, AnswerID: func(res *http.Response) string { return res.Header.Get("X-Id") }})
+	p := upconn.New(upconn.Config{MaxAnswerBytes: 1000, Parse: func(res *http.Response) author.Answer {
+		return author.Answer{Status: res.StatusCode, Named: res.Header.Get("X-Id"), Marked: true}
+	}})
 	for i := range 5 {
 		id := fmt.Sprint("request ", i)
 		a, err := p.Do(context.Background(), addr, upconn.Request{Method: http.MethodGet, Path: "/", Host: "a", Header: http.Header{"X-Id": {id}}, ID: id})
