jsonc: a document that is nested too deeply is an error

A configuration that another writer left in the store, nested 1 million deep (1 MiB), ended each process that parsed it, again and again: the library's parser recurses until the stack of 1 GB overflows (seen with a scratch test; 100,000 deep passed). All three parsers of documents now go through jsonc.Parse, which bounds the depth at 64 and names the position.

--- a/core/config/account.go
+++ b/core/config/account.go
@@ -9,6 +9,7 @@
 	"github.com/tailscale/hujson"
 
 	"tanagerchute/core/acct"
+	"tanagerchute/core/jsonc"
 )
 
 // digestPrefix marks a key that is given by its digest.
@@ -78,7 +79,7 @@
 // HideKeys returns a document with the keys of its client accounts as digests, which
 // mean the same. Everything else stays as it is, comments included.
 func HideKeys(data []byte) ([]byte, error) {
-	root, err := hujson.Parse(data)
+	root, err := jsonc.Parse(data)
 	if err != nil {
 		return nil, fmt.Errorf("document is not valid JSON with comments")
 	}
--- a/core/jsonc/decode.go
+++ b/core/jsonc/decode.go
@@ -45,7 +45,7 @@
 	c := &typeChecker{positions: positions{file: file, lines: newLineIndex(data)}}
 	// The syntax tree shares the bytes that it was parsed from, and Standardize
 	// changes them.
-	v, err := hujson.Parse(bytes.Clone(data))
+	v, err := Parse(bytes.Clone(data))
 	if err != nil {
 		c.addSyntaxError(err)
 		return nil, c.findings.Err()
--- a/core/merge/merge.go
+++ b/core/merge/merge.go
@@ -22,6 +22,7 @@
 	"github.com/tailscale/hujson"
 
 	"tanagerchute/core/config"
+	"tanagerchute/core/jsonc"
 )
 
 // Change is a difference between two documents at a dotted path. Old or New is
@@ -165,7 +166,7 @@
 	if err != nil {
 		return nil, err
 	}
-	root, err := hujson.Parse(data)
+	root, err := jsonc.Parse(data)
 	if err != nil {
 		return nil, err
 	}
