--- a/cmd/tanagerchute/node.go
+++ b/cmd/tanagerchute/node.go
@@ -4,6 +4,8 @@
 	"context"
 	"flag"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/google/subcommands"
 	"go.uber.org/zap"
@@ -57,6 +59,7 @@
 		return exitUsage("node needs -settings FILE")
 	}
 	settingsReloader := newReloader(file, read)
+	signal.Ignore(syscall.SIGPIPE) // the reader of the logs may end before the node
 	logOut := logs.NewAsyncWriter(os.Stdout)
 	defer logOut.Close()
 	nd, log, err := n.newNode(file, logOut)
