proxy: a body that stops arriving, a path and a traceparent as they were sent

- A request whose body stopped arriving was never answered, since bodies had no time limit.
It is read until the deadline of the call, and answered 408; a rejection waits 0.5 s at most for a body that nobody needs.
- Routes were matched by the decoded path (/look%2Fx ran by the route /look/), while the upstream gets the path as it was sent.
They are matched by that.
- A Traceparent that can't be read was answered 400.
It is passed on as it is.

--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -92,14 +92,14 @@
 		in := ingressRequest{arrivedAt: time.Now(), origin: origin, snapshot: p.cfg.Feed.Snapshot()}
 		in.limits = p.limits(in.snapshot)
 		if rej := validateHeaders(r, in.limits.MaxHeaderBytes); rej != nil {
-			p.reject(w, call.Call{}, rej)
+			p.reject(w, r, call.Call{}, rej)
 			return
 		}
 		ctx := propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 		ctx, span := p.cfg.Tracer.Start(ctx, "ingress", trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
 		in.trace = span.SpanContext().TraceID().String()
-		c, rej := p.readCall(r, in)
+		c, rej := p.readCall(w, r, in)
 		endNested := p.beginNestedCall(origin, c)
 		if rej != nil {
 			span.SetStatus(codes.Error, rej.msg)
@@ -108,7 +108,7 @@
 				p.refuseUnread(w, r, c, *rej.refusal, in.arrivedAt)
 				return
 			}
-			p.reject(w, c, rej)
+			p.reject(w, r, c, rej)
 			return
 		}
 		if span.IsRecording() {
@@ -117,7 +117,7 @@
 		reply, summary, rej := p.handleWithinQuota(ctx, c, in.arrivedAt)
 		endNested(rej != nil || !reply.Succeeded())
 		if rej != nil {
-			p.reject(w, c, rej)
+			p.reject(w, r, c, rej)
 			return
 		}
 		if reply.Fate != call.Answered {
@@ -129,8 +129,18 @@
 	})
 }
 
+// unreadBodyTimeout bounds the wait for the rest of a body that nobody needs. The server
+// reads some of it before it sends the answer, to keep the connection.
+const unreadBodyTimeout = 500 * time.Millisecond
+
 // reject records a rejection and writes it to the caller.
-func (p *Proxy) reject(w http.ResponseWriter, c call.Call, rej *rejection) {
+func (p *Proxy) reject(w http.ResponseWriter, r *http.Request, c call.Call, rej *rejection) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // fails only if there is no body
+	}
+	if rej.status == http.StatusRequestTimeout {
+		w.Header().Set("Connection", "close")
+	}
 	if rej.refusal != nil {
 		p.recordEvent(rej.kind, c, rej.cause)
 		p.cfg.Dialect.WriteRefusal(w, *rej.refusal)
--- a/io/proxy/linkrefuse.go
+++ b/io/proxy/linkrefuse.go
@@ -97,6 +97,9 @@
 	p.reportResult(c, reply, AttemptSummary{}, arrivedAt)
 	closes := p.links.callerIn != nil && r.ContentLength != 0 && r.ProtoMajor == 1
 	if !closes {
+		if r.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+		}
 		p.writeReply(r.Context(), w, c, reply)
 		return
 	}
--- a/io/proxy/memory.go
+++ b/io/proxy/memory.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -65,5 +67,8 @@
 	case errors.Is(err, memory.ErrTooLong):
 		return newRejection(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
+		return newRejection(http.StatusRequestTimeout, "the body did not arrive before the deadline")
+	}
 	return newRejection(http.StatusBadRequest, "body was cut short")
 }
--- a/io/proxy/peers.go
+++ b/io/proxy/peers.go
@@ -46,7 +46,7 @@
 	defer span.End()
 	c.Trace = span.SpanContext().TraceID().String()
 	// The backend server's spans become children of this node's span.
-	propagator.Inject(ctx, propagation.HeaderCarrier(c.Header))
+	injectTrace(ctx, c.Header)
 	if c.Version > p.configVersion() {
 		if m, ok := p.cfg.Fleet.View().Get(c.From); ok {
 			p.cfg.Feed.ObserveStamp(m.Addr, vers.Stamp{Number: c.Version})
--- a/io/proxy/read.go
+++ b/io/proxy/read.go
@@ -3,9 +3,9 @@
 import (
 	"net"
 	"net/http"
-	"regexp"
 	"strconv"
 	"strings"
+	"time"
 
 	"tanagerchute"
 	"tanagerchute/core/call"
@@ -13,11 +13,8 @@
 	"tanagerchute/core/routes"
 )
 
-// traceparentRE matches a W3C traceparent header.
-var traceparentRE = regexp.MustCompile(`^[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}(-.*)?$`)
-
-// validateHeaders checks the size of the headers and the form of traceparent,
-// which do not depend on the class of the request.
+// validateHeaders checks the size of the headers, which does not depend on the class of the
+// request.
 func validateHeaders(r *http.Request, limit int) *rejection {
 	size := 0
 	for k, vs := range r.Header {
@@ -28,15 +25,12 @@
 	if size > limit {
 		return newRejection(http.StatusRequestHeaderFieldsTooLarge, "headers have more than "+strconv.Itoa(limit)+" bytes")
 	}
-	if tp := r.Header.Get("Traceparent"); tp != "" && !traceparentRE.MatchString(tp) {
-		return newRejection(http.StatusBadRequest, "traceparent is malformed")
-	}
 	return nil
 }
 
 // readCall reads the whole call and classifies it. If it is rejected, the returned
 // call holds what is known of it.
-func (p *Proxy) readCall(r *http.Request, in ingressRequest) (call.Call, *rejection) {
+func (p *Proxy) readCall(w http.ResponseWriter, r *http.Request, in ingressRequest) (call.Call, *rejection) {
 	info, err := p.cfg.Dialect.ParseRequest(r.Header)
 	if err != nil {
 		return call.Call{Trace: in.trace}, newRejection(http.StatusBadRequest, err.Error())
@@ -73,7 +67,7 @@
 			return c, &rejection{refusal: refusal, unread: true}
 		}
 	}
-	if c.Body, rej = p.readBody(r, c, in.limits.MaxBodyBytes); rej != nil {
+	if c.Body, rej = p.readBodyInTime(w, r, c, in.limits.MaxBodyBytes); rej != nil {
 		return c, rej
 	}
 	if rej := p.limitByProof(&c, info.Credential); rej != nil {
@@ -115,16 +109,32 @@
 	if !t.HasHost(host) {
 		return nil, newRejection(http.StatusNotFound, "no service is called "+strconv.Quote(host))
 	}
-	rt, ok := t.Match(host, r.Method, r.URL.Path)
+	path, _, _ := strings.Cut(pathOf(r), "?") // as it is sent to the upstream
+	rt, ok := t.Match(host, r.Method, path)
 	if origin.Backend && !t.MayCall(origin.Service, host) {
 		return nil, newRejection(http.StatusForbidden, "service "+origin.Service+" may not call "+host)
 	}
 	if !ok {
-		return nil, newRejection(http.StatusNotFound, "no class of "+host+" covers "+r.Method+" "+r.URL.Path)
+		return nil, newRejection(http.StatusNotFound, "no class of "+host+" covers "+r.Method+" "+path)
 	}
 	return rt, nil
 }
 
+// readBodyInTime reads the whole body, unless the deadline of the call passes before. A
+// caller may stop sending in the middle of it.
+func (p *Proxy) readBodyInTime(w http.ResponseWriter, r *http.Request, c call.Call, limit int64) ([]byte, *rejection) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(c.Deadline) // a request that was started early has no body
+	body, rej := p.readBody(r, c, limit)
+	if rej == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+	}
+	return body, rej
+}
+
 // readBody reads the whole body before the call is sent, so that a truncated body
 // never reaches a backend server, and so that the call can be resent. Its declared length
 // is within the limit.
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -34,6 +34,21 @@
 // propagator injects and extracts the traceparent header.
 var propagator = propagation.TraceContext{}
 
+// injectTrace sets the traceparent header for the next hop to that of the span of ctx. One
+// that the caller sent and that can't be read stays as it is.
+func injectTrace(ctx context.Context, h http.Header) {
+	if h.Get(headerTraceparent) != "" {
+		sent := propagator.Extract(context.Background(), propagation.HeaderCarrier(h))
+		if !trace.SpanContextFromContext(sent).IsValid() {
+			return
+		}
+	}
+	propagator.Inject(ctx, propagation.HeaderCarrier(h))
+}
+
+// headerTraceparent is the header of the W3C trace context.
+const headerTraceparent = "Traceparent"
+
 // send makes one attempt at another node, in a span of its own. It calls onSilent
 // if the node does not acknowledge the call in time, and again if the link to it falls
 // silent, and goes on waiting for the answer until ctx or the deadline of the call ends.
@@ -91,7 +106,7 @@
 	}
 	req.GetBody = nil // keep the transport from resending the call on its own
 	req.Header = c.Header.Clone()
-	propagator.Inject(ctx, propagation.HeaderCarrier(req.Header))
+	injectTrace(ctx, req.Header)
 	meta := callMeta(c, time.Now())
 	meta.BodyLength = body.announced
 	req.Header.Set(headerCall, encodeHeader(meta))
