--- a/io/fleet/serve.go
+++ b/io/fleet/serve.go
@@ -150,7 +150,9 @@
 // that data centre is unknown or lost.
 func (f *Fleet) SummaryDigest(ctx context.Context, name string) uint64 {
 	var d uint64
-	f.do(ctx, func(time.Time) { d = f.remotes.Digest(name) })
+	if !f.do(ctx, func(time.Time) { d = f.remotes.Digest(name) }) {
+		return 0 // d may still be set
+	}
 	return d
 }
 
