member: restarts do not fill the table and keep new members out

A process that is restarted each second left a record each time, kept for 24 hours, and at 4,096 no new member was added: nodes started after 70 minutes were not known to the others (by reading, in the review; TestRestartsDontFillTable and TestFullTableTakesMembersThatAreUp fail on the code before). The record of a dead process that a later one has replaced at its address is forgotten after a minute, unless it may have been the home of a key or names a server that left; a peer that has not forgotten it does not bring it back. A full table forgets the member that has been dead for longest to take one that is up.

--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -84,11 +84,11 @@
 }
 
 func (t *Table) addMember(now time.Time, r Record) []Action {
-	if len(t.members) >= maxMembers {
+	if t.isSuperseded(r, now.Add(-t.cfg.ForgetLeft/2)) || len(t.members) >= maxMembers && !t.makeRoom(now, r) {
 		return nil
 	}
 	t.supersede(now, r)
-	e := &memberState{nextProbe: now.Add(t.cfg.ProbeEvery)}
+	e := &memberState{added: now, nextProbe: now.Add(t.cfg.ProbeEvery)}
 	at, _ := t.find(r.ID)
 	t.order = slices.Insert(t.order, at, e)
 	t.members[r.ID] = e
@@ -99,6 +99,39 @@
 	return nil
 }
 
+// isSuperseded reports whether r is of a dead process that a later one, known since before the
+// given time, has replaced at its address, and that nothing depends on any more: it was not
+// the home of a key, and names no backend server that left. Such a record is forgotten, and
+// not added again when a peer has not forgotten it yet.
+func (t *Table) isSuperseded(r Record, before time.Time) bool {
+	if r.State != Dead || r.CanBeHome || !r.HomeUntil.IsZero() || r.LeftServer.ID != "" {
+		return false
+	}
+	if r.Addr == t.self.Addr && r.StartMs < t.self.StartMs {
+		return !t.firstTick.IsZero() && t.firstTick.Before(before)
+	}
+	return slices.ContainsFunc(t.byAddr[r.Addr], func(e *memberState) bool {
+		return e.rec.StartMs > r.StartMs && e.added.Before(before)
+	})
+}
+
+// makeRoom forgets the member that has been dead for longest, so that r, which is up, can be
+// added to a full table. It returns false if there is none.
+func (t *Table) makeRoom(now time.Time, r Record) bool {
+	var oldest *memberState
+	for _, e := range t.dead {
+		if oldest == nil || e.changed.Before(oldest.changed) {
+			oldest = e
+		}
+	}
+	if oldest == nil || !r.IsUp() {
+		return false
+	}
+	t.notify(Change{At: now, Old: oldest.rec, New: oldest.rec, Cause: "forgotten, since the table is full and " + r.ID + " is up"})
+	t.forget(oldest)
+	return true
+}
+
 // supersede declares an earlier process at the address of r dead. Member ids
 // are unique to a process, so a restarted node is a new member.
 func (t *Table) supersede(now time.Time, r Record) {
--- a/core/member/suspect.go
+++ b/core/member/suspect.go
@@ -56,6 +56,9 @@
 		t.resumeAfterPause(now)
 	}
 	t.lastTick = now
+	if t.firstTick.IsZero() {
+		t.firstTick = now
+	}
 	var acts []Action
 	for _, id := range t.Layout().Subjects(t.self.ID) {
 		e, ok := t.members[id]
@@ -165,7 +168,7 @@
 	}
 	for _, e := range t.dead {
 		age := now.Sub(e.changed)
-		if e.rec.Left && age > t.cfg.ForgetLeft || age > t.cfg.ForgetDead {
+		if (e.rec.Left || t.isSuperseded(e.rec, now)) && age > t.cfg.ForgetLeft || age > t.cfg.ForgetDead {
 			t.forget(e)
 		}
 	}
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -26,7 +26,7 @@
 	ProbeEvery   time.Duration // interval at which an observer probes a member
 	SuspicionMin time.Duration // time to refute a suspicion that enough members share
 	SuspicionMax time.Duration // time to refute a suspicion of a single member
-	ForgetLeft   time.Duration // how long the record of a member that left is kept
+	ForgetLeft   time.Duration // how long the record of a member that left, or was replaced at its address, is kept
 	ForgetDead   time.Duration // how long a failed member counts toward the quorum
 	// GossipInterval is the shortest time between two broadcasts of changed
 	// records. Changes that follow each other more closely share a message.
@@ -83,6 +83,7 @@
 // memberState holds the record of a member and the state local to this node.
 type memberState struct {
 	rec               Record
+	added             time.Time
 	changed           time.Time
 	nextProbe         time.Time
 	probing           bool
@@ -106,6 +107,7 @@
 	overlay        *rank.Overlay // of the members that are up
 	outbox         map[string]Record
 	nextBroadcast  time.Time // when the outbox may be sent
+	firstTick      time.Time
 	lastTick       time.Time
 	localHealth    int                  // local health score of Lifeguard: 0 is healthy
 	answers        map[string]time.Time // members that answered a probe within QuorumTTL
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -256,3 +256,42 @@
 	}
 	is.Equal(up, []string{"a.4", "self"})
 }
+
+// TestRestartsDontFillTable guards against a process that is restarted each second and fills
+// the table with the records of its earlier ones, so that no new member is added.
+func TestRestartsDontFillTable(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_800_000_000_000)
+	cfg := member.DefaultConfig()
+	cfg.Self = member.Record{ID: "self", Addr: "self:1", DataCentre: "dc", Incarnation: 1}
+	table := member.NewTable(cfg)
+	most := 0
+	for i := range int64(5000) {
+		now = now.Add(time.Second)
+		table.Merge(now, []member.Record{{ID: fmt.Sprint("a.", i), Addr: "a:1", DataCentre: "dc", Incarnation: 1, StartMs: now.UnixMilli()}})
+		table.Tick(now)
+		most = max(most, len(table.Records()))
+	}
+	t.Logf("at most %d records", most)
+	is.True(most < 100)
+	table.Merge(now, []member.Record{{ID: "a.0", Addr: "a:1", DataCentre: "dc", Incarnation: 2, State: member.Dead, StartMs: 1}})
+	_, ok := table.Get("a.0")
+	is.True(!ok) // a peer that has not forgotten it does not bring it back
+}
+
+// TestFullTableTakesMembersThatAreUp checks that a table full of failed members at addresses of
+// their own still takes a new one.
+func TestFullTableTakesMembersThatAreUp(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_800_000_000_000)
+	cfg := member.DefaultConfig()
+	cfg.Self = member.Record{ID: "self", Addr: "self:1", DataCentre: "dc", Incarnation: 1}
+	table := member.NewTable(cfg)
+	for i := range 5000 {
+		table.Merge(now.Add(time.Duration(i)), []member.Record{{ID: fmt.Sprint("x", i), Addr: fmt.Sprint("x:", i), DataCentre: "dc", Incarnation: 1, State: member.Dead, StartMs: 1}})
+	}
+	table.Merge(now.Add(time.Second), []member.Record{{ID: "new", Addr: "new:1", DataCentre: "dc", Incarnation: 1, StartMs: 2}})
+	r, ok := table.Get("new")
+	is.True(ok && r.IsUp())
+	is.True(len(table.Records()) <= 4097)
+}
