leaves: an acknowledged leave is in the store, and known after any kill

Cause: the leave was in the memory of nodes only, and a process that was killed while it started hid what the one before it had told the others. Now the node writes the leave to the store before it acknowledges it, and a node that starts holds heartbeats until it has read what is there; neither waits long where the store does not answer. Of the other nodes it asks for the latest process at its address that knew its server.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -54,6 +54,10 @@
 	DataCentreChanged  Kind = "data_centre_changed" // its summary has changed
 	UpstreamReady      Kind = "upstream_ready"
 	UpstreamLeaving    Kind = "upstream_leaving"
+	LeaveSaved         Kind = "leave_saved"        // the leave of the own backend server is in the store
+	LeaveUnsaved       Kind = "leave_unsaved"      // it was acknowledged before
+	LeaveLearned       Kind = "leave_learned"      // a leave that was announced to an earlier process was read from the store
+	LeaveUnknown       Kind = "leave_unknown"      // the store did not answer a starting node in time
 	UpstreamLimited    Kind = "upstream_limited"   // it named a rate limit, or another one than before
 	UpstreamUnlimited  Kind = "upstream_unlimited" // it names no rate limit any more
 	QuotaExceeded      Kind = "quota_exceeded"     // requests of a client account are refused, see package tokens
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -221,6 +221,21 @@
 	return r, ok
 }
 
+// FormerLeave returns the backend server that announced its leave to an earlier process at the
+// address of this node, zero if the latest of them that knew its server did not hear of one. A
+// process that was killed while it started knew none.
+func (t *Table) FormerLeave() ServerID {
+	var last Record
+	for _, e := range t.byAddr[t.self.Addr] {
+		r := e.rec
+		knewServer := r.LeftServer.ID != "" || r.Slots > 0
+		if r.ID != t.self.ID && knewServer && r.StartMs > last.StartMs {
+			last = r
+		}
+	}
+	return last.LeftServer
+}
+
 // BecomeCandidate makes this node eligible as the home of idempotency keys, and
 // announces it.
 func (t *Table) BecomeCandidate(now time.Time) []Action {
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -257,6 +257,37 @@
 	is.Equal(up, []string{"a.4", "self"})
 }
 
+// TestFormerLeaveBeforeKilledProcess guards against a process that was killed while it started,
+// before it knew of the leave of its backend server, and that hides what the one before it
+// knew.
+func TestFormerLeaveBeforeKilledProcess(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_800_000_000_000)
+	left := member.ServerID{ID: "i", StartMs: 7}
+	process := func(i int64) member.Record {
+		return member.Record{ID: fmt.Sprint("a.", i), Addr: "a:1", DataCentre: "dc", Incarnation: 1, StartMs: now.UnixMilli() + i}
+	}
+	for _, c := range []struct {
+		name   string
+		change func(rs []member.Record)
+		want   member.ServerID
+	}{
+		{"the last one was killed while it started", func(rs []member.Record) { rs[0].Slots, rs[0].LeftServer = 4, left }, left},
+		{"a later one knew another server", func(rs []member.Record) { rs[0].LeftServer, rs[1].Slots = left, 4 }, member.ServerID{}},
+		{"none knew its server", func([]member.Record) {}, member.ServerID{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cfg := member.DefaultConfig()
+			cfg.Self = process(9)
+			table := member.NewTable(cfg)
+			rs := []member.Record{process(1), process(2), process(3)}
+			c.change(rs)
+			table.Merge(now, rs)
+			is.Equal(table.FormerLeave(), c.want)
+		})
+	}
+}
+
 // TestRestartsDontFillTable guards against a process that is restarted each second and fills
 // the table with the records of its earlier ones, so that no new member is added.
 func TestRestartsDontFillTable(t *testing.T) {
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -203,6 +203,15 @@
 	}
 }
 
+// PublishView makes View hold all that is known now, also if the last view is younger than
+// minViewAge.
+func (f *Fleet) PublishView(ctx context.Context) {
+	f.do(ctx, func(now time.Time) {
+		f.viewAt = time.Time{}
+		f.publishView(now)
+	})
+}
+
 // do runs fn on the goroutine of Run and waits for it. It returns false if ctx or
 // Run ended first; fn may run nevertheless.
 func (f *Fleet) do(ctx context.Context, fn func(now time.Time)) bool {
@@ -292,6 +301,16 @@
 	return r, known
 }
 
+// FormerLeave returns the backend server that announced its leave to an earlier process of this
+// node, see member.Table.FormerLeave.
+func (f *Fleet) FormerLeave(ctx context.Context) member.ServerID {
+	var s member.ServerID
+	if !f.do(ctx, func(time.Time) { s = f.table.FormerLeave() }) {
+		return member.ServerID{}
+	}
+	return s
+}
+
 // BecomeHomeCandidate publishes that this node can be the home of a key. Its tenure
 // restarts, see package homes.
 func (f *Fleet) BecomeHomeCandidate(ctx context.Context) {
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -131,7 +131,7 @@
 	g := gate.New(gate.Config{Node: "n", Service: "budir", Dialect: native.Dialect{}, NoProbe: true, Journal: event.NewJournal(event.Config{Capacity: 16})})
 	h := beat.Heartbeat{ID: "new", Service: "budir", Address: "127.0.0.1:1", Slots: 1, StartMs: 5, Sequence: 1}
 	is.Equal(g.ObserveHeartbeat(h), beat.Fresh)
-	g.ObserveFormerLeave(member.ServerID{ID: "old", StartMs: 10})
+	g.ObserveFormerLeave(time.Now(), member.ServerID{ID: "old", StartMs: 10})
 	h.Sequence++
 	is.Equal(g.ObserveHeartbeat(h), beat.Fresh)
 }
--- a/io/gate/leave.go
+++ b/io/gate/leave.go
@@ -21,14 +21,14 @@
 }
 
 // ObserveFormerLeave records that the given backend server announced its stop to an
-// earlier process of this node.
-func (g *Gate) ObserveFormerLeave(s member.ServerID) {
+// earlier process of this node, at a time before now, as far as that is known.
+func (g *Gate) ObserveFormerLeave(at time.Time, s member.ServerID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if last, known := g.heartbeats.Last(); known && (last.ID != s.ID || last.StartMs != s.StartMs) {
 		return // another server has taken its place
 	}
-	if g.heartbeats.ObserveLeave(time.Now(), s.ID, s.StartMs) == beat.Fresh {
+	if g.heartbeats.ObserveLeave(at, s.ID, s.StartMs) == beat.Fresh {
 		g.markLeaving(s.ID, "announced to an earlier process of this node")
 	}
 }
@@ -51,6 +51,13 @@
 	g.requestTick()
 }
 
+// LeftServer returns the backend server if it has announced its stop, else zero.
+func (g *Gate) LeftServer() member.ServerID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leftServer()
+}
+
 // leftServer returns the backend server if it has announced its stop, else zero. The
 // caller holds mu.
 func (g *Gate) leftServer() member.ServerID {
--- a/io/node/boot.go
+++ b/io/node/boot.go
@@ -32,6 +32,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	n.fleet.PublishView(ctx) // the first request needs the upstreams that it has learned of
 	n.feed.SetJoined()
 	n.rollouts.Boot(ctx)
 	n.observeFormerLeave(ctx)
@@ -45,11 +46,11 @@
 	n.discoverBackend(ctx)
 }
 
-// observeFormerLeave tells the gate if the backend server announced its stop to the
-// process before, as the other nodes remember it. A late heartbeat could say otherwise.
+// observeFormerLeave tells the gate if the backend server announced its stop to an earlier
+// process, as the other nodes remember it. A late heartbeat could say otherwise.
 func (n *Node) observeFormerLeave(ctx context.Context) {
-	if m, ok := n.fleet.Predecessor(ctx); ok && m.LeftServer.ID != "" {
-		n.gate.ObserveFormerLeave(m.LeftServer)
+	if s := n.fleet.FormerLeave(ctx); s.ID != "" {
+		n.gate.ObserveFormerLeave(time.Now(), s)
 	}
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -18,7 +18,6 @@
 
 	"tanagerchute"
 	"tanagerchute/core/acct"
-	"tanagerchute/core/beat"
 	"tanagerchute/core/call"
 	"tanagerchute/core/event"
 	"tanagerchute/core/member"
@@ -27,6 +26,7 @@
 	"tanagerchute/io/feed"
 	"tanagerchute/io/fleet"
 	"tanagerchute/io/gate"
+	"tanagerchute/io/leaves"
 	"tanagerchute/io/ledger"
 	"tanagerchute/io/link"
 	"tanagerchute/io/logs"
@@ -89,6 +89,7 @@
 	eras             *storeEras
 	byteMeters       byteMeters
 	memory           *memory.Room
+	leaves           *leaves.Keeper
 	vars             *expvar.Map
 	attached         []attachedHandler
 	settings         atomic.Pointer[settingsState]
@@ -220,6 +221,7 @@
 		Proof:       func() (vers.Stamp, time.Duration) { return n.feed.Proof() },
 		OnPeerProof: func(s vers.Stamp, age time.Duration, sentAt time.Time) { n.feed.ObserveProof(s, age, sentAt) },
 	})
+	n.leaves = n.newLeaves()
 	n.buildSeedsAndFeed()
 	n.rollouts = stage.New(n.rolloutConfig())
 	n.gate = gate.New(gate.Config{
@@ -371,16 +373,6 @@
 // View returns the current view of the fleet.
 func (n *Node) View() *fleet.View { return n.fleet.View() }
 
-// ObserveHeartbeat handles a heartbeat of the backend server, see
-// gate.Gate.ObserveHeartbeat.
-func (n *Node) ObserveHeartbeat(h beat.Heartbeat) beat.Verdict { return n.gate.ObserveHeartbeat(h) }
-
-// ObserveLeave handles a leave request of the backend server, see
-// gate.Gate.ObserveLeave.
-func (n *Node) ObserveLeave(id string, startMs int64) beat.Verdict {
-	return n.gate.ObserveLeave(id, startMs)
-}
-
 // Metrics returns a handler for the metrics of the node in the Prometheus text
 // format.
 func (n *Node) Metrics() http.Handler { return n.metrics.Handler() }
