dedup: a dropped record is never taken for work that has not started

By reading (in the review): a record of an attempt that has run may be dropped for want of room between two inquiries about it; the inquiry is then answered by comparing the clocks of two nodes, and a sender whose clock is ahead is told that the attempt has not started, and sends it elsewhere. TestDroppedRecordIsNotFenced fails on the code before, both ways.

Of records that are too large together only the answers are dropped now, and that their work has run stays known. While records were dropped lately since there were too many (40,000), no unknown attempt is fenced, whatever the clocks say.

--- a/core/dedup/table.go
+++ b/core/dedup/table.go
@@ -64,7 +64,7 @@
 // Config configures a Table.
 type Config struct {
 	MaxRecords int           // maximum number of records of work that has ended
-	MaxBytes   int           // maximum total size of recorded answers
+	MaxBytes   int           // maximum total size of recorded answers, beyond which only the answers are dropped
 	Retention  time.Duration // how long a record is kept after its work has ended
 	MaxFences  int           // maximum number of fenced attempts that are kept
 	Floor      time.Time     // keys issued at or before it may have run without a record here
@@ -81,7 +81,7 @@
 func DefaultConfig(now time.Time) Config {
 	return Config{
 		Start:      now.Add(clockMargin),
-		MaxRecords: 20000,
+		MaxRecords: 40000,
 		MaxBytes:   16 << 20,
 		Retention:  10 * time.Minute,
 		MaxFences:  20000,
@@ -99,6 +99,8 @@
 	records    map[string]*record
 	ended      *list.List // *record of work that has ended, oldest first
 	bytes      int
+	nextDrop   *list.Element // the last record whose answer was dropped, nil if it was dropped itself
+	droppedAt  time.Time     // when a record was last dropped since there were too many
 	fences     map[string]bool
 	fenceOrder []fence // fences, oldest first
 }
@@ -247,7 +249,9 @@
 	if r, ok := t.records[q.Key.ID]; ok {
 		return r.verdict()
 	}
-	maybeDropped := !q.Key.Issued.After(t.floor)
+	// The clock of the sender may be ahead, so that the floor alone proves nothing.
+	droppedLately := !t.droppedAt.IsZero() && now.Sub(t.droppedAt) < t.cfg.Retention
+	maybeDropped := droppedLately || !q.Key.Issued.After(t.floor)
 	maybeEarlier := !q.Own && !q.Key.Issued.After(t.cfg.Start)
 	if maybeDropped || maybeEarlier {
 		return TooOld, Answer{}
@@ -282,18 +286,44 @@
 }
 
 // expire drops records of ended work that are too old, and the oldest ones
-// while the table exceeds its bounds. It raises the floor to the issue time of
+// while there are too many. It raises the floor to the issue time of
 // each dropped key, which could otherwise begin again.
 func (t *Table) expire(now time.Time) {
+	t.dropAnswers()
 	for e := t.ended.Front(); e != nil; e = t.ended.Front() {
 		r := e.Value.(*record)
-		overLimit := t.ended.Len() > t.cfg.MaxRecords || t.bytes > t.cfg.MaxBytes
-		if !overLimit && now.Sub(r.ended) < t.cfg.Retention {
+		tooMany := t.ended.Len() > t.cfg.MaxRecords
+		if !tooMany && now.Sub(r.ended) < t.cfg.Retention {
 			return
 		}
+		if tooMany {
+			t.droppedAt = now
+		}
 		t.ended.Remove(e)
 		t.bytes -= r.answer.size()
 		delete(t.records, r.key.ID)
 		t.RaiseFloor(r.key.Issued)
+		if t.nextDrop == e {
+			t.nextDrop = nil
+		}
+	}
+}
+
+// dropAnswers drops the oldest answers while they are too large together. That their work has
+// run is still recorded.
+func (t *Table) dropAnswers() {
+	for t.bytes > t.cfg.MaxBytes {
+		if t.nextDrop == nil {
+			t.nextDrop = t.ended.Front()
+		} else {
+			t.nextDrop = t.nextDrop.Next()
+		}
+		if t.nextDrop == nil {
+			return // only the overhead of records is left
+		}
+		r := t.nextDrop.Value.(*record)
+		t.bytes -= r.answer.size()
+		r.state, r.answer, r.cause = lost, Answer{}, "its answer is no longer kept"
+		t.bytes += r.answer.size()
 	}
 }
--- a/core/dedup/table_test.go
+++ b/core/dedup/table_test.go
@@ -160,3 +160,36 @@
 		})
 	}
 }
+
+// TestDroppedRecordIsNotFenced guards against an attempt that has run, whose record was dropped
+// for want of room, and about which a sender is told that it has not started, since the
+// clock of the sender is ahead. It would send the attempt elsewhere.
+func TestDroppedRecordIsNotFenced(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		cfg    dedup.Config
+		answer int // bytes of each answer
+	}{
+		{"answers too large together", dedup.Config{MaxRecords: 100, MaxBytes: 10_000, Retention: 10 * time.Minute, MaxFences: 10}, 4000},
+		{"too many records", dedup.Config{MaxRecords: 3, MaxBytes: 1 << 20, Retention: 10 * time.Minute, MaxFences: 10}, 10},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1_800_000_000, 0)
+			table := dedup.NewTable(c.cfg)
+			for i := range 10 {
+				now = now.Add(time.Second)
+				id := fmt.Sprint("a", i)
+				v, _ := table.Begin(now, dedup.Key{ID: id, Issued: now}, id)
+				is.Equal(v, dedup.Run)
+				table.Finish(now, id, dedup.Answer{Status: 200, Body: make([]byte, c.answer)})
+			}
+			is.True(table.Bytes() <= c.cfg.MaxBytes)
+			v, _ := table.Inquire(now, dedup.Inquiry{Key: dedup.Key{ID: "a0", Issued: now.Add(time.Hour)}, Attempt: "a0", Own: true})
+			is.True(v == dedup.Lost || v == dedup.TooOld)
+			v, a := table.Inquire(now, dedup.Inquiry{Key: dedup.Key{ID: "a9", Issued: now}, Attempt: "a9", Own: true})
+			is.Equal(v, dedup.Replay)
+			is.Equal(len(a.Body), c.answer)
+		})
+	}
+}
