--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -153,6 +153,9 @@
 			return
 		}
 	}
+	if x.Stalled && len(e.stopsAround(x)) > 0 {
+		return // a stop does not await a body that does not arrive
+	}
 	if e.explained(x) {
 		return
 	}
@@ -192,6 +195,9 @@
 		if !i.around(x.First.Add(-calm), x.Got) || !i.breaksCalls() {
 			continue
 		}
+		if i.Kind == Foreign && x.Err != nil {
+			continue // it explains that the fate of the call is unknown, and not a closed connection
+		}
 		if x.Class.keyed || len(nodes) == 1 || i.touches(nodes) {
 			return true
 		}
@@ -326,6 +332,7 @@
 		for _, x := range e.Calls {
 			switch {
 			case x.Node != n || x.First.Before(due): // or a repeat of an earlier call
+			case x.Stalled: // it is refused
 			case x.AccountKey > 0 && !e.keyInForce(x): // it may be refused
 			case x.succeeded():
 				served++
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -115,6 +115,13 @@
 		}
 	case Kill:
 		p.Kill()
+	case KillAgain:
+		for n := range killsAgain {
+			p.Kill()
+			j.start(i)
+			time.Sleep(maxStartTime * time.Duration(i.Variant>>(4*n)&15) / 16)
+		}
+		p.Kill()
 	}
 	time.Sleep(i.Length)
 	j.start(i)
@@ -198,6 +205,18 @@
 	}
 }
 
+// foreignAnswers returns bytes in place of answers, on which a node must neither end nor close
+// the connection of the caller.
+func foreignAnswers() []string {
+	return []string{
+		"HTTP/1.1 000 zero\r\nTanager-Request: {id}\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 099 low\r\nTanager-Request: {id}\r\n\r\n",
+		"HTTP/1.1 999 high\r\nTanager-Request: {id}\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTanager-Request: {id}\r\nContent-Len", "HTTP/1.1 200 OK\r\n", "\x16\x03\x01\x00*\x02\x00\x00",
+		"HTTP/1.1 503 Service Unavailable\r\nTanager-Outcome: not_run\r\nTanager-Request: another\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTanager-Request: {id}\r\nTanager-Outcome: not_run\r\nContent-Length: 5\r\n\r\nhalf",
+	}
+}
+
 func (j *injector) injectServer(i *Injection) error {
 	in := j.fleet.Instances[i.Node]
 	var faults server.Faults
@@ -210,6 +229,8 @@
 		return j.injectLeave(i)
 	case Break:
 		faults = brokenAnswers()[i.Variant%len(brokenAnswers())]
+	case Foreign:
+		faults.Raw = foreignAnswers()[i.Variant%len(foreignAnswers())]
 	case Limit:
 		i.Rate = 1 + i.Variant%4
 		faults.RateLimit = strconv.Itoa(i.Rate)
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -24,8 +24,11 @@
 
 const (
 	callersPerNode = 3
-	homeShare      = 0.8 // of the calls of a caller go to the node beside it
-	callTimeout    = answerWithin + 4*time.Second
+	// nodesForEachStaller is the number of nodes for each caller that stops in the middle of
+	// its bodies.
+	nodesForEachStaller = 3
+	homeShare           = 0.8 // of the calls of a caller go to the node beside it
+	callTimeout         = answerWithin + 4*time.Second
 	// pipelinerStream is the first stream of random numbers of the pipeliners. Those of
 	// the callers are below.
 	pipelinerStream = 1 << 20
@@ -65,6 +68,7 @@
 	// AccountKey is the number of the key of a client account that it carried, 0 for none.
 	AccountKey uint64
 	Pipelined  bool
+	Stalled    bool   // its caller stopped in the middle of the body
 	AnswerOf   string // key of the other pipelined call whose answer it got, if it did
 	// Repeated means that the caller sent the call again, under the same key.
 	Repeated bool
@@ -111,6 +115,9 @@
 	for i := range callersPerNode * len(l.fleet.Instances) {
 		wg.Go(func() { l.runCaller(ctx, i%len(l.fleet.Instances), rand.New(rand.NewPCG(seed, uint64(i+1)))) })
 	}
+	for i := 0; i < len(l.fleet.Instances); i += nodesForEachStaller {
+		wg.Go(func() { l.runStaller(ctx, i) })
+	}
 	for i := range l.fleet.Instances {
 		wg.Go(func() { l.runPipeliner(ctx, i, rand.New(rand.NewPCG(seed, uint64(pipelinerStream+i)))) })
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -269,3 +269,9 @@
 		})
 	}
 }
+
+// TestSoakOfForeignAnswers performs a short run in which backend servers answer with heads that
+// are no answers.
+func TestSoakOfForeignAnswers(t *testing.T) {
+	runSoak(t, Config{Seed: 301, Duration: 8 * time.Second, Nodes: 9, Kinds: []Kind{Foreign}})
+}
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -67,6 +67,9 @@
 	LateCopy bool `json:"late_copy"`
 	// Cut makes it run, and then end the response at this place.
 	Cut Cut `json:"cut"`
+	// Raw makes it run, and then send these bytes in place of a response and close the
+	// connection. {id} stands for the id of the call.
+	Raw string `json:"raw,omitempty"`
 	// Leave makes it tell its node that it leaves, and announce itself no more. It
 	// still runs the calls that it gets.
 	Leave bool `json:"leave"`
@@ -344,6 +347,11 @@
 	case f.LateCopy:
 		s.writeLateCopies(w, id)
 		return
+	case f.Raw != "":
+		conn, _ := hijack(w)
+		_, _ = conn.Write([]byte(strings.ReplaceAll(f.Raw, "{id}", id))) // a failed write is a fault as well
+		_ = conn.Close()
+		return
 	case f.Hang:
 		<-r.Context().Done()
 		return
