soak: a killed entry node explains that the fate of a call is unknown

Traced: its own data centre was full, it went to the entry node 8 of another one (request_moved), which sent it on and was killed 0.18 s later (answer_missing, unexpected EOF); the new process at that address can't know what became of it (key_too_old). The call ran once. The check knew the nodes that took and ran a call, and not the one in between. It is narrowed to that: a run in another data centre, and a kill of a node there between sending and answer; a closed connection is not excused by it.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -186,6 +186,9 @@
 	if x.Err != nil && errors.Is(x.Err, syscall.ECONNRESET) && x.Idle > e.Drain.Linger.Std() {
 		return true // see the limits of planned stops in docs/PROMISES.md
 	}
+	if x.Err == nil && e.entryKilled(x) {
+		return true
+	}
 	calm := calmTime
 	if x.Class.keyed {
 		calm = keyCalmTime
--- a/internal/soak/evidence.go
+++ b/internal/soak/evidence.go
@@ -30,6 +30,7 @@
 // Evidence is what was done and seen in a run of the soak.
 type Evidence struct {
 	Drain      setup.Drain // of the nodes
+	Centres    []string    // data centre of each node
 	Injections []Injection // in the order of their start
 	Starts     [][]time.Time
 	Calls      []*Call
@@ -124,6 +125,29 @@
 	return nodes
 }
 
+// entryKilled reports whether the call may have lost its entry node: it ran in another data
+// centre than that of the node that took it, and a node there was killed meanwhile.
+func (e *Evidence) entryKilled(x *Call) bool {
+	centre := func(node int) string {
+		if node < len(e.Centres) {
+			return e.Centres[node]
+		}
+		return ""
+	}
+	for _, r := range e.Runs[x.Key] {
+		if centre(r.Node) == centre(x.Node) {
+			continue
+		}
+		for _, i := range e.Injections {
+			killed := i.Kind == Kill || i.Kind == KillAgain
+			if killed && centre(i.Node) == centre(r.Node) && i.around(x.Sent, x.Got) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // countFelt counts the calls that each fault of a process has met. Those of connections
 // have counted bytes.
 func (e *Evidence) countFelt() {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -103,6 +103,9 @@
 		wg.Go(func() { o.probe(ctx, n) })
 	}
 	e := &Evidence{Drain: drain, Starts: j.starts}
+	for _, in := range f.Instances {
+		e.Centres = append(e.Centres, in.Spec.DataCentre)
+	}
 	e.Injections = j.run(ctx, plan)
 	if !sleep(ctx, recoveryBound+steadyTime) {
 		return nil, ctx.Err()
