--- a/io/proxy/ack_test.go
+++ b/io/proxy/ack_test.go
@@ -25,6 +25,7 @@
 	"tanagerchute/io/feed"
 	"tanagerchute/io/fleet"
 	"tanagerchute/io/link"
+	"tanagerchute/io/native"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/wire"
 )
@@ -85,7 +86,7 @@
 		Stamp: func() vers.Stamp { return vers.Stamp{} }, OnPeerStamp: func(string, vers.Stamp) {},
 	})
 	p := New(Config{
-		Node: "sender", Deployment: "test", Fleet: fl, Feed: feed.New(feed.Config{Fleet: fl}), Client: client, WrapDial: wrapDial,
+		Node: "sender", Deployment: "test", Dialect: native.Dialect{}, Fleet: fl, Feed: feed.New(feed.Config{Fleet: fl}), Client: client, WrapDial: wrapDial,
 		Journal: journal, Tracer: noop.NewTracerProvider().Tracer(""), Rand: rand.New(rand.NewPCG(1, 2)),
 	})
 	t.Cleanup(p.Close)
