member: a full table forgets no former home of keys

A full table forgot the member that was dead for longest, whoever it was. It takes no new member now rather than forget such a one, as before.

--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -104,7 +104,7 @@
 // the home of a key, and names no backend server that left. Such a record is forgotten, and
 // not added again when a peer has not forgotten it yet.
 func (t *Table) isSuperseded(r Record, before time.Time) bool {
-	if r.State != Dead || r.CanBeHome || !r.HomeUntil.IsZero() || r.LeftServer.ID != "" {
+	if r.State != Dead || r.wasHome() || r.LeftServer.ID != "" {
 		return false
 	}
 	if r.Addr == t.self.Addr && r.StartMs < t.self.StartMs {
@@ -116,11 +116,12 @@
 }
 
 // makeRoom forgets the member that has been dead for longest, so that r, which is up, can be
-// added to a full table. It returns false if there is none.
+// added to a full table. It returns false if there is none but former homes of keys, which are
+// asked about, or taken into account, for as long as they are remembered.
 func (t *Table) makeRoom(now time.Time, r Record) bool {
 	var oldest *memberState
 	for _, e := range t.dead {
-		if oldest == nil || e.changed.Before(oldest.changed) {
+		if !e.rec.wasHome() && (oldest == nil || e.changed.Before(oldest.changed)) {
 			oldest = e
 		}
 	}
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -142,6 +142,9 @@
 	return r.CanBeHome && (r.State == Alive || r.State == Suspect)
 }
 
+// wasHome reports whether the member may have been the home of keys.
+func (r Record) wasHome() bool { return r.CanBeHome || !r.HomeUntil.IsZero() }
+
 // AcceptsCalls reports whether new calls may be sent to the member.
 func (r Record) AcceptsCalls() bool {
 	return r.Ready && (r.State == Alive || r.State == Suspect)
