--- a/core/leave/doc.go
+++ b/core/leave/doc.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	t := leave.New(leave.Config{Start: now})
-//	if t.Hold(now, heartbeat) { … } // not used yet
+//	if t.Hold(heartbeat) { … } // not used yet
 //	t.Learned() // the store has answered, the held heartbeat is returned
 //	t.Leave(now, leave.Record{Server: id, StartMs: start, At: now})
 //	if t.MayAcknowledge(now) { … }
