node: connections that are closed too early are told by the log

Events about lost calls have a limit of log lines of their own, so that refusals, of which there are many at the same time, don't displace them.

--- a/io/ahead/ahead.go
+++ b/io/ahead/ahead.go
@@ -21,6 +21,9 @@
 	Stopping func() bool
 	// OnStart, if not nil, is called when a request is started ahead of its turn.
 	OnStart func()
+	// OnDrop, if not nil, is called when a connection is closed on which n bytes of the caller
+	// were read and not handed to the server.
+	OnDrop func(caller net.Addr, n int)
 }
 
 // Pipeline starts pipelined requests ahead of their turn. It is safe for concurrent
--- a/io/ahead/conn.go
+++ b/io/ahead/conn.go
@@ -17,7 +17,7 @@
 )
 
 // Conn is a connection of a caller that looks ahead for pipelined requests. Its server
-// calls SetActive and SetIdle like those of link.ReadTimeoutConn. Read is called by one
+// calls SetActive and SetIdle like those of link.CallerConn. Read is called by one
 // goroutine at a time, all other methods are safe for concurrent use.
 //
 // Invariants: Read returns the bytes of one request at a time, and none of the next
@@ -95,7 +95,12 @@
 	if c.cancelBase != nil {
 		c.cancelBase()
 	}
+	dropped := len(c.buf)
+	c.buf = nil
 	c.mu.Unlock()
+	if dropped > 0 && c.pipeline.cfg.OnDrop != nil {
+		c.pipeline.cfg.OnDrop(c.RemoteAddr(), dropped)
+	}
 	return c.Conn.Close()
 }
 
--- a/io/link/read_timeout.go
+++ b/io/link/caller.go
@@ -14,35 +14,43 @@
 	Header time.Duration // from that byte to the end of the request's headers
 }
 
-// WithReadTimeouts returns a listener whose connections apply read timeouts to
-// their callers. timeouts is called whenever a timeout starts, so that changed
-// settings apply to open connections as well.
-func WithReadTimeouts(ln net.Listener, timeouts func() ReadTimeouts) net.Listener {
-	return readTimeoutListener{ln, timeouts}
+// CallerConfig configures the connections of callers.
+type CallerConfig struct {
+	// Timeouts is called whenever a timeout starts, so that changed settings apply to open
+	// connections as well.
+	Timeouts func() ReadTimeouts
+	// OnReset, if not nil, is called when a connection is closed although bytes of the caller
+	// have not been read. The kernel resets it then, and drops what it has not sent yet.
+	OnReset func(caller net.Addr, o Outstanding)
 }
 
-type readTimeoutListener struct {
+// Callers returns a listener whose connections are CallerConns.
+func Callers(ln net.Listener, cfg CallerConfig) net.Listener { return callerListener{ln, cfg} }
+
+type callerListener struct {
 	net.Listener
-	timeouts func() ReadTimeouts
+	cfg CallerConfig
 }
 
 // Accept implements net.Listener.
-func (l readTimeoutListener) Accept() (net.Conn, error) {
+func (l callerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	rc := &ReadTimeoutConn{Conn: c, timeouts: l.timeouts}
-	rc.SetIdle()
-	return rc, nil
+	cc := &CallerConn{Conn: c, cfg: l.cfg}
+	cc.SetIdle()
+	return cc, nil
 }
 
-// ReadTimeoutConn is a connection of a caller with read timeouts. Its server calls
-// SetActive when it starts to handle a request, and SetIdle when it waits for the
-// next one. Its methods are safe for concurrent use.
-type ReadTimeoutConn struct {
+// CallerConn is a connection of a caller with read timeouts. Its server calls SetActive
+// when it starts to handle a request, and SetIdle when it waits for the next one. Its
+// methods are safe for concurrent use.
+type CallerConn struct {
 	net.Conn
-	timeouts func() ReadTimeouts
+	cfg       CallerConfig
+	closeOnce sync.Once
+	closeErr  error
 
 	mu              sync.Mutex
 	awaitingRequest bool      // no byte of the next request has been read yet
@@ -51,22 +59,33 @@
 	timeoutDeadline time.Time // from the timeout that is running
 }
 
+// Close implements net.Conn.
+func (c *CallerConn) Close() error {
+	c.closeOnce.Do(func() {
+		if o, err := outstanding(c.Conn); err == nil && o.Unread > 0 && c.cfg.OnReset != nil {
+			c.cfg.OnReset(c.RemoteAddr(), o)
+		}
+		c.closeErr = c.Conn.Close()
+	})
+	return c.closeErr
+}
+
 // http2Preface is the start of the connection preface that HTTP/2 clients send.
 var http2Preface = []byte("PRI * HTTP/2")
 
 // SetIdle starts the idle timeout for the next request.
-func (c *ReadTimeoutConn) SetIdle() {
+func (c *CallerConn) SetIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.http2 {
 		return
 	}
 	c.awaitingRequest = true
-	c.setTimeout(c.timeouts().Idle)
+	c.setTimeout(c.cfg.Timeouts().Idle)
 }
 
 // SetActive stops the timeouts until SetIdle is called.
-func (c *ReadTimeoutConn) SetActive() {
+func (c *CallerConn) SetActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaitingRequest = false
@@ -74,7 +93,7 @@
 }
 
 // Read implements net.Conn. The first byte of a request starts the header timeout.
-func (c *ReadTimeoutConn) Read(b []byte) (int, error) {
+func (c *CallerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n == 0 {
 		return n, err
@@ -87,14 +106,14 @@
 		if c.http2 {
 			c.setTimeout(0)
 		} else {
-			c.setTimeout(c.timeouts().Header)
+			c.setTimeout(c.cfg.Timeouts().Header)
 		}
 	}
 	return n, err
 }
 
 // SetReadDeadline implements net.Conn.
-func (c *ReadTimeoutConn) SetReadDeadline(t time.Time) error {
+func (c *CallerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serverDeadline = t
@@ -102,7 +121,7 @@
 }
 
 // SetDeadline implements net.Conn.
-func (c *ReadTimeoutConn) SetDeadline(t time.Time) error {
+func (c *CallerConn) SetDeadline(t time.Time) error {
 	if err := c.SetReadDeadline(t); err != nil {
 		return err
 	}
@@ -111,7 +130,7 @@
 
 // setTimeout starts a timeout of d, or stops the running one if d is 0. The caller
 // holds mu.
-func (c *ReadTimeoutConn) setTimeout(d time.Duration) {
+func (c *CallerConn) setTimeout(d time.Duration) {
 	c.timeoutDeadline = time.Time{}
 	if d > 0 {
 		c.timeoutDeadline = time.Now().Add(d)
@@ -121,7 +140,7 @@
 
 // applyDeadline sets the earlier of serverDeadline and timeoutDeadline. The caller
 // holds mu.
-func (c *ReadTimeoutConn) applyDeadline() error {
+func (c *CallerConn) applyDeadline() error {
 	t := c.serverDeadline
 	if t.IsZero() || !c.timeoutDeadline.IsZero() && c.timeoutDeadline.Before(t) {
 		t = c.timeoutDeadline
--- a/io/link/read_timeout_test.go
+++ b/io/link/caller_test.go
@@ -27,7 +27,7 @@
 			_, _ = io.WriteString(w, "ok")
 		}),
 		ConnState: func(c net.Conn, s http.ConnState) {
-			switch rc := c.(*link.ReadTimeoutConn); s {
+			switch rc := c.(*link.CallerConn); s {
 			case http.StateActive:
 				rc.SetActive()
 			case http.StateIdle:
@@ -35,7 +35,9 @@
 			}
 		},
 	}
-	go func() { _ = srv.Serve(link.WithReadTimeouts(ln, func() link.ReadTimeouts { return *timeouts.Load() })) }()
+	go func() {
+		_ = srv.Serve(link.Callers(ln, link.CallerConfig{Timeouts: func() link.ReadTimeouts { return *timeouts.Load() }}))
+	}()
 	t.Cleanup(func() { _ = srv.Close() })
 	return ln.Addr().String()
 }
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -39,39 +39,55 @@
 	return zap.New(core), nil
 }
 
-// frequentKinds are the kinds of events of which many can occur in a second.
-// Their lines are rate-limited.
-var frequentKinds = map[event.Kind]bool{
-	event.RequestRefused:      true,
-	event.RequestRejected:     true,
-	event.RequestMoved:        true,
-	event.RequestSpilled:      true,
-	event.RequestNotMoved:     true,
-	event.RequestFenced:       true,
-	event.RequestReplayed:     true,
-	event.RequestUnknown:      true,
-	event.RequestOutlastsStop: true,
-	event.HeartbeatDoubted:    true,
-	event.AnswerDiscarded:     true,
-	event.HandlerFailed:       true,
-	event.MemoryWaited:        true,
-	event.MemoryRefused:       true,
-	event.HeartbeatStale:      true,
-	event.DataCentreChanged:   true,
-	event.PeerChanged:         true,
-}
+// limit bounds the lines of kinds of events of which many can occur in a second.
+type limit int
+
+const (
+	// loadLimit is that of events of which each call under load may cause one.
+	loadLimit limit = iota + 1
+	// lossLimit is that of events about calls that are lost or in doubt. Those of load, of
+	// which there are many at the same time, must not displace them.
+	lossLimit
+)
 
-// maxFrequentPerSecond bounds the lines of events of all frequentKinds together.
-const maxFrequentPerSecond = 200
+// maxPerSecond is the number of lines a second of all kinds under a limit together.
+var maxPerSecond = map[limit]int{loadLimit: 200, lossLimit: 50}
 
-// NewEventLogger returns a function that logs journal events. It skips events
-// of frequent kinds while their rate is above a limit. The next line that it logs
-// has the number of skipped lines as lines_skipped.
+// limits are the limits of the kinds that have one.
+var limits = map[event.Kind]limit{
+	event.RequestRefused:      loadLimit,
+	event.RequestRejected:     loadLimit,
+	event.RequestMoved:        loadLimit,
+	event.RequestSpilled:      loadLimit,
+	event.RequestNotMoved:     loadLimit,
+	event.RequestFenced:       loadLimit,
+	event.RequestReplayed:     loadLimit,
+	event.RequestOutlastsStop: loadLimit,
+	event.HeartbeatDoubted:    loadLimit,
+	event.MemoryWaited:        loadLimit,
+	event.MemoryRefused:       loadLimit,
+	event.HeartbeatStale:      loadLimit,
+	event.DataCentreChanged:   loadLimit,
+	event.PeerChanged:         loadLimit,
+	event.RequestUnknown:      lossLimit,
+	event.AnswerDiscarded:     lossLimit,
+	event.AnswerCut:           lossLimit,
+	event.ConnectionReset:     lossLimit,
+	event.RequestDropped:      lossLimit,
+	event.HandlerFailed:       lossLimit,
+}
+
+// NewEventLogger returns a function that logs journal events. It skips events while the rate
+// of those under the same limit is above it. The next line that it logs has the number of
+// skipped lines as lines_skipped.
 func NewEventLogger(log *zap.Logger) func(event.Event) {
-	limiter := rate.NewLimiter(maxFrequentPerSecond, maxFrequentPerSecond)
+	limiters := map[limit]*rate.Limiter{}
+	for l, n := range maxPerSecond {
+		limiters[l] = rate.NewLimiter(rate.Limit(n), n)
+	}
 	var skipped atomic.Uint64
 	return func(e event.Event) {
-		if frequentKinds[e.Kind] && !limiter.Allow() {
+		if l, limited := limits[e.Kind]; limited && !limiters[l].Allow() {
 			skipped.Add(1)
 			return
 		}
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -141,7 +141,7 @@
 			return
 		}
 	}
-	if err := s.serveCallers(n.cfg.Settings.Listen.Callers, n.callerTimeouts); err != nil {
+	if err := s.serveCallers(n.cfg.Settings.Listen.Callers, n.callerConfig()); err != nil {
 		s.serveErrs <- err
 		return
 	}
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 
+	"tanagerchute/core/event"
 	"tanagerchute/io/admin"
 	"tanagerchute/io/ahead"
 	"tanagerchute/io/link"
@@ -97,6 +100,9 @@
 		Eligible: n.proxy.MayStartEarly,
 		Stopping: n.stopping.Load,
 		OnStart:  n.metrics.CountPipelined,
+		OnDrop: func(caller net.Addr, dropped int) {
+			n.recordCaller(event.RequestDropped, caller, fmt.Sprintf("the connection is closed with %d bytes of requests that were read", dropped))
+		},
 	})
 }
 
@@ -143,15 +149,30 @@
 	return link.ReadTimeouts{Idle: l.IdleTimeout, Header: l.HeaderTimeout}
 }
 
+// callerConfig returns the configuration of connections of callers.
+func (n *Node) callerConfig() link.CallerConfig {
+	return link.CallerConfig{
+		Timeouts: n.callerTimeouts,
+		OnReset: func(caller net.Addr, o link.Outstanding) {
+			n.recordCaller(event.ConnectionReset, caller, fmt.Sprintf("closed with %d bytes of the caller unread, %d bytes of answers not delivered", o.Unread, o.Unsent))
+		},
+	}
+}
+
+// recordCaller adds an event about a connection of a caller to the journal.
+func (n *Node) recordCaller(kind event.Kind, caller net.Addr, cause string) {
+	n.journal.Add(event.Event{At: time.Now(), Kind: kind, Subject: caller.String(), Cause: cause})
+}
+
 // serveCallers listens at addr and serves callers in the background.
-func (s *servers) serveCallers(addr string, timeouts func() link.ReadTimeouts) error {
+func (s *servers) serveCallers(addr string, cfg link.CallerConfig) error {
 	ln, err := link.Listen(addr)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
 	active := &activeListener{listener: ln, done: make(chan struct{})}
 	s.callersListener.Store(active)
-	s.serve(s.pipeline.Listener(link.WithReadTimeouts(ln, timeouts)), s.callers, active.done)
+	s.serve(s.pipeline.Listener(link.Callers(ln, cfg)), s.callers, active.done)
 	return nil
 }
 
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -261,7 +262,9 @@
 		defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
 	}
 	w.WriteHeader(r.Status)
-	_ = p.links.writeToCaller(ctx, w, c, r.Body) // fails only if the caller has left or doesn't read
+	if err := p.links.writeToCaller(ctx, w, c, r.Body); err != nil {
+		p.recordEvent(event.AnswerCut, c, fmt.Sprintf("status %d, %d bytes: %v", r.Status, len(r.Body), err))
+	}
 }
 
 // slowReaderGrace is how long after the deadline of its request a caller may take to read a
