--- /dev/null
+++ b/io/node/callers_test.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tanagerchute/io/ahead"
+	"tanagerchute/io/link"
+	"tanagerchute/io/peer"
+)
+
+// newCallerServers returns servers of which only the one for callers is in use, and its address.
+func newCallerServers(t *testing.T, h http.Handler, stopping func() bool) (*servers, string) {
+	t.Helper()
+	is := is.New(t)
+	pipeline := ahead.New(ahead.Config{Handler: h, Depth: 8, Eligible: func(*http.Request) bool { return false }, Stopping: stopping})
+	s := &servers{pipeline: pipeline, callers: peer.NewServer(pipeline.Handler()), serveErrs: make(chan error, 1), callerConns: newConnTracker(func(int) {})}
+	s.callers.ConnState = s.callerConns.track
+	s.callers.ConnContext = ahead.ConnContext
+	s.callers.ReadHeaderTimeout = 0
+	ctx, cancel := context.WithCancel(context.Background())
+	s.callers.BaseContext = func(net.Listener) context.Context { return ctx }
+	s.cancelCalls = cancel
+	t.Cleanup(func() { _ = s.callers.Close() })
+	is.NoErr(s.serveCallers("127.0.0.1:0", link.CallerConfig{Timeouts: func() link.ReadTimeouts { return link.ReadTimeouts{} }}))
+	return s, s.callersListener.Load().listener.Addr().String()
+}
+
+// closingRound is a stop that begins while requests arrive on idle connections.
+type closingRound struct {
+	t        *testing.T
+	stopping atomic.Bool
+	// The requests that arrive as the connections are closed.
+	begun, canceled, answered atomic.Int32
+}
+
+// ServeHTTP implements http.Handler.
+func (c *closingRound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !c.stopping.Load() {
+		return
+	}
+	c.begun.Add(1)
+	select {
+	case <-time.After(30 * time.Millisecond):
+	case <-r.Context().Done():
+		c.canceled.Add(1)
+	}
+	_, _ = io.WriteString(w, "done")
+}
+
+// exchange sends a request on conn and reads its answer.
+func (c *closingRound) exchange(conn net.Conn, in *bufio.Reader) error {
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"); err != nil {
+		return err
+	}
+	res, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, res.Body)
+	return err
+}
+
+// run closes the connections of conns clients, each of which sends a second request at some
+// time around it.
+func (c *closingRound) run(conns int, spread time.Duration) {
+	s, addr := newCallerServers(c.t, c, c.stopping.Load)
+	start := make(chan struct{})
+	var ready, wg sync.WaitGroup
+	for range conns {
+		ready.Add(1)
+		wg.Go(func() {
+			conn, err := net.Dial("tcp", addr)
+			if err != nil {
+				c.t.Error(err)
+				ready.Done()
+				return
+			}
+			defer conn.Close()
+			in := bufio.NewReader(conn)
+			if err := c.exchange(conn, in); err != nil {
+				c.t.Error(err)
+			}
+			ready.Done()
+			<-start
+			time.Sleep(time.Duration(rand.Int64N(int64(spread))))
+			if c.exchange(conn, in) == nil {
+				c.answered.Add(1)
+			}
+		})
+	}
+	ready.Wait()
+	c.stopping.Store(true)
+	close(start)
+	time.Sleep(time.Duration(rand.Int64N(int64(spread))))
+	ctx, cancel := context.WithTimeout(c.t.Context(), 5*time.Second)
+	defer cancel()
+	s.closeCallers(ctx)
+	wg.Wait()
+}
+
+// TestRequestAsCallersAreClosed guards against a request that arrives on an idle connection in
+// the moment in which a stop closes it, and that is begun and then canceled. It has to be
+// answered, or not to be begun.
+func TestRequestAsCallersAreClosed(t *testing.T) {
+	is := is.New(t)
+	const rounds, conns, spread = 40, 100, 200 * time.Microsecond
+	var begun, canceled, unanswered int32
+	for range rounds {
+		c := &closingRound{t: t}
+		c.run(conns, spread)
+		begun += c.begun.Load()
+		canceled += c.canceled.Load()
+		unanswered += c.begun.Load() - c.answered.Load()
+	}
+	t.Logf("%d begun, %d canceled, %d without an answer", begun, canceled, unanswered)
+	is.Equal(canceled, int32(0))
+	is.Equal(unanswered, int32(0))
+	is.True(begun > 0)
+}
