ahead: a request that was read behind another one is answered in a planned stop

Cause: whether an answer closes its connection was decided when its handler began, and asked only for requests that had been started early. Class: a resource is released by what is known at the start of an operation, and not by what holds at its end.

Now it is decided when the head of the answer is written: it closes the connection only if nothing behind its request has been read. For that the connection hands out one request at a time, also those with bodies, which made it blind before. The look is on for all depths.

--- a/io/ahead/ahead.go
+++ b/io/ahead/ahead.go
@@ -11,13 +11,14 @@
 // Config configures a Pipeline.
 type Config struct {
 	Handler http.Handler
-	// Depth is the number of requests of one connection that may be in progress at once.
+	// Depth is the number of requests of one connection that may be in progress at once. None
+	// is started early if it is below 2.
 	Depth int
 	// Eligible reports whether a request may be started before the requests in front of
 	// it are answered. It may be called for a request that is not started.
 	Eligible func(*http.Request) bool
 	// Stopping, if not nil, reports whether the server begins to stop. Answers close their
-	// connection then, unless requests behind them have been started.
+	// connection then, unless bytes behind their requests have been read.
 	Stopping func() bool
 	// OnStart, if not nil, is called when a request is started ahead of its turn.
 	OnStart func()
@@ -35,12 +36,10 @@
 
 // Listener returns a listener whose connections look ahead. The server must use
 // ConnContext and Handler.
-func (p *Pipeline) Listener(ln net.Listener) net.Listener {
-	if p.cfg.Depth < 2 {
-		return ln
-	}
-	return listener{ln, p}
-}
+func (p *Pipeline) Listener(ln net.Listener) net.Listener { return listener{ln, p} }
+
+// minDepth is the least depth at which requests are started early.
+const minDepth = 2
 
 type listener struct {
 	net.Listener
@@ -76,20 +75,55 @@
 		c, _ := r.Context().Value(connKey{}).(*Conn) // nil if the listener is another one
 		early := c.take(r)
 		if early == nil {
-			p.closeIfStopping(c, w)
+			w = p.closingWriter(c, w, r)
 			p.cfg.Handler.ServeHTTP(w, r)
 			return
 		}
 		early.wait(r.Context())
-		p.closeIfStopping(c, w)
-		early.writeTo(w)
+		early.writeTo(p.closingWriter(c, w, r))
 	})
 }
 
-// closeIfStopping makes the response close its connection if the server is stopping.
-// Runs behind it are answered first.
-func (p *Pipeline) closeIfStopping(c *Conn, w http.ResponseWriter) {
-	if p.cfg.Stopping != nil && p.cfg.Stopping() && !c.hasRuns() {
+// closingWriter returns a writer of the response to r that closes its connection if the server
+// is stopping when the response begins. What has been read behind r by then is answered first.
+func (p *Pipeline) closingWriter(c *Conn, w http.ResponseWriter, r *http.Request) http.ResponseWriter {
+	if p.cfg.Stopping == nil {
+		return w
+	}
+	return &closingWriter{ResponseWriter: w, closes: func() bool { return p.cfg.Stopping() && (r.ProtoMajor > 1 || !c.hasInput()) }}
+}
+
+// closingWriter is a ResponseWriter that may close its connection with the response.
+type closingWriter struct {
+	http.ResponseWriter
+	closes func() bool
+	began  bool // the head of the final response has been written
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		w.begin()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *closingWriter) Write(b []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(b)
+}
+
+// Unwrap returns the wrapped writer to http.ResponseController.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// begin decides whether the response closes the connection.
+func (w *closingWriter) begin() {
+	if w.began {
+		return
+	}
+	w.began = true
+	if w.closes() {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/io/ahead/conn.go
+++ b/io/ahead/conn.go
@@ -21,7 +21,7 @@
 // goroutine at a time, all other methods are safe for concurrent use.
 //
 // Invariants: Read returns the bytes of one request at a time, and none of the next
-// one's before that is admitted; runs are the requests right behind the one in turn, in
+// one's before that is admitted, unless the connection is opaque; runs are the requests right behind the one in turn, in
 // their order.
 type Conn struct {
 	net.Conn
@@ -36,7 +36,10 @@
 	opaque     bool          // the requests can't be told apart any more
 
 	delivering int           // bytes of buf of the request that was admitted last
-	admitted   *http.Request // that request
+	body       body          // the rest of its body, behind these bytes
+	admitted   *http.Request // that request, nil if nothing may start early behind it
+	numAdmits  uint64        // number of requests that were admitted
+	hadBody    bool          // one of them could have a body: nothing is started early any more
 	scanned    int           // bytes of buf up to the end of the last run
 
 	turn        uint64        // number of the request that the server works on
@@ -111,12 +114,14 @@
 		if ok {
 			return n, err
 		}
-		inProgress, passThrough := c.beginRead()
+		inProgress, direct := c.beginRead(len(b))
 		switch {
 		case inProgress != nil:
 			<-inProgress
-		case passThrough:
-			return c.Conn.Read(b)
+		case direct > 0:
+			n, err := c.Conn.Read(b[:direct])
+			c.countDirect(n)
+			return n, err
 		default:
 			if err := c.fill(); err != nil {
 				return 0, err
@@ -129,7 +134,10 @@
 func (c *Conn) deliver(b []byte) (n int, err error, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.delivering == 0 {
+	if c.delivering == 0 && !c.body.ended() {
+		c.deliverBody()
+	}
+	if c.delivering == 0 && c.body.ended() {
 		c.admit()
 	}
 	if c.delivering == 0 {
@@ -152,8 +160,7 @@
 		if h.size == 0 && len(c.buf) < maxBuffered {
 			return
 		}
-		if h.noBody {
-			c.delivering, c.admitted = h.size, h.request
+		if c.admitHead(h) {
 			return
 		}
 		c.opaque = true
@@ -161,6 +168,40 @@
 	c.delivering = len(c.buf)
 }
 
+// admitHead admits the request with the given head and what is in buf of its body. It
+// returns false if the end of the request can't be told. The caller holds mu.
+func (c *Conn) admitHead(h head) bool {
+	if h.noBody {
+		c.delivering, c.admitted = h.size, h.request
+		c.numAdmits++
+		return true
+	}
+	if !h.mayHaveBody {
+		return false
+	}
+	b, ok := newBody(h.request)
+	if !ok {
+		return false
+	}
+	c.hadBody = true
+	c.body = b
+	c.delivering = h.size
+	c.numAdmits++
+	c.deliverBody()
+	return true
+}
+
+// deliverBody lets Read return what is in buf of the body of the request that was admitted
+// last. The caller holds mu.
+func (c *Conn) deliverBody() {
+	c.delivering += c.body.take(c.buf[c.delivering:])
+	if c.body.broken {
+		c.body = body{}
+		c.opaque = true
+		c.delivering = len(c.buf)
+	}
+}
+
 // lookAhead starts the requests behind the one in turn that may start early, and reads
 // on while there are any. The caller holds mu.
 func (c *Conn) lookAhead() {
@@ -189,7 +230,7 @@
 // mayStartNext reports whether the request behind the runs may start early. It reads on
 // in the background if there are runs. The caller holds mu.
 func (c *Conn) mayStartNext() bool {
-	if !c.active || c.turnRequest == nil || c.opaque || c.base == nil || c.base.Err() != nil {
+	if !c.active || c.turnRequest == nil || c.opaque || c.hadBody || c.pipeline.cfg.Depth < minDepth || c.base == nil || c.base.Err() != nil {
 		return false
 	}
 	if len(c.runs) == 0 {
@@ -227,19 +268,30 @@
 }
 
 // beginRead reserves the next read from Conn for the caller, which has to call fill. If
-// another one is in progress, it returns the channel that is closed at its end. If the
-// connection is passed through, it reserves nothing.
-func (c *Conn) beginRead() (inProgress chan struct{}, passThrough bool) {
+// another one is in progress, it returns the channel that is closed at its end. If the caller
+// can do without buf, it reserves nothing, and returns how many of n bytes may be read.
+func (c *Conn) beginRead(n int) (inProgress chan struct{}, direct int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.reading != nil:
-		return c.reading, false
+		return c.reading, 0
 	case c.opaque && len(c.buf) == 0:
-		return nil, true
+		return nil, n
+	case c.body.left > 0 && len(c.buf) == 0:
+		return nil, int(min(c.body.left, int64(n)))
 	}
 	c.reading = make(chan struct{})
-	return nil, false
+	return nil, 0
+}
+
+// countDirect records that n bytes were read without buf.
+func (c *Conn) countDirect(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.body.left > 0 {
+		c.body.left -= int64(n)
+	}
 }
 
 // scratch holds buffers of readSize bytes.
@@ -283,14 +335,32 @@
 	return e
 }
 
-// hasRuns reports whether requests behind the one in turn have been started. c may be nil.
-func (c *Conn) hasRuns() bool {
+// hasInput reports whether bytes behind the request in turn have been read, or may have been.
+// The requests that they belong to have to be answered. c may be nil.
+func (c *Conn) hasInput() bool {
 	if c == nil {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.runs) > 0
+	if c.opaque || len(c.runs) > 0 || c.numAdmits > c.turn {
+		return true
+	}
+	return c.body.ended() && len(c.buf) > c.delivering
+}
+
+// Retire ends the connection, as if the caller had closed it, unless bytes of a request have
+// been read that is not answered yet. It may be called again. It returns false if the
+// connection can't be ended so.
+func (c *Conn) Retire() bool {
+	r, ok := c.Conn.(interface{ Retire() bool })
+	if !ok {
+		return false
+	}
+	c.mu.Lock()
+	inUse := c.active || len(c.runs) > 0 || len(c.buf) > 0 || !c.opaque && c.numAdmits > c.turn
+	c.mu.Unlock()
+	return inUse || r.Retire()
 }
 
 // dropRuns cancels all runs and stops looking ahead. The caller holds mu.
--- a/io/ahead/head.go
+++ b/io/ahead/head.go
@@ -12,6 +12,8 @@
 	size    int           // bytes, 0 if it is not complete
 	request *http.Request // nil if it can't be read
 	noBody  bool          // nothing follows the head before the next request
+	// mayHaveBody is set if a body may follow, and then the next request.
+	mayHaveBody bool
 }
 
 // parseHead reads the head of a request at the start of buf.
@@ -25,7 +27,9 @@
 		return h
 	}
 	h.request = r
-	h.noBody = r.Method == http.MethodGet && r.ProtoAtLeast(1, 1) && !announcesBody(r) && !changesConn(r)
+	keepsConn := r.ProtoMajor == 1 && r.ProtoMinor == 1 && !changesConn(r)
+	h.noBody = keepsConn && r.Method == http.MethodGet && !announcesBody(r)
+	h.mayHaveBody = keepsConn && !h.noBody
 	return h
 }
 
