link: an answer arrives although its caller sends more before it is read

A caller got the head of an answer with status 200 and a part of its body, then a reset, around a SIGTERM of the node that had taken its request; the upstream had run it. 64 to 84 of some 23,000 requests in each run of TestStopsInSeriesCutNoAnswer on, with answers of 30 and 200 kB.

Cause: a stop closes connections with their answers. The kernel resets a connection that is closed while bytes of the other end are unread, or come later, and drops what it has not sent yet. connection_reset showed it: up to 130,621 bytes of answers on connections with unread bytes. net/http waits after some errors only, and only for 0.5 s. Class: the end of a stream that is taken for its delivery.

Closer closes the writing side first, and the rest when the other end has acknowledged all and closed its side, or has had a second to read; what comes meanwhile is not read. That holds for every close with unread bytes, not for stops only, and in a stop for every answer that is on its way.

TestCloseDeliversAnswer and TestCloserEnds fail without a Closer.

--- a/io/link/caller.go
+++ b/io/link/caller.go
@@ -2,9 +2,13 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // ReadTimeouts bounds the time that a caller may take to send a request. A zero
@@ -19,9 +23,8 @@
 	// Timeouts is called whenever a timeout starts, so that changed settings apply to open
 	// connections as well.
 	Timeouts func() ReadTimeouts
-	// OnReset, if not nil, is called when a connection is closed although bytes of the caller
-	// have not been read. The kernel resets it then, and drops what it has not sent yet.
-	OnReset func(caller net.Addr, o Outstanding)
+	// Closer closes the connections. If it is nil, they are closed at once.
+	Closer *Closer
 }
 
 // Callers returns a listener whose connections are CallerConns.
@@ -44,8 +47,8 @@
 }
 
 // CallerConn is a connection of a caller with read timeouts. Its server calls SetActive
-// when it starts to handle a request, and SetIdle when it waits for the next one. Its
-// methods are safe for concurrent use.
+// when it starts to handle a request, and SetIdle when it waits for the next one. Close lets
+// answers arrive that are on their way, see Closer. Its methods are safe for concurrent use.
 type CallerConn struct {
 	net.Conn
 	cfg       CallerConfig
@@ -54,6 +57,7 @@
 
 	mu              sync.Mutex
 	awaitingRequest bool      // no byte of the next request has been read yet
+	retired         bool      // Read returns io.EOF while awaitingRequest is set
 	http2           bool      // HTTP/2 connection, for which the HTTP/2 server has its own timeouts
 	serverDeadline  time.Time // set by the server with SetReadDeadline
 	timeoutDeadline time.Time // from the timeout that is running
@@ -62,10 +66,11 @@
 // Close implements net.Conn.
 func (c *CallerConn) Close() error {
 	c.closeOnce.Do(func() {
-		if o, err := outstanding(c.Conn); err == nil && o.Unread > 0 && c.cfg.OnReset != nil {
-			c.cfg.OnReset(c.RemoteAddr(), o)
+		if c.cfg.Closer == nil {
+			c.closeErr = c.Conn.Close()
+			return
 		}
-		c.closeErr = c.Conn.Close()
+		c.closeErr = c.cfg.Closer.close(c.Conn)
 	})
 	return c.closeErr
 }
@@ -88,20 +93,46 @@
 func (c *CallerConn) SetActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.awaitingRequest = false
+	c.awaitingRequest, c.retired = false, false
 	c.setTimeout(0)
 }
 
+// Retire makes Read return io.EOF, as if the caller had closed the connection, unless a byte of
+// the next request has been read. It returns false for an HTTP/2 connection, to which it does
+// nothing.
+func (c *CallerConn) Retire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.http2 {
+		return false
+	}
+	if c.awaitingRequest && !c.retired {
+		c.retired = true
+		_ = c.applyDeadline() // interrupts Read; fails only if the connection is closed
+	}
+	return true
+}
+
+// isRetired reports whether Read returns io.EOF.
+func (c *CallerConn) isRetired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retired
+}
+
 // Read implements net.Conn. The first byte of a request starts the header timeout.
 func (c *CallerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n == 0 {
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.isRetired() {
+			return 0, io.EOF
+		}
 		return n, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.awaitingRequest {
-		c.awaitingRequest = false
+		c.awaitingRequest, c.retired = false, false
 		c.http2 = bytes.HasPrefix(b[:n], http2Preface)
 		if c.http2 {
 			c.setTimeout(0)
@@ -141,6 +172,9 @@
 // applyDeadline sets the earlier of serverDeadline and timeoutDeadline. The caller
 // holds mu.
 func (c *CallerConn) applyDeadline() error {
+	if c.retired {
+		return c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
 	t := c.serverDeadline
 	if t.IsZero() || !c.timeoutDeadline.IsZero() && c.timeoutDeadline.Before(t) {
 		t = c.timeoutDeadline
--- /dev/null
+++ b/io/link/closer.go
@@ -0,0 +1,143 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"tanagerchute/io/timer"
+)
+
+const (
+	// maxLinger bounds the time in which an answer may arrive after its connection was closed.
+	maxLinger = 5 * time.Second
+	// readTime is how long the other end may take to read an answer that has arrived, before
+	// its connection is reset since it has sent more than was read. Some kernels drop what has
+	// arrived then.
+	readTime = time.Second
+	// minLingerPoll and maxLingerPoll bound the interval of checks whether an answer has arrived.
+	minLingerPoll, maxLingerPoll = 2 * time.Millisecond, 50 * time.Millisecond
+)
+
+// CloserConfig configures a Closer.
+type CloserConfig struct {
+	// Stopping, if not nil, reports whether connections are closed without regard to what
+	// their callers may still send.
+	Stopping func() bool
+	// OnCut, if not nil, is called when a connection is closed before its answer has arrived.
+	OnCut func(caller net.Addr, o Outstanding)
+}
+
+// Closer closes connections of callers and lets the answers on their way arrive. The kernel
+// resets a connection that is closed while bytes of the other end are unread, or arrive later,
+// and drops what it has not sent yet. So a Closer closes the writing side first, and the rest
+// when the other end has all bytes. What it sends meanwhile is not read. It is safe for
+// concurrent use.
+type Closer struct {
+	cfg CloserConfig
+
+	mu    sync.Mutex
+	left  map[net.Conn]bool // connections whose answers are on their way
+	ended bool              // End closes them
+}
+
+// NewCloser returns a Closer.
+func NewCloser(cfg CloserConfig) *Closer { return &Closer{cfg: cfg, left: map[net.Conn]bool{}} }
+
+// End waits until all answers have arrived, or ctx ends. From then on connections are closed at
+// once, those that are left among them.
+func (l *Closer) End(ctx context.Context) {
+	for l.numLeft() > 0 && timer.Sleep(ctx, maxLingerPoll) {
+	}
+	l.mu.Lock()
+	l.ended = true
+	l.mu.Unlock()
+	for l.numLeft() > 0 {
+		time.Sleep(minLingerPoll) // they are closed at their next check
+	}
+}
+
+// numLeft returns the number of connections whose answers are on their way.
+func (l *Closer) numLeft() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.left)
+}
+
+// hasEnded reports whether End closes what is left.
+func (l *Closer) hasEnded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ended
+}
+
+// begin adds c to the connections that are left. It returns false after End.
+func (l *Closer) begin(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.ended {
+		l.left[c] = true
+	}
+	return !l.ended
+}
+
+// finish closes c and removes it.
+func (l *Closer) finish(c net.Conn) {
+	_ = c.Close() // its other end has all it gets
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.left, c)
+}
+
+// close closes c, at once if there is nothing that can get lost.
+func (l *Closer) close(c net.Conn) error {
+	o, err := outstanding(c)
+	lossless := o.Unread == 0 && (o.Unsent == 0 || l.cfg.Stopping == nil || !l.cfg.Stopping())
+	w, ok := c.(interface{ CloseWrite() error })
+	if err != nil || lossless || !ok {
+		return c.Close()
+	}
+	if w.CloseWrite() != nil { // the other end has reset it
+		return c.Close()
+	}
+	_ = c.SetDeadline(time.Unix(1, 0)) // ends reads and writes that are in progress
+	if !l.begin(c) {
+		l.cut(c)
+		return c.Close()
+	}
+	go l.linger(c)
+	return nil
+}
+
+// linger closes c when the other end has its answer and has had time to read it.
+func (l *Closer) linger(c net.Conn) {
+	defer l.finish(c)
+	end := time.Now().Add(maxLinger)
+	var arrivedAt time.Time
+	for poll := minLingerPoll; time.Now().Before(end) && !l.hasEnded(); poll = min(2*poll, maxLingerPoll) {
+		state, err := deliveryOf(c)
+		if err != nil || state == endsAgree {
+			return
+		}
+		if state == arrived && arrivedAt.IsZero() {
+			arrivedAt = time.Now()
+		}
+		if !arrivedAt.IsZero() && time.Since(arrivedAt) >= readTime {
+			return
+		}
+		time.Sleep(poll)
+	}
+	if arrivedAt.IsZero() {
+		l.cut(c)
+	}
+}
+
+// cut prepares c for being closed before its answer has arrived. Without unread bytes the
+// kernel goes on sending it.
+func (l *Closer) cut(c net.Conn) {
+	if o, err := outstanding(c); err == nil && l.cfg.OnCut != nil {
+		l.cfg.OnCut(c.RemoteAddr(), o)
+	}
+	_ = discardInput(c) // the connection is reset if this fails
+}
--- a/io/link/outstanding.go
+++ b/io/link/outstanding.go
@@ -19,26 +19,84 @@
 
 // outstanding returns what the kernel holds of c.
 func outstanding(c net.Conn) (Outstanding, error) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return Outstanding{}, errNoSocket
+	var o Outstanding
+	err := control(c, func(fd int) (err error) {
+		if o.Unread, err = unix.IoctlGetInt(fd, unix.SIOCINQ); err != nil {
+			return err
+		}
+		o.Unsent, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		return err
+	})
+	if err != nil {
+		return Outstanding{}, err
 	}
-	raw, err := sc.SyscallConn()
+	return o, nil
+}
+
+// delivery tells what has become of the end of a connection.
+type delivery int
+
+const (
+	onItsWay  delivery = iota // the other end has not acknowledged all bytes
+	arrived                   // it has, and its own side is open
+	endsAgree                 // it has closed its side as well, or the connection is reset
+)
+
+// deliveryOf returns what has become of the end of c, whose writing side is closed.
+func deliveryOf(c net.Conn) (delivery, error) {
+	var state uint8
+	err := control(c, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			state = info.State
+		}
+		return err
+	})
 	if err != nil {
-		return Outstanding{}, errors.Wrap(err, "socket")
+		return onItsWay, err
 	}
-	var o Outstanding
-	var ioctlErr error
-	err = raw.Control(func(fd uintptr) {
-		if o.Unread, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCINQ); ioctlErr == nil {
-			o.Unsent, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	switch state {
+	case unix.BPF_TCP_FIN_WAIT1, unix.BPF_TCP_CLOSING, unix.BPF_TCP_LAST_ACK:
+		return onItsWay, nil
+	case unix.BPF_TCP_FIN_WAIT2:
+		return arrived, nil
+	}
+	return endsAgree, nil
+}
+
+// discardInput discards what was received on c and not read, so that closing c does not reset
+// it.
+func discardInput(c net.Conn) error {
+	return control(c, func(fd int) error {
+		buf := make([]byte, discardSize)
+		for {
+			n, err := unix.Read(fd, buf)
+			if n <= 0 || err != nil {
+				return err
+			}
 		}
 	})
-	if err == nil {
-		err = ioctlErr
+}
+
+// discardSize is the number of bytes that are discarded at once.
+const discardSize = 4 << 10
+
+// control calls f with the file descriptor of c.
+func control(c net.Conn, f func(fd int) error) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return errNoSocket
 	}
+	raw, err := sc.SyscallConn()
 	if err != nil {
-		return Outstanding{}, errors.Wrap(err, "queues of the socket")
+		return errors.Wrap(err, "socket")
 	}
-	return o, nil
+	var ferr error
+	if err := raw.Control(func(fd uintptr) { ferr = f(int(fd)) }); err != nil {
+		return errors.Wrap(err, "socket")
+	}
+	if ferr != nil {
+		return errors.Wrap(ferr, "state of the socket")
+	}
+	return nil
 }
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -151,12 +151,17 @@
 
 // callerConfig returns the configuration of connections of callers.
 func (n *Node) callerConfig() link.CallerConfig {
-	return link.CallerConfig{
-		Timeouts: n.callerTimeouts,
-		OnReset: func(caller net.Addr, o link.Outstanding) {
+	return link.CallerConfig{Timeouts: n.callerTimeouts, Closer: n.callerCloser}
+}
+
+// newCallerCloser returns the closer of connections of callers.
+func (n *Node) newCallerCloser() *link.Closer {
+	return link.NewCloser(link.CloserConfig{
+		Stopping: n.stopping.Load,
+		OnCut: func(caller net.Addr, o link.Outstanding) {
 			n.recordCaller(event.ConnectionReset, caller, fmt.Sprintf("closed with %d bytes of the caller unread, %d bytes of answers not delivered", o.Unread, o.Unsent))
 		},
-	}
+	})
 }
 
 // recordCaller adds an event about a connection of a caller to the journal.
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -79,15 +79,34 @@
 	// caller sends a request on a connection that is about to be closed.
 	s.closeCallers(drainCtx)
 	n.proxy.WaitIdle(drainCtx) // calls that pass through this node, answers on their way
+	answersDelivered := n.awaitAnswers(ctx, startedAt.Add(drain.Timeout.Std()+closeTimeout))
+	select {
+	case <-answersDelivered:
+	case <-drainCtx.Done():
+	}
 	closeBy := time.Now().Add(closeTimeout)
 	closeCtx, cancelClose := context.WithDeadline(ctx, closeBy)
 	defer cancelClose()
 	n.fleet.Stop(closeCtx)
 	s.closeOtherServers(closeCtx)
 	<-seedRemoved
+	<-answersDelivered
 	return closeBy
 }
 
+// awaitAnswers returns a channel that is closed when the last answers to callers have arrived,
+// or at deadline.
+func (n *Node) awaitAnswers(ctx context.Context, deadline time.Time) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ctx, cancel := context.WithDeadline(ctx, deadline)
+		defer cancel()
+		n.callerCloser.End(ctx)
+	}()
+	return done
+}
+
 // callsDuringStop returns the course of a planned stop that began at startedAt.
 func callsDuringStop(startedAt time.Time, drain setup.Drain) stop.Plan {
 	timeout := drain.Timeout.Std()
