node: a stop takes no request on a connection that it closes

A request that arrived on an idle connection in between was begun and canceled: its caller got an answer of the node's own, although another node may have got the request, since the own gatekeeper drains by then.

Class: check, then act. The state of a connection says idle until the head of a request has been read whole, and may change before the act.

Now a connection is retired: it reads nothing more, unless a byte of a request has been read; then it answers first. Calls are canceled when all connections are gone, or at the end of the stop.

--- a/io/node/callers.go
+++ b/io/node/callers.go
@@ -21,9 +21,9 @@
 
 // connTracker tracks the states of the connections of the server for callers.
 //
-// net/http drops a request that it reads after Shutdown was called. So a stop
-// first closes the listener, and calls Shutdown only when no connection has a
-// request in progress.
+// net/http drops a request that it reads after Shutdown was called, and closes idle
+// connections without regard to what has arrived. So a stop first closes the listener and
+// retires the connections, and calls Shutdown when none is left but those of HTTP/2.
 type connTracker struct {
 	onCount func(open int)
 	mu      sync.Mutex
@@ -113,13 +113,51 @@
 	return false
 }
 
-// waitIdle waits until no connection has a request in progress, or ctx ends. It
-// waits at most firstRequestGrace for new connections without a request.
+// waitIdle waits until no connection has a request in progress, or ctx ends.
 func (c *connTracker) waitIdle(ctx context.Context) {
+	for c.anyInState(http.StateActive) && timer.Sleep(ctx, statePollInterval) {
+	}
+}
+
+// retirableConn is a connection that can be ended before its next request. Retire returns
+// false if it can't be ended so.
+type retirableConn interface{ Retire() bool }
+
+// retireAll ends the connections, each after its answers, and waits until they are closed, or
+// ctx ends. It does not close those of HTTP/2, but waits until they have no request in
+// progress. It waits at most firstRequestGrace for the requests of new connections.
+//
+// A connection on which a request arrives meanwhile either has read none of its bytes, or
+// answers it.
+func (c *connTracker) retireAll(ctx context.Context) {
 	graceEnd := time.Now().Add(firstRequestGrace)
-	for c.anyInState(http.StateActive) || c.anyInState(http.StateNew) && time.Now().Before(graceEnd) {
-		if !timer.Sleep(ctx, statePollInterval) {
-			return
+	for !c.tryRetire(time.Now().After(graceEnd)) && timer.Sleep(ctx, statePollInterval) {
+	}
+}
+
+// tryRetire ends the connections without a request, new ones only if newToo is set. It reports
+// whether none is left but idle ones that can't be ended so.
+func (c *connTracker) tryRetire(newToo bool) (done bool) {
+	done = true
+	for conn, state := range c.states() {
+		if state == http.StateActive || state == http.StateNew && !newToo {
+			done = false
+			continue
 		}
+		if rc, ok := conn.(retirableConn); ok && rc.Retire() {
+			done = false // it is closed by its server
+		}
+	}
+	return done
+}
+
+// states returns the state of each connection.
+func (c *connTracker) states() map[net.Conn]http.ConnState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[net.Conn]http.ConnState, len(c.byConn))
+	for conn, s := range c.byConn {
+		out[conn] = s.state
 	}
+	return out
 }
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -150,9 +150,9 @@
 	}
 }
 
-// closeCallers stops the server for callers. It accepts no new connections, waits
-// for the requests in progress until ctx ends, then cancels the remaining calls
-// and closes all connections.
+// closeCallers stops the server for callers. It accepts no new connections, ends each
+// connection after its answers, and waits for that until ctx ends. Then it cancels the calls
+// that are still in progress, and closes all connections.
 func (s *servers) closeCallers(ctx context.Context) {
 	if active := s.callersListener.Load(); active != nil {
 		_ = active.listener.Close() // the end of accepting is awaited below
@@ -160,10 +160,14 @@
 		case <-active.done:
 		case <-time.After(pendingAcceptTimeout):
 		}
-		s.callerConns.waitIdle(ctx)
+		s.callerConns.retireAll(ctx)
 	}
-	// The calls that are still in progress get their final answer now.
+	err := s.callers.Shutdown(ctx)
 	s.cancelCalls()
+	if err == nil {
+		return
+	}
+	// The calls that are still in progress get their final answer now.
 	answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalAnswerTimeout)
 	defer cancel()
 	s.callerConns.waitIdle(answerCtx)
