--- a/io/ahead/ahead.go
+++ b/io/ahead/ahead.go
@@ -90,7 +90,7 @@
 	if p.cfg.Stopping == nil {
 		return w
 	}
-	return &closingWriter{ResponseWriter: w, closes: func() bool { return p.cfg.Stopping() && (r.ProtoMajor > 1 || !c.hasInput()) }}
+	return &closingWriter{ResponseWriter: w, closes: func() bool { return p.cfg.Stopping() && (r.ProtoMajor > 1 || c.endAfterAnswer()) }}
 }
 
 // closingWriter is a ResponseWriter that may close its connection with the response.
--- a/io/ahead/conn.go
+++ b/io/ahead/conn.go
@@ -349,6 +349,21 @@
 	return c.body.ended() && len(c.buf) > c.delivering
 }
 
+// endAfterAnswer reports whether the connection can end with the answer to the request in turn,
+// see hasInput. If so, nothing more is read from it. c may be nil.
+func (c *Conn) endAfterAnswer() bool {
+	if c.hasInput() {
+		return false
+	}
+	if c == nil {
+		return true
+	}
+	if h, ok := c.Conn.(interface{ Hold() }); ok {
+		h.Hold()
+	}
+	return true
+}
+
 // Retire ends the connection, as if the caller had closed it, unless bytes of a request have
 // been read that is not answered yet. It may be called again. It returns false if the
 // connection can't be ended so.
--- a/io/link/caller.go
+++ b/io/link/caller.go
@@ -56,16 +56,20 @@
 	closeErr  error
 
 	mu              sync.Mutex
-	awaitingRequest bool      // no byte of the next request has been read yet
-	retired         bool      // Read returns io.EOF while awaitingRequest is set
-	http2           bool      // HTTP/2 connection, for which the HTTP/2 server has its own timeouts
-	serverDeadline  time.Time // set by the server with SetReadDeadline
-	timeoutDeadline time.Time // from the timeout that is running
+	awaitingRequest bool          // no byte of the next request has been read yet
+	retired         bool          // Read returns io.EOF while awaitingRequest is set
+	held            chan struct{} // if not nil, Read reads nothing more; closed when it returns
+	http2           bool          // HTTP/2 connection, for which the HTTP/2 server has its own timeouts
+	serverDeadline  time.Time     // set by the server with SetReadDeadline
+	timeoutDeadline time.Time     // from the timeout that is running
 }
 
 // Close implements net.Conn.
 func (c *CallerConn) Close() error {
 	c.closeOnce.Do(func() {
+		c.mu.Lock()
+		c.endHold()
+		c.mu.Unlock()
 		if c.cfg.Closer == nil {
 			c.closeErr = c.Conn.Close()
 			return
@@ -113,6 +117,41 @@
 	return true
 }
 
+// Hold makes Read read nothing more. It blocks until the server interrupts it with a read
+// deadline, or closes the connection.
+func (c *CallerConn) Hold() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.held == nil && !c.http2 {
+		c.held = make(chan struct{})
+		_ = c.applyDeadline() // interrupts Read; fails only if the connection is closed
+	}
+}
+
+// endHold lets Read return, if the connection is held. The caller holds mu.
+func (c *CallerConn) endHold() {
+	if c.held == nil {
+		return
+	}
+	select {
+	case <-c.held:
+	default:
+		close(c.held)
+	}
+}
+
+// awaitHold blocks while the connection is held. It reports whether Read may read on.
+func (c *CallerConn) awaitHold() bool {
+	c.mu.Lock()
+	held := c.held
+	c.mu.Unlock()
+	if held == nil {
+		return true
+	}
+	<-held
+	return false
+}
+
 // isRetired reports whether Read returns io.EOF.
 func (c *CallerConn) isRetired() bool {
 	c.mu.Lock()
@@ -122,8 +161,14 @@
 
 // Read implements net.Conn. The first byte of a request starts the header timeout.
 func (c *CallerConn) Read(b []byte) (int, error) {
+	if !c.awaitHold() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := c.Conn.Read(b)
 	if n == 0 {
+		if !c.awaitHold() {
+			return 0, os.ErrDeadlineExceeded
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.isRetired() {
 			return 0, io.EOF
 		}
@@ -148,6 +193,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serverDeadline = t
+	if !t.IsZero() && !t.After(time.Now()) {
+		c.endHold()
+	}
 	return c.applyDeadline()
 }
 
@@ -172,7 +220,7 @@
 // applyDeadline sets the earlier of serverDeadline and timeoutDeadline. The caller
 // holds mu.
 func (c *CallerConn) applyDeadline() error {
-	if c.retired {
+	if c.retired || c.held != nil {
 		return c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 	t := c.serverDeadline
--- a/io/node/callers_test.go
+++ b/io/node/callers_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -20,10 +21,14 @@
 )
 
 // newCallerServers returns servers of which only the one for callers is in use, and its address.
-func newCallerServers(t *testing.T, h http.Handler, stopping func() bool) (*servers, string) {
+// They pass the number of bytes to onDrop that were read and dropped with their connection.
+func newCallerServers(t *testing.T, h http.Handler, stopping func() bool, onDrop func(n int)) (*servers, string) {
 	t.Helper()
 	is := is.New(t)
-	pipeline := ahead.New(ahead.Config{Handler: h, Depth: 8, Eligible: func(*http.Request) bool { return false }, Stopping: stopping})
+	pipeline := ahead.New(ahead.Config{
+		Handler: h, Depth: 8, Eligible: func(*http.Request) bool { return false }, Stopping: stopping,
+		OnDrop: func(_ net.Addr, n int) { onDrop(n) },
+	})
 	s := &servers{pipeline: pipeline, callers: peer.NewServer(pipeline.Handler()), serveErrs: make(chan error, 1), callerConns: newConnTracker(func(int) {})}
 	s.callers.ConnState = s.callerConns.track
 	s.callers.ConnContext = ahead.ConnContext
@@ -32,7 +37,9 @@
 	s.callers.BaseContext = func(net.Listener) context.Context { return ctx }
 	s.cancelCalls = cancel
 	t.Cleanup(func() { _ = s.callers.Close() })
-	is.NoErr(s.serveCallers("127.0.0.1:0", link.CallerConfig{Timeouts: func() link.ReadTimeouts { return link.ReadTimeouts{} }}))
+	is.NoErr(s.serveCallers("127.0.0.1:0", link.CallerConfig{
+		Timeouts: func() link.ReadTimeouts { return link.ReadTimeouts{} }, Closer: link.NewCloser(link.CloserConfig{Stopping: stopping}),
+	}))
 	return s, s.callersListener.Load().listener.Addr().String()
 }
 
@@ -74,7 +81,7 @@
 // run closes the connections of conns clients, each of which sends a second request at some
 // time around it.
 func (c *closingRound) run(conns int, spread time.Duration) {
-	s, addr := newCallerServers(c.t, c, c.stopping.Load)
+	s, addr := newCallerServers(c.t, c, c.stopping.Load, func(int) {})
 	start := make(chan struct{})
 	var ready, wg sync.WaitGroup
 	for range conns {
@@ -128,3 +135,36 @@
 	is.Equal(unanswered, int32(0))
 	is.True(begun > 0)
 }
+
+// TestRequestAfterClosingAnswerIsNotRead guards against a request that is read, and dropped with its
+// connection, although it comes after the head of an answer that closes the connection.
+func TestRequestAfterClosingAnswerIsNotRead(t *testing.T) {
+	is := is.New(t)
+	var dropped atomic.Int64
+	const answerBytes = 8 << 20 // more than the kernel takes, so that the answer is being written
+	s, addr := newCallerServers(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Length", strconv.Itoa(answerBytes))
+		_, _ = w.Write(make([]byte, answerBytes))
+	}), func() bool { return true }, func(n int) { dropped.Add(int64(n)) })
+	conn, err := net.Dial("tcp", addr)
+	is.NoErr(err)
+	defer conn.Close()
+	request := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
+	_, err = io.WriteString(conn, request)
+	is.NoErr(err)
+	in := bufio.NewReader(conn)
+	res, err := http.ReadResponse(in, nil)
+	is.NoErr(err)
+	is.True(res.Close)
+	_, err = io.WriteString(conn, request)
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond) // it arrives
+	n, err := io.Copy(io.Discard, res.Body)
+	is.NoErr(err)
+	is.Equal(n, int64(answerBytes))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	s.closeCallers(ctx)
+	is.Equal(dropped.Load(), int64(0))
+}
