--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -3,10 +3,7 @@
 import (
 	"fmt"
 	"slices"
-	"syscall"
 	"time"
-
-	"github.com/go-faster/errors"
 )
 
 // Bounds of the checks.
@@ -23,6 +20,14 @@
 	recoveryBound = 10 * time.Second // after the last fault, until all nodes serve again
 	steadyTime    = 2 * time.Second  // in which they are observed then
 	lateBound     = 2 * time.Second  // of an answer after the deadline of its call
+	// drainShare is the part of the grace period of a planned stop after which calls are given up.
+	drainShare = 0.85
+	// longWorkSent is how long after the signal a call may be sent that is given up since its
+	// work goes on in the last sixth of the grace period.
+	longWorkSent = 3 * time.Second
+	// crossingTime is the longest time between a request and the end of its connection in which
+	// they may have crossed.
+	crossingTime = 200 * time.Millisecond
 )
 
 // Rule is what a check looks for.
@@ -149,12 +154,12 @@
 	rule := NoFault
 	if stops := e.stopsAround(x); len(stops) > 0 {
 		rule = StopCuts
-		if slices.ContainsFunc(stops, func(s Injection) bool { return !e.stopIsClean(s) || x.lost() && e.inLastSixth(s, x) }) {
+		if slices.ContainsFunc(stops, func(s Injection) bool { return !e.stopIsClean(s) || x.lost() && e.worksInLastSixth(s, x) }) {
 			return
 		}
 	}
-	if x.Stalled && len(e.stopsAround(x)) > 0 {
-		return // a stop does not await a body that does not arrive
+	if len(e.stopsAround(x)) > 0 && (x.Stalled || e.crossedClose(x)) {
+		return // a stop does not await a body that does not arrive, nor a request that it can't know of
 	}
 	if e.explained(x) {
 		return
@@ -174,18 +179,28 @@
 	return out
 }
 
-// inLastSixth reports whether a call ended in the last sixth of a planned stop, in
-// which calls may be given up.
-func (e *Evidence) inLastSixth(stop Injection, x *Call) bool {
-	return x.Got.After(stop.Began.Add(e.Drain.Timeout.Std() * 5 / 6))
+// worksInLastSixth reports whether a planned stop may give up a call: it was sent soon after the
+// signal, and a server worked on it in the last sixth of the grace period.
+func (e *Evidence) worksInLastSixth(stop Injection, x *Call) bool {
+	grace := time.Duration(float64(e.Drain.Timeout.Std()) / drainShare)
+	lastSixth := stop.Began.Add(grace * 5 / 6)
+	if x.Sent.After(stop.Began.Add(longWorkSent)) {
+		return false
+	}
+	return slices.ContainsFunc(e.Runs[x.Key], func(r Run) bool {
+		return r.At.Before(stop.Exited) && r.endOr(stop.Exited).After(lastSixth)
+	})
+}
+
+// crossedClose reports whether a call may have been sent as its connection was closed, so that its
+// node has not read it.
+func (e *Evidence) crossedClose(x *Call) bool {
+	return x.Err != nil && len(e.Runs[x.Key]) == 0 && x.Got.Sub(x.Sent) <= crossingTime
 }
 
 // explained reports whether the loss of a call is explained by a fault. If no ledger
 // names the node that the call went to, it may have been any.
 func (e *Evidence) explained(x *Call) bool {
-	if x.Err != nil && errors.Is(x.Err, syscall.ECONNRESET) && x.Idle > e.Drain.Linger.Std() {
-		return true // see the limits of planned stops in docs/PROMISES.md
-	}
 	if x.Err == nil && e.entryLost(x) {
 		return true
 	}
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -10,7 +10,8 @@
 //
 // Each version of the configuration adds a key of a client account and withdraws one.
 // Some calls carry a key, which may have been withdrawn. A caller at each node pipelines
-// lookups. Others stop in the middle of a body.
+// lookups, and another one sends a second booking before it reads the large answer to the
+// first. Others stop in the middle of a body.
 //
 // The exit status is 1 if a check failed or if the run tested nothing. The directory
 // with logs, settings and ledgers is kept then.
@@ -19,5 +20,5 @@
 //
 //	go run ./internal/soak -seed 7 -duration 20s -nodes 9
 //	go run ./internal/soak -seed 7 -kinds stall,kill,leave
-//	go run ./internal/soak -seed 7 -kinds foreign,kill_again
+//	go run ./internal/soak -seed 7 -kinds foreign,kill_again,roll
 package main
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -32,6 +32,7 @@
 	// pipelinerStream is the first stream of random numbers of the pipeliners. Those of
 	// the callers are below.
 	pipelinerStream = 1 << 20
+	eagerStream     = 1 << 21 // the same of the eager callers
 )
 
 // class is a kind of calls.
@@ -120,6 +121,7 @@
 	}
 	for i := range l.fleet.Instances {
 		wg.Go(func() { l.runPipeliner(ctx, i, rand.New(rand.NewPCG(seed, uint64(pipelinerStream+i)))) })
+		wg.Go(func() { l.runEager(ctx, i, rand.New(rand.NewPCG(seed, uint64(eagerStream+i)))) })
 	}
 	wg.Wait()
 }
--- a/internal/soak/pipe.go
+++ b/internal/soak/pipe.go
@@ -3,15 +3,19 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
 	"tanagerchute/io/native"
@@ -20,6 +24,7 @@
 const (
 	pipelineDepth = 4 // setting pipeline_depth of the nodes, and requests that callers send at once
 	dialTimeout   = 2 * time.Second
+	maxEagerBytes = 300 << 10 // of the answers that eager callers ask for
 )
 
 // lookups are the classes of calls that are pipelined. Their answers are short.
@@ -68,8 +73,10 @@
 	}
 }
 
-// exchange sends calls and returns them with their answers. Those behind an answer that
-// closes the connection have none by the rules of HTTP, and are left out.
+// errAnsweredBefore is the error of a call behind an answer that closed the connection.
+var errAnsweredBefore = errors.New("the answer in front of it closed the connection")
+
+// exchange sends calls and returns them with their answers.
 func (p *pipeliner) exchange() []*Call {
 	var requests bytes.Buffer
 	var calls []*Call
@@ -84,15 +91,79 @@
 	if err == nil {
 		_, err = p.conn.Write(requests.Bytes())
 	}
-	for i, x := range calls {
+	for _, x := range calls {
 		closed := false
 		if err == nil {
-			closed, err = p.read(x, calls)
+			closed, err = p.read(x, "", calls)
 		}
 		x.Got, x.Err = time.Now(), err
 		if closed {
 			p.close()
-			return calls[:i+1]
+			err = errAnsweredBefore
+		}
+	}
+	p.used = time.Now()
+	if err != nil {
+		p.close()
+	}
+	return calls
+}
+
+// runEager makes bookings with large answers on a connection to a node until ctx ends. It sends
+// each second one before it reads the answer to the first, and reads late.
+func (l *load) runEager(ctx context.Context, node int, rng *rand.Rand) {
+	p := &pipeliner{caller: caller{load: l, home: node, rng: rng}}
+	defer p.close()
+	for ctx.Err() == nil {
+		if p.connect() {
+			l.add(p.exchangeEagerly()...)
+		}
+		p.pause(20, 300)
+	}
+}
+
+// exchangeEagerly sends two bookings, the body of the second in two parts, and returns them with
+// their answers.
+func (p *pipeliner) exchangeEagerly() []*Call {
+	class := &classes[2]
+	var calls []*Call
+	var sizes []string
+	var sendErrs []error
+	_ = p.conn.SetDeadline(time.Now().Add(callTimeout)) // a closed connection is noticed below
+	for i := range 2 {
+		x := &Call{Class: class, Key: uuid.Must(uuid.NewV7()).String(), Node: p.home, Pipelined: true}
+		sizes = append(sizes, strconv.Itoa(p.rng.IntN(maxEagerBytes)))
+		if i > 0 {
+			p.pause(0, 200)
+		}
+		x.First, x.Idle = time.Now(), time.Since(p.used)
+		head := fmt.Sprintf("POST %s&bytes=%s HTTP/1.1\r\nHost: %s\r\nX-Work: %s\r\nContent-Length: 600\r\n\r\n",
+			p.target(class), sizes[i], class.service, x.Key)
+		_, err := io.WriteString(p.conn, head+strings.Repeat("a", 300))
+		if i > 0 {
+			p.pause(0, 30)
+		}
+		if err == nil {
+			_, err = io.WriteString(p.conn, strings.Repeat("b", 300))
+		}
+		x.Sent = time.Now()
+		calls, sendErrs = append(calls, x), append(sendErrs, err)
+	}
+	_, err := p.in.Peek(1)
+	firstByteAt := time.Now() // whether the connection is closed is decided before
+	for i, x := range calls {
+		closed := false
+		p.pause(0, 600)
+		err = cmp.Or(err, sendErrs[i])
+		if err == nil {
+			closed, err = p.read(x, sizes[i], calls)
+		}
+		x.Got, x.Err = time.Now(), err
+		if i > 0 && (errors.Is(err, errAnsweredBefore) || sendErrs[i] != nil) {
+			x.Got = firstByteAt
+		}
+		if closed {
+			err = errAnsweredBefore
 		}
 	}
 	p.used = time.Now()
@@ -116,8 +187,9 @@
 	return x
 }
 
-// read reads the answer to x, and reports whether it closes the connection.
-func (p *pipeliner) read(x *Call, calls []*Call) (closes bool, err error) {
+// read reads the answer to x, which has the given number of bytes, if it is not empty, and reports
+// whether it closes the connection.
+func (p *pipeliner) read(x *Call, bytes string, calls []*Call) (closes bool, err error) {
 	res, err := http.ReadResponse(p.in, nil)
 	if err != nil {
 		return false, err
@@ -127,7 +199,7 @@
 	if err != nil {
 		return false, err
 	}
-	x.compare("", string(body))
+	x.compare(bytes, string(body))
 	for _, other := range calls {
 		if other != x && strings.Contains(string(body), other.Key) {
 			x.AnswerOf = other.Key
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -33,11 +33,12 @@
 
 	KillAgain Kind = "kill_again" // SIGKILL of a node again and again while it starts
 	Foreign   Kind = "foreign"    // a backend server answers with a head that is no answer
+	Roll      Kind = "roll"       // planned stops of all nodes, one shortly after the other
 )
 
 // NamedKinds returns the kinds that a run has only if they are named. With them in AllKinds, the
 // seeds of earlier runs would give other plans.
-func NamedKinds() []Kind { return []Kind{KillAgain, Foreign} }
+func NamedKinds() []Kind { return []Kind{KillAgain, Foreign, Roll} }
 
 // AllKinds returns all kinds of faults.
 func AllKinds() []Kind {
@@ -79,7 +80,7 @@
 
 func (k Kind) lane() lane {
 	switch k {
-	case Kill, KillAgain, Stop, Freeze, Stall:
+	case Kill, KillAgain, Stop, Freeze, Stall, Roll:
 		return nodeLane
 	case Delay, Reset, OneWay, Silence:
 		return linkLane
@@ -109,13 +110,14 @@
 }
 
 const (
-	minGap, maxGap       = 200 * time.Millisecond, 1200 * time.Millisecond // between the starts of faults
-	minFreeze, maxFreeze = 300 * time.Millisecond, 1500 * time.Millisecond
-	maxStallFreezes      = 10
-	nodesForEachDown     = 4 // a quarter of the nodes may be down or stopping at the same time
-	restTime             = time.Second
-	killsAgain           = 3           // of KillAgain, after the first
-	maxStartTime         = time.Second // in which each of them comes
+	minGap, maxGap         = 200 * time.Millisecond, 1200 * time.Millisecond // between the starts of faults
+	minRollGap, maxRollGap = 200 * time.Millisecond, 2 * time.Second         // between the stops of Roll
+	minFreeze, maxFreeze   = 300 * time.Millisecond, 1500 * time.Millisecond
+	maxStallFreezes        = 10
+	nodesForEachDown       = 4 // a quarter of the nodes may be down or stopping at the same time
+	restTime               = time.Second
+	killsAgain             = 3           // of KillAgain, after the first
+	maxStartTime           = time.Second // in which each of them comes
 )
 
 // planner builds a plan.
@@ -136,9 +138,13 @@
 	}
 	for at := p.between(0, maxGap); at < cfg.Duration; at += p.between(minGap, maxGap) {
 		kind := cfg.Kinds[p.rng.IntN(len(cfg.Kinds))]
-		if kind == Stall {
+		switch kind {
+		case Stall:
 			p.addStall(at)
 			continue
+		case Roll:
+			p.addRoll(at)
+			continue
 		}
 		p.add(Fault{Kind: kind, At: at, Length: p.length(kind)})
 	}
@@ -203,6 +209,21 @@
 	return f.Node, true
 }
 
+// addRoll adds a planned stop of each node that has no other fault, so that several stop at
+// once, more than in other faults.
+func (p *planner) addRoll(at time.Duration) {
+	for _, node := range p.rng.Perm(p.cfg.Nodes) {
+		if p.busy[nodeLane][node] <= at {
+			f := Fault{Kind: Stop, Node: node, At: at, Length: p.between(minGap, maxGap)}
+			end := f.At + f.Length + restTime + p.cfg.StopTime
+			p.busy[nodeLane][node] = end
+			p.downs = append(p.downs, end)
+			p.faults = append(p.faults, f)
+		}
+		at += p.between(minRollGap, maxRollGap)
+	}
+}
+
 // addStall adds a planned stop, and freezes of other nodes from shortly before it to
 // its end.
 func (p *planner) addStall(at time.Duration) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -10,6 +10,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -81,6 +82,30 @@
 	}
 }
 
+// TestRollOverlaps checks that the stops of a series overlap, and that none overlaps another
+// fault of its node.
+func TestRollOverlaps(t *testing.T) {
+	is := is.New(t)
+	plan := NewPlan(PlanConfig{Seed: 1, Duration: time.Minute, Nodes: 9, Centres: 3, Kinds: []Kind{Roll}, StopTime: 8 * time.Second})
+	last := map[int]time.Duration{}
+	most := 0
+	for i, a := range plan {
+		is.Equal(a.Kind, Stop)
+		atOnce := 0
+		for _, b := range plan[:i+1] {
+			if b.At+8*time.Second > a.At {
+				atOnce++
+			}
+		}
+		most = max(most, atOnce)
+		before, again := last[a.Node]
+		is.True(!again || a.At >= before+8*time.Second)
+		last[a.Node] = a.At
+	}
+	is.Equal(len(last), 9)
+	is.True(most > 9/nodesForEachDown)
+}
+
 // TestPlanIsReplayable guards against plans that differ between runs with the same
 // seed, and against faults that overlap in the same part of an instance.
 func TestPlanIsReplayable(t *testing.T) {
@@ -141,6 +166,7 @@
 	booking, keyed := &classes[2], &classes[3]
 	answered := func(x Call) *Call { x.Class, x.Status = booking, 200; return &x }
 	unknown := func(x Call) *Call { x.Class, x.Status, x.Outcome = booking, 502, "unknown"; return &x }
+	closed := func(x Call) *Call { x.Class, x.Err = booking, syscall.ECONNRESET; return &x }
 	refused := func(x Call) *Call { x.Class, x.Status, x.Outcome = keyed, 503, "not_run"; return &x }
 	run := func(node int, from, to float64) Run {
 		return Run{Node: node, Entry: server.Entry{Key: "k", At: second(from), End: second(to)}}
@@ -190,7 +216,12 @@
 		{"lost nobody knows where", []*Call{unknown(call)}, nil, []Injection{fault(Kill, 2, 10, 11)}, ""},
 		{"no answer of a stopping node", []*Call{{Class: booking, Key: "k", First: second(10), Sent: second(10), Got: second(11), Err: errors.New("EOF")}}, nil, []Injection{fault(Stop, 0, 9, 15)}, StopCuts},
 		{"given up by a stopping gatekeeper", []*Call{unknown(call)}, []Run{run(1, 10, 11)}, []Injection{fault(Stop, 1, 9, 15)}, StopCuts},
-		{"given up in the last sixth", []*Call{unknown(call)}, []Run{run(1, 10, 11)}, []Injection{fault(Stop, 1, 4, 12)}, ""},
+		{"given up in the last sixth, sent late", []*Call{unknown(call)}, []Run{run(1, 10, 12)}, []Injection{fault(Stop, 1, 4, 12)}, StopCuts},
+		{"given up in the last sixth, sent early", []*Call{unknown(Call{Key: "k", First: second(10), Sent: second(10), Got: second(16)})}, []Run{run(1, 10, 16)}, []Injection{fault(Stop, 1, 8, 16)}, ""},
+		{"given up in the last sixth, not worked on", []*Call{unknown(Call{Key: "k", First: second(10), Sent: second(10), Got: second(16)})}, []Run{run(1, 10, 11)}, []Injection{fault(Stop, 1, 8, 16)}, StopCuts},
+		{"crossed the close", []*Call{closed(Call{Key: "k", First: second(10), Sent: second(10), Got: second(10.1)})}, nil, []Injection{fault(Stop, 0, 7, 15)}, ""},
+		{"crossed the close and ran", []*Call{closed(Call{Key: "k", First: second(10), Sent: second(10), Got: second(10.1)})}, []Run{run(0, 10, 10.1)}, []Injection{fault(Stop, 0, 7, 15)}, StopCuts},
+		{"idle connection reset without a stop", []*Call{closed(Call{Key: "k", Idle: time.Minute, First: second(10), Sent: second(10), Got: second(10.1)})}, nil, nil, NoFault},
 		{"stops late", nil, nil, []Injection{slow}, StopEnds},
 		{"work after leaving", []*Call{answered(call)}, []Run{run(1, 10, 11)}, []Injection{late}, NoNewWork},
 		{"more than the limit", nil, many(1, 16, 5), []Injection{limited}, KeptLimit},
