--- a/core/event/event.go
+++ b/core/event/event.go
@@ -106,7 +106,7 @@
 	RolloutConfirmed   Kind = "rollout_confirmed"
 	AnswerDiscarded    Kind = "answer_discarded" // the own backend server sent something that is no answer to the request
 	AnswerCut          Kind = "answer_cut"       // the connection of a caller ended before its answer was written whole
-	ConnectionReset    Kind = "connection_reset" // that of a caller was closed with bytes unread, or an answer not delivered
+	ConnectionReset    Kind = "connection_reset" // that of a caller was closed before its answer had arrived
 	RequestDropped     Kind = "request_dropped"  // the connection of a caller was closed with requests that were read and not answered
 	HandlerFailed      Kind = "handler_failed"   // a request was not answered, since the code that serves it failed
 	MemoryWaited       Kind = "memory_waited"    // a body or an answer was read after a wait for memory
--- a/io/ahead/doc.go
+++ b/io/ahead/doc.go
@@ -14,6 +14,9 @@
 // of them may have run. A connection whose requests can't be told apart with certainty
 // is passed through unchanged for the rest of its life.
 //
+// While the server is stopping, a response closes its connection unless bytes of a further
+// request have been read: what was read is answered.
+//
 // A caller that does not pipeline is served as without this package.
 //
 // # Usage
--- a/io/link/doc.go
+++ b/io/link/doc.go
@@ -4,9 +4,9 @@
 // A Dialer opens connections that fail if the peer is silent for a given time. Direct
 // is one with a short time, for messages that can be sent again.
 //
-// A Listener loses no pending connection when it is closed. Callers
-// bounds the time that callers take to send their requests, and tells of connections that
-// are closed too early.
+// A Listener loses no pending connection when it is closed. The connections of Callers
+// bound the time that callers take to send their requests, can be retired between two
+// requests, and are closed by a Closer, which lets the answers on their way arrive.
 //
 // A Meter counts the bytes inside the data centre and those to other data centres
 // separately. Only the side that dialled counts a connection, in both directions,
