ahead: responses that wait for their turn are kept within a bound

Seven answers of up to 8 MiB each could wait on one connection, while the one in front was slow, and a process that exceeds its memory is killed with all its calls.

Now a pipeline keeps 4 MiB of all its connections together, which the budget counts as taken. What does not fit is written in its turn; its handler waits until then with the original, which is in the budget. TestLargeResponsesAwaitTheirTurn failed before (three more responses were kept, not one).

--- a/io/ahead/ahead.go
+++ b/io/ahead/ahead.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 )
 
 // Config configures a Pipeline.
@@ -27,12 +28,30 @@
 	OnDrop func(caller net.Addr, n int)
 }
 
+// MaxKeptBytes bounds the responses that a Pipeline keeps until their turn, in bytes. A response
+// for which there is no room is written in its turn, and its handler waits until then.
+const MaxKeptBytes = 4 << 20
+
 // Pipeline starts pipelined requests ahead of their turn. It is safe for concurrent
 // use.
-type Pipeline struct{ cfg Config }
+type Pipeline struct {
+	cfg  Config
+	kept atomic.Int64 // bytes of responses that wait for their turn
+}
 
 // New returns a pipeline.
-func New(cfg Config) *Pipeline { return &Pipeline{cfg} }
+func New(cfg Config) *Pipeline { return &Pipeline{cfg: cfg} }
+
+// keep reports whether n more bytes may be kept. They are until unkeep is called.
+func (p *Pipeline) keep(n int) bool {
+	if p.kept.Add(int64(n)) <= MaxKeptBytes {
+		return true
+	}
+	p.unkeep(n)
+	return false
+}
+
+func (p *Pipeline) unkeep(n int) { p.kept.Add(-int64(n)) }
 
 // Listener returns a listener whose connections look ahead. The server must use
 // ConnContext and Handler.
@@ -79,8 +98,7 @@
 			p.cfg.Handler.ServeHTTP(w, r)
 			return
 		}
-		early.wait(r.Context())
-		early.writeTo(p.closingWriter(c, w, r))
+		early.finish(r.Context(), p.closingWriter(c, w, r))
 	})
 }
 
@@ -146,7 +164,7 @@
 // start starts r. Its context ends when that of the connection does.
 func (p *Pipeline) start(ctx context.Context, r *http.Request) *run {
 	ctx, cancel := context.WithCancel(ctx)
-	e := &run{request: r, cancel: cancel, response: newRecorder(), done: make(chan struct{})}
+	e := &run{request: r, cancel: cancel, response: newRecorder(ctx, p), done: make(chan struct{})}
 	if p.cfg.OnStart != nil {
 		p.cfg.OnStart()
 	}
@@ -158,40 +176,54 @@
 	return e
 }
 
-// wait waits for the response. If ctx, that of the request in its turn, ends first, the run
-// is cancelled.
-func (e *run) wait(ctx context.Context) {
+// finish writes the response to w when it is complete, or as it comes if it is not kept. If ctx,
+// that of the request in its turn, ends first, the run is cancelled. A panic of the handler
+// goes on here.
+func (e *run) finish(ctx context.Context, w http.ResponseWriter) {
 	defer e.cancel()
+	defer e.response.drop()
+	defer context.AfterFunc(ctx, e.cancel)()
 	select {
 	case <-e.done:
-	case <-ctx.Done():
-		e.cancel()
+	case e.response.turn <- w:
 		<-e.done
 	}
-}
-
-// writeTo writes the response to w. A panic of the handler goes on here.
-func (e *run) writeTo(w http.ResponseWriter) {
 	if e.panicked != nil {
 		panic(e.panicked)
 	}
 	e.response.copyTo(w)
 }
 
+// abandon cancels a run that nobody waits for.
+func (e *run) abandon() {
+	e.cancel()
+	go func() {
+		<-e.done
+		e.response.drop()
+	}()
+}
+
 // answers reports whether e is a run of r.
 func (e *run) answers(r *http.Request) bool {
 	return e.request.Method == r.Method && e.request.RequestURI == r.RequestURI && e.request.Host == r.Host &&
 		maps.EqualFunc(e.request.Header, r.Header, slices.Equal[[]string])
 }
 
-// recorder is a ResponseWriter that keeps the response.
+// recorder is a ResponseWriter that keeps the response, or waits for its turn if there is no
+// room to keep it.
 type recorder struct {
-	header http.Header
-	status int // 0 until it is written
-	body   []byte
+	ctx      context.Context // of the run
+	pipeline *Pipeline
+	turn     chan http.ResponseWriter // gives the writer of the response in its turn
+	header   http.Header
+	status   int // 0 until it is written
+	body     []byte
+	out      http.ResponseWriter // where the response is written in its turn, nil while it is kept
 }
 
-func newRecorder() *recorder { return &recorder{header: http.Header{}} }
+func newRecorder(ctx context.Context, p *Pipeline) *recorder {
+	return &recorder{ctx: ctx, pipeline: p, turn: make(chan http.ResponseWriter), header: http.Header{}}
+}
 
 // Header implements http.ResponseWriter.
 func (r *recorder) Header() http.Header { return r.header }
@@ -206,12 +238,43 @@
 // Write implements http.ResponseWriter.
 func (r *recorder) Write(b []byte) (int, error) {
 	r.WriteHeader(http.StatusOK)
-	r.body = append(r.body, b...)
-	return len(b), nil
+	if r.out == nil && r.pipeline.keep(len(b)) {
+		r.body = append(r.body, b...)
+		return len(b), nil
+	}
+	if err := r.awaitTurn(); err != nil {
+		return 0, err
+	}
+	return r.out.Write(b)
 }
 
-// copyTo writes the response to w.
+// awaitTurn waits for the turn of the response and writes what has been kept.
+func (r *recorder) awaitTurn() error {
+	if r.out != nil {
+		return nil
+	}
+	select {
+	case w := <-r.turn:
+		r.copyTo(w)
+		r.drop()
+		r.out = w
+		return nil
+	case <-r.ctx.Done():
+		return r.ctx.Err()
+	}
+}
+
+// drop gives back the room for what is kept.
+func (r *recorder) drop() {
+	r.pipeline.unkeep(len(r.body))
+	r.body = nil
+}
+
+// copyTo writes what has been kept to w, unless the response is written there already.
 func (r *recorder) copyTo(w http.ResponseWriter) {
+	if r.out != nil {
+		return
+	}
 	maps.Copy(w.Header(), r.header)
 	if r.status != 0 {
 		w.WriteHeader(r.status)
--- a/io/ahead/conn.go
+++ b/io/ahead/conn.go
@@ -98,6 +98,7 @@
 	if c.cancelBase != nil {
 		c.cancelBase()
 	}
+	c.abandonRuns()
 	dropped := len(c.buf)
 	c.buf = nil
 	c.mu.Unlock()
@@ -380,9 +381,14 @@
 
 // dropRuns cancels all runs and stops looking ahead. The caller holds mu.
 func (c *Conn) dropRuns() {
+	c.abandonRuns()
+	c.opaque = true
+}
+
+// abandonRuns cancels all runs. The caller holds mu.
+func (c *Conn) abandonRuns() {
 	for _, e := range c.runs {
-		e.cancel()
+		e.abandon()
 	}
 	c.runs = nil
-	c.opaque = true
 }
--- a/io/ahead/turn_test.go
+++ b/io/ahead/turn_test.go
@@ -5,10 +5,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"tanagerchute/io/ahead"
 )
 
 // TestRequestArrivesBetweenTurns guards against a run of a request that arrives while the
@@ -122,3 +127,53 @@
 	is.NoErr(err)
 	is.True(res.Close)
 }
+
+// TestLargeResponsesAwaitTheirTurn guards against responses that take memory without bound since
+// they wait for the one in front of them: callers send requests for large ones behind a slow one.
+func TestLargeResponsesAwaitTheirTurn(t *testing.T) {
+	is := is.New(t)
+	const bytes = 3 << 20 // each; one of them fits
+	var complete, started atomic.Int32
+	release := make(chan struct{})
+	open := sync.OnceFunc(func() { close(release) })
+	p := ahead.New(ahead.Config{Depth: 8, Eligible: func(*http.Request) bool { return true }, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if started.Add(1); r.URL.Path == "/slow" {
+			select {
+			case <-release:
+			case <-r.Context().Done():
+				return
+			}
+		}
+		n, _ := w.Write(make([]byte, bytes))
+		if n == bytes {
+			complete.Add(1)
+		}
+	})})
+	s := &site{Server: httptest.NewUnstartedServer(p.Handler())}
+	s.Config.ConnContext = ahead.ConnContext
+	s.Config.ConnState = func(c net.Conn, state http.ConnState) {
+		if c, ok := c.(*ahead.Conn); ok && state == http.StateActive {
+			c.SetActive()
+		} else if ok && state == http.StateIdle {
+			c.SetIdle()
+		}
+	}
+	s.Listener = p.Listener(s.Listener)
+	s.Start()
+	t.Cleanup(s.Close)
+	t.Cleanup(open)
+	left, _ := s.dial(t) // a caller that leaves gives back what it took
+	_, _ = io.WriteString(left, get("/slow")+get("/1"))
+	await(t, "one response is kept", func() bool { return complete.Load() == 1 })
+	left.Close()
+	conn, r := s.dial(t)
+	_, _ = io.WriteString(conn, get("/slow")+get("/1")+get("/2")+get("/3"))
+	await(t, "all run", func() bool { return started.Load() == 6 })
+	await(t, "one more response is kept", func() bool { return complete.Load() == 2 })
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(complete.Load(), int32(2))
+	open()
+	for range 4 {
+		is.Equal(len(readAnswer(t, r)), bytes)
+	}
+}
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -54,7 +54,7 @@
 		egress:      peer.NewServer(n.recordFailures(n.proxy.Ingress(proxy.Origin{Service: n.cfg.Settings.Service, Backend: true}))),
 		peers:       peer.NewServer(n.recordFailures(n.proxy.Peer(control))),
 		admin:       peer.NewServer(admin.Handler(admin.Config{Node: adminNode{n}, Vars: n.vars})),
-		callerConns: newConnTracker(func(open int) { n.memory.SetTaken(int64(open) * connBytes) }),
+		callerConns: newConnTracker(func(open int) { n.memory.SetTaken(ahead.MaxKeptBytes + int64(open)*connBytes) }),
 	}
 	s.callers.ConnState = s.callerConns.track
 	s.callers.ConnContext = ahead.ConnContext
