--- a/io/ahead/ahead_test.go
+++ b/io/ahead/ahead_test.go
@@ -45,7 +45,13 @@
 		Eligible: func(r *http.Request) bool { return r.URL.Query().Get("once") == "" },
 		Stopping: s.stopping.Load,
 	})
-	s.Server = httptest.NewUnstartedServer(p.Handler())
+	s.Server = newUnstartedSiteOf(t, p).Server
+	return s
+}
+
+// newUnstartedSiteOf returns a server behind p.
+func newUnstartedSiteOf(t testing.TB, p *ahead.Pipeline) *site {
+	s := &site{Server: httptest.NewUnstartedServer(p.Handler())}
 	s.Config.ConnContext = ahead.ConnContext
 	s.Config.ConnState = func(c net.Conn, state http.ConnState) {
 		if c, ok := c.(*ahead.Conn); ok && state == http.StateActive {
--- a/io/ahead/turn_test.go
+++ b/io/ahead/turn_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -149,18 +148,8 @@
 			complete.Add(1)
 		}
 	})})
-	s := &site{Server: httptest.NewUnstartedServer(p.Handler())}
-	s.Config.ConnContext = ahead.ConnContext
-	s.Config.ConnState = func(c net.Conn, state http.ConnState) {
-		if c, ok := c.(*ahead.Conn); ok && state == http.StateActive {
-			c.SetActive()
-		} else if ok && state == http.StateIdle {
-			c.SetIdle()
-		}
-	}
-	s.Listener = p.Listener(s.Listener)
+	s := newUnstartedSiteOf(t, p)
 	s.Start()
-	t.Cleanup(s.Close)
 	t.Cleanup(open)
 	left, _ := s.dial(t) // a caller that leaves gives back what it took
 	_, _ = io.WriteString(left, get("/slow")+get("/1"))
