ahead: the rest of a refused body holds up no stop

Behind the head of an answer that closes its connection nothing more was read, not even the rest of the body of its own request. net/http asks for that after it has answered, and waited until the end of the stop. TestUnreadBodyHoldsUpNoStop failed before.

--- a/io/ahead/conn.go
+++ b/io/ahead/conn.go
@@ -195,11 +195,8 @@
 }
 
 // hasInput reports whether bytes behind the request in turn have been read, or may have been.
-// The requests that they belong to have to be answered. c may be nil.
+// The requests that they belong to have to be answered.
 func (c *Conn) hasInput() bool {
-	if c == nil {
-		return false
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.opaque || len(c.runs) > 0 || c.numAdmits > c.turn {
@@ -209,20 +206,28 @@
 }
 
 // endAfterAnswer reports whether the connection can end with the answer to the request in turn,
-// see hasInput. If so, nothing more is read from it. c may be nil.
+// see hasInput. If so, nothing more is read from it but the rest of the body of that request,
+// which the server may still want. c may be nil.
 func (c *Conn) endAfterAnswer() bool {
-	if c.hasInput() {
-		return false
-	}
 	if c == nil {
 		return true
 	}
-	if h, ok := c.Conn.(interface{ Hold() }); ok {
+	if c.hasInput() {
+		return false
+	}
+	if h, ok := c.Conn.(interface{ Hold() }); ok && c.bodyEnded() {
 		h.Hold()
 	}
 	return true
 }
 
+// bodyEnded reports whether the body of the request that was admitted last has been read.
+func (c *Conn) bodyEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.body.ended()
+}
+
 // Retire ends the connection, as if the caller had closed it, unless bytes of a request have
 // been read that is not answered yet. It may be called again. It returns false if the
 // connection can't be ended so.
--- a/io/node/callers_test.go
+++ b/io/node/callers_test.go
@@ -168,3 +168,29 @@
 	s.closeCallers(ctx)
 	is.Equal(dropped.Load(), int64(0))
 }
+
+// TestUnreadBodyHoldsUpNoStop guards against a stop that waits for the rest of a body which
+// nobody reads, since the request was refused before.
+func TestUnreadBodyHoldsUpNoStop(t *testing.T) {
+	is := is.New(t)
+	s, addr := newCallerServers(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(500 * time.Millisecond)) // as the ingress does
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	}), func() bool { return true }, func(int) {})
+	conn, err := net.Dial("tcp", addr)
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\nthe first bytes")
+	is.NoErr(err)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusRequestEntityTooLarge)
+	is.True(res.Close)
+	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
+	_, err = io.Copy(io.Discard, conn)
+	is.NoErr(err) // the connection ends
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	s.closeCallers(ctx)
+	is.NoErr(ctx.Err())
+}
