--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -75,8 +75,8 @@
 		n.recordEvent(event.NodeDraining, "calls are still in flight after "+drain.Timeout.Std().String())
 	}
 	timer.Sleep(ctx, time.Until(lingerEnd))
-	// Since the stop began, answers have carried "Connection: close", so that no
-	// caller sends a request on a connection that is about to be closed.
+	// Since the stop began, answers have carried "Connection: close" unless a further request
+	// had been read, so that few callers still send requests.
 	s.closeCallers(drainCtx)
 	n.proxy.WaitIdle(drainCtx) // calls that pass through this node, answers on their way
 	answersDelivered := n.awaitAnswers(ctx, startedAt.Add(drain.Timeout.Std()+closeTimeout))
