--- a/io/ahead/ahead.go
+++ b/io/ahead/ahead.go
@@ -21,6 +21,9 @@
 	Stopping func() bool
 	// OnStart, if not nil, is called when a request is started ahead of its turn.
 	OnStart func()
+	// OnEnd, if not nil, is called when a caller ends its side of a connection while a request
+	// is in progress.
+	OnEnd func(caller net.Addr)
 	// OnDrop, if not nil, is called when a connection is closed on which n bytes of the caller
 	// were read and not handed to the server.
 	OnDrop func(caller net.Addr, n int)
--- a/io/ahead/read.go
+++ b/io/ahead/read.go
@@ -1,6 +1,11 @@
 package ahead
 
-import "sync"
+import (
+	"io"
+	"sync"
+
+	"github.com/go-faster/errors"
+)
 
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
@@ -141,5 +146,8 @@
 	if n > 0 {
 		return nil // the next read returns the error again
 	}
+	if c.active && errors.Is(err, io.EOF) && c.pipeline.cfg.OnEnd != nil {
+		c.pipeline.cfg.OnEnd(c.RemoteAddr())
+	}
 	return err
 }
--- a/io/gate/drain.go
+++ b/io/gate/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"tanagerchute/core/call"
@@ -31,6 +33,30 @@
 	return &r
 }
 
+// runningCall is a call that the backend server works on.
+type runningCall struct {
+	call  call.Call // without its body
+	began time.Time
+}
+
+// newRunningCall returns c, which begins now.
+func newRunningCall(c call.Call, now time.Time) runningCall {
+	c.Body, c.Header = nil, nil
+	return runningCall{c, now}
+}
+
+// RecordUnfinished records the calls that the backend server works on as the planned stop ends.
+func (g *Gate) RecordUnfinished() {
+	now := time.Now()
+	g.mu.Lock()
+	calls := slices.Collect(maps.Values(g.running))
+	g.mu.Unlock()
+	for _, r := range calls {
+		g.recordCallEvent(event.StopCutsCall, r.call, fmt.Sprintf("from %s, class %s, began %v ago, deadline in %v",
+			r.call.From, r.call.Class, now.Sub(r.began).Round(time.Millisecond), r.call.Deadline.Sub(now).Round(time.Millisecond)))
+	}
+}
+
 // Drain refuses new and queued calls from now on, and waits until no call is in
 // flight or ctx ends.
 func (g *Gate) Drain(ctx context.Context) error {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -77,7 +77,8 @@
 	draining       bool         // the gate accepts no new calls
 	stopPlan       stop.Plan    // of a planned stop of the node, zero before
 	durations      stop.Durations
-	inFlight       int // calls in flight, including those at a previous backend server
+	inFlight       int                    // calls in flight, including those at a previous backend server
+	running        map[string]runningCall // calls that the backend server works on, by attempt id
 	admission      *admit.Controller
 	health         *health.Monitor
 	waiters        map[string]chan admissionResult // by attempt id
@@ -97,6 +98,7 @@
 		health:        newHealthMonitor(cfg),
 		records:       runner.NewSyncTable(),
 		waiters:       map[string]chan admissionResult{},
+		running:       map[string]runningCall{},
 		statements:    event.NewPacer(statementInterval),
 		callTracker:   nested.New(),
 		watch:         crash.NewWatch(),
--- a/io/gate/serve.go
+++ b/io/gate/serve.go
@@ -190,6 +190,7 @@
 	began := time.Now()
 	g.watch.Start(began, c.Attempt, workOf(c))
 	late := g.refuseIfOutlastsStop(began, c) // it may have waited
+	g.running[c.Attempt] = newRunningCall(c, began)
 	g.mu.Unlock()
 	var r call.Reply
 	if ctx.Err() != nil {
@@ -242,6 +243,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.inFlight--
+	delete(g.running, c.Attempt)
 	if r.Fate != call.NotRun {
 		g.durations.Observe(now, c.Class, took)
 	}
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -69,10 +69,12 @@
 	event.HeartbeatStale:      loadLimit,
 	event.DataCentreChanged:   loadLimit,
 	event.PeerChanged:         loadLimit,
+	event.CallerEnded:         loadLimit,
 	event.RequestUnknown:      lossLimit,
 	event.AnswerDiscarded:     lossLimit,
 	event.AnswerCut:           lossLimit,
 	event.ConnectionReset:     lossLimit,
+	event.StopCutsCall:        lossLimit,
 	event.RequestDropped:      lossLimit,
 	event.HandlerFailed:       lossLimit,
 }
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -100,6 +100,9 @@
 		Eligible: n.proxy.MayStartEarly,
 		Stopping: n.stopping.Load,
 		OnStart:  n.metrics.CountPipelined,
+		OnEnd: func(caller net.Addr) {
+			n.recordCaller(event.CallerEnded, caller, "its side of the connection, while a request is in progress")
+		},
 		OnDrop: func(caller net.Addr, dropped int) {
 			n.recordCaller(event.RequestDropped, caller, fmt.Sprintf("the connection is closed with %d bytes of requests that were read", dropped))
 		},
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -89,6 +89,7 @@
 	defer cancelClose()
 	n.fleet.Stop(closeCtx)
 	s.closeOtherServers(closeCtx)
+	n.gate.RecordUnfinished()
 	<-seedRemoved
 	<-answersDelivered
 	return closeBy
