stop: a call that must not be repeated is not cut by the stop of its upstream's node

What callers saw: a booking at a node that stops got 502 while its upstream, of another node that stops as well, worked on it.

Cause: a stopping gatekeeper starts calls of other nodes for up to 3.9 s after its SIGTERM, if the longest call of their class of late fits into what is left. The work of a single call may last longer than any before; it is given up 5.1 to 5.5 s after the SIGTERM of the gatekeeper's node, which is in the middle of the stop of the node that took it, and excused by nothing. Class: a prediction from the past in the place of a bound.

Why this works: such a call of another node is started only if its deadline comes before the end, so that it has its final answer by then, whatever its work takes. A caller's own call at the stopping node is not bound by it: its answer has to pass through that node wherever it runs.

--- a/core/stop/doc.go
+++ b/core/stop/doc.go
@@ -5,6 +5,9 @@
 // end is refused while that is true: it has not run, and the caller or the node that sent it goes
 // elsewhere at once. How long a call may last is told by the longest of its class of late.
 //
+// A call of another node that must not be repeated is only started if its deadline comes before
+// the end: a longer one than any before can come at any time, and its sender has other servers.
+//
 // Load that this answers: calls that come in the course of a stop, some of a class whose work
 // takes seconds, from callers of the node and from other nodes.
 //
--- a/core/stop/plan.go
+++ b/core/stop/plan.go
@@ -39,6 +39,11 @@
 	return by.IsZero() || !at.After(by)
 }
 
+// MayStartOnce reports whether a call that must not be repeated may be started for a sender that
+// can still go elsewhere. How long calls of its class have lasted of late promises nothing, so
+// that only its deadline counts.
+func (p Plan) MayStartOnce(deadline time.Time) bool { return p.endsInTime(deadline) }
+
 // endsInTime reports whether a call with the given deadline ends before the stop does.
 func (p Plan) endsInTime(deadline time.Time) bool {
 	return p.End.IsZero() || !deadline.After(p.End)
--- a/io/gate/drain.go
+++ b/io/gate/drain.go
@@ -21,10 +21,13 @@
 }
 
 // refuseIfOutlastsStop returns the refusal of a call that might still run at the end of a
-// planned stop if it started now, nil for any other call. The caller holds mu.
+// planned stop if it started now, nil for any other call. The caller holds mu. A call that must
+// not be repeated is looked at more closely if another node sent it. For one of a caller of this
+// node that would not help, since its answer has to pass through here.
 func (g *Gate) refuseIfOutlastsStop(now time.Time, c call.Call) *call.Reply {
 	longest := g.durations.Longest(now, c.Class)
-	if g.stopPlan.MayStart(now, c.Deadline, longest) {
+	fromOther := c.From != g.cfg.Node
+	if g.stopPlan.MayStart(now, c.Deadline, longest) && (!c.AtMostOnce || !fromOther || g.stopPlan.MayStartOnce(c.Deadline)) {
 		return nil
 	}
 	g.recordCallEvent(event.RequestOutlastsStop, c, fmt.Sprintf("%v before the end of the stop, the backend server has worked for up to %v on a call of class %s of late, deadline in %v",
