node, link: an answer to another node arrives although the node that gives it ends

What callers saw: no whole answer, or 502, for a call whose upstream had answered, as the upstream's node ended.

Cause: the connections between nodes were closed at once. Their server had 0.4 s for what it was still writing, also where the stop had seconds left; and the kernel resets a connection that is closed before the other node has sent its last window update, and drops what it has not sent.

Why this works: all connections to a node are closed by a link.Closer, and the server for other nodes may write until the end of the stop.

--- a/io/link/closer.go
+++ b/io/link/closer.go
@@ -23,13 +23,13 @@
 // CloserConfig configures a Closer.
 type CloserConfig struct {
 	// Stopping, if not nil, reports whether connections are closed without regard to what
-	// their callers may still send.
+	// the other ends may still send.
 	Stopping func() bool
 	// OnCut, if not nil, is called when a connection is closed before its answer has arrived.
-	OnCut func(caller net.Addr, o Outstanding)
+	OnCut func(other net.Addr, o Outstanding)
 }
 
-// Closer closes connections of callers and lets the answers on their way arrive. The kernel
+// Closer closes connections of callers, or of other nodes, and lets the answers on their way arrive. The kernel
 // resets a connection that is closed while bytes of the other end are unread, or arrive later,
 // and drops what it has not sent yet. So a Closer closes the writing side first, and the rest
 // when the other end has all bytes. What it sends meanwhile is not read. It is safe for
@@ -90,6 +90,37 @@
 	delete(l.left, c)
 }
 
+// Listener returns a listener whose connections are closed by l.
+func (l *Closer) Listener(ln net.Listener) net.Listener { return closerListener{ln, l} }
+
+type closerListener struct {
+	net.Listener
+	closer *Closer
+}
+
+// Accept implements net.Listener.
+func (l closerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &closerConn{Conn: c, closer: l.closer}, nil
+}
+
+// closerConn is a connection that is closed by a Closer.
+type closerConn struct {
+	net.Conn
+	closer *Closer
+	once   sync.Once
+	err    error
+}
+
+// Close implements net.Conn.
+func (c *closerConn) Close() error {
+	c.once.Do(func() { c.err = c.closer.close(c.Conn) })
+	return c.err
+}
+
 // close closes c, at once if there is nothing that can get lost.
 func (l *Closer) close(c net.Conn) error {
 	o, err := outstanding(c)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -102,6 +102,7 @@
 	killOnce         sync.Once
 	stopping         atomic.Bool                     // a planned stop has begun
 	callerCloser     *link.Closer                    // of the connections of callers
+	otherCloser      *link.Closer                    // of all other connections to this node
 	candidacyMu      sync.Mutex                      // guards homeCandidate, and its changes
 	homeCandidate    bool                            // this node can be the home of keys
 	acceptingCallers atomic.Bool                     // the listener for callers is open
@@ -132,7 +133,7 @@
 	s := cfg.Settings
 	now := time.Now()
 	n := &Node{cfg: cfg, id: s.Name + "." + idSuffix(now), metrics: metric.New(), eras: newStoreEras(), drainRequested: make(chan struct{}), killed: make(chan struct{})}
-	n.callerCloser = n.newCallerCloser()
+	n.callerCloser, n.otherCloser = n.newCloser(), n.newCloser()
 	if cfg.WrapDial == nil {
 		n.cfg.WrapDial = func(d link.Dial) link.Dial { return d }
 	}
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -77,7 +77,7 @@
 			s.closeListeners()
 			return nil, errors.Wrap(err, "listen")
 		}
-		s.bound[i].listener = ln
+		s.bound[i].listener = n.otherCloser.Listener(ln)
 	}
 	return s, nil
 }
@@ -157,12 +157,12 @@
 	return link.CallerConfig{Timeouts: n.callerTimeouts, Closer: n.callerCloser}
 }
 
-// newCallerCloser returns the closer of connections of callers.
-func (n *Node) newCallerCloser() *link.Closer {
+// newCloser returns a closer of connections.
+func (n *Node) newCloser() *link.Closer {
 	return link.NewCloser(link.CloserConfig{
 		Stopping: n.stopping.Load,
-		OnCut: func(caller net.Addr, o link.Outstanding) {
-			n.recordCaller(event.ConnectionReset, caller, fmt.Sprintf("closed with %d bytes of the caller unread, %d bytes of answers not delivered", o.Unread, o.Unsent))
+		OnCut: func(other net.Addr, o link.Outstanding) {
+			n.recordCaller(event.ConnectionReset, other, fmt.Sprintf("closed with %d bytes of its other end unread, %d bytes of answers not delivered", o.Unread, o.Unsent))
 		},
 	})
 }
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -88,8 +88,15 @@
 	closeCtx, cancelClose := context.WithDeadline(ctx, closeBy)
 	defer cancelClose()
 	n.fleet.Stop(closeCtx)
-	s.closeOtherServers(closeCtx)
+	peersBy := startedAt.Add(drain.Timeout.Std() + closeTimeout)
+	if peersBy.Before(closeBy) {
+		peersBy = closeBy
+	}
+	peersCtx, cancelPeers := context.WithDeadline(ctx, peersBy)
+	defer cancelPeers()
+	s.closeOtherServers(closeCtx, peersCtx)
 	n.gate.RecordUnfinished()
+	n.otherCloser.End(peersCtx)
 	<-seedRemoved
 	<-answersDelivered
 	return closeBy
@@ -135,10 +142,15 @@
 	return done
 }
 
-// closeOtherServers gracefully stops all servers except the one for callers.
-func (s *servers) closeOtherServers(ctx context.Context) {
+// closeOtherServers gracefully stops all servers except the one for callers. The one for other
+// nodes has until peersCtx ends: it may still write answers that they wait for.
+func (s *servers) closeOtherServers(ctx, peersCtx context.Context) {
 	var wg sync.WaitGroup
 	for _, v := range s.bound {
+		ctx := ctx
+		if v.server == s.peers {
+			ctx = peersCtx
+		}
 		wg.Go(func() { closeServer(ctx, v.server) })
 	}
 	wg.Wait()
