link, ahead: what has arrived on a connection is answered before a stop closes it

What callers saw: a request behind another one was not answered and not run, since the answer before it closed the connection, although it had been sent 0.1 s and more before; and, once in some 15 to 60 runs of TestRequestAfterClosingAnswerIsNotRead, a request was read and dropped.

Cause: whether an answer closes its connection was decided by what the process had read, and it reads 4 kB at a time. A request that waited in the kernel was cut off. A read that had begun as the connection was held could still read what came later, and it was dropped. Class: check, then act, on a state that another goroutine, and the kernel, change meanwhile.

Why this works: Hold waits for the read in progress, and looks at what the kernel has. The connection is closed only if nothing has arrived by then; otherwise it is released and the request is read in its turn. What has been read and is on its way to the buffer is told by the number of bytes. Retire looks at the kernel as well.

--- a/io/ahead/conn.go
+++ b/io/ahead/conn.go
@@ -27,13 +27,14 @@
 	net.Conn
 	pipeline *Pipeline
 
-	mu         sync.Mutex
-	base       context.Context // of the requests, nil before the server has set it
-	cancelBase context.CancelFunc
-	buf        []byte        // read from Conn and not returned by Read yet
-	err        error         // with which reading ended, nil if it has not
-	reading    chan struct{} // closed when the read from Conn in progress has ended, nil if there is none
-	opaque     bool          // the requests can't be told apart any more
+	mu          sync.Mutex
+	base        context.Context // of the requests, nil before the server has set it
+	cancelBase  context.CancelFunc
+	buf         []byte        // read from Conn and not returned by Read yet
+	numReceived int64         // bytes that were read from Conn
+	err         error         // with which reading ended, nil if it has not
+	reading     chan struct{} // closed when the read from Conn in progress has ended, nil if there is none
+	opaque      bool          // the requests can't be told apart any more
 
 	delivering int           // bytes of buf of the request that was admitted last
 	body       body          // the rest of its body, behind these bytes
@@ -195,37 +196,45 @@
 }
 
 // hasInput reports whether bytes behind the request in turn have been read, or may have been.
-// The requests that they belong to have to be answered.
+// The requests that they belong to have to be answered. The caller holds mu.
 func (c *Conn) hasInput() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.opaque || len(c.runs) > 0 || c.numAdmits > c.turn {
 		return true
 	}
 	return c.body.ended() && len(c.buf) > c.delivering
 }
 
+// holder is a connection of which nothing more is read, see link.CallerConn.
+type holder interface {
+	Hold() (numRead int64, ok bool)
+	Release()
+}
+
 // endAfterAnswer reports whether the connection can end with the answer to the request in turn,
-// see hasInput. If so, nothing more is read from it but the rest of the body of that request,
-// which the server may still want. c may be nil.
+// that is, nothing has arrived behind it. If so, nothing more is read from it but the rest of the
+// body of that request, which the server may still want. c may be nil.
 func (c *Conn) endAfterAnswer() bool {
 	if c == nil {
 		return true
 	}
-	if c.hasInput() {
-		return false
+	c.mu.Lock()
+	hasInput, bodyEnded := c.hasInput(), c.body.ended()
+	c.mu.Unlock()
+	h, ok := c.Conn.(holder)
+	if hasInput || !ok || !bodyEnded {
+		return !hasInput
 	}
-	if h, ok := c.Conn.(interface{ Hold() }); ok && c.bodyEnded() {
-		h.Hold()
+	numRead, held := h.Hold()
+	if !held {
+		return false
 	}
-	return true
-}
-
-// bodyEnded reports whether the body of the request that was admitted last has been read.
-func (c *Conn) bodyEnded() bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.body.ended()
+	hasInput = c.hasInput() || c.numReceived < numRead // the rest is on its way to buf
+	c.mu.Unlock()
+	if hasInput {
+		h.Release()
+	}
+	return !hasInput
 }
 
 // Retire ends the connection, as if the caller had closed it, unless bytes of a request have
--- a/io/ahead/read.go
+++ b/io/ahead/read.go
@@ -124,6 +124,7 @@
 func (c *Conn) countDirect(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.numReceived += int64(n)
 	if c.body.left > 0 {
 		c.body.left -= int64(n)
 	}
@@ -141,6 +142,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.buf = append(c.buf, b[:n]...)
+	c.numReceived += int64(n)
 	close(c.reading)
 	c.reading = nil
 	if n > 0 {
--- a/io/link/caller.go
+++ b/io/link/caller.go
@@ -58,7 +58,9 @@
 	mu              sync.Mutex
 	awaitingRequest bool          // no byte of the next request has been read yet
 	retired         bool          // Read returns io.EOF while awaitingRequest is set
-	held            chan struct{} // if not nil, Read reads nothing more; closed when it returns
+	hold            *hold         // if not nil, Read reads nothing more
+	reading         chan struct{} // closed when the read of Conn in progress has ended, nil if there is none
+	numRead         int64         // bytes that Read has returned
 	http2           bool          // HTTP/2 connection, for which the HTTP/2 server has its own timeouts
 	serverDeadline  time.Time     // set by the server with SetReadDeadline
 	timeoutDeadline time.Time     // from the timeout that is running
@@ -68,7 +70,7 @@
 func (c *CallerConn) Close() error {
 	c.closeOnce.Do(func() {
 		c.mu.Lock()
-		c.endHold()
+		c.endHold(false)
 		c.mu.Unlock()
 		if c.cfg.Closer == nil {
 			c.closeErr = c.Conn.Close()
@@ -102,7 +104,7 @@
 }
 
 // Retire makes Read return io.EOF, as if the caller had closed the connection, unless a byte of
-// the next request has been read. It returns false for an HTTP/2 connection, to which it does
+// the next request has arrived. It returns false for an HTTP/2 connection, to which it does
 // nothing.
 func (c *CallerConn) Retire() bool {
 	c.mu.Lock()
@@ -110,6 +112,9 @@
 	if c.http2 {
 		return false
 	}
+	if o, err := outstanding(c.Conn); err == nil && o.Unread > 0 {
+		return true // Read gets it
+	}
 	if c.awaitingRequest && !c.retired {
 		c.retired = true
 		_ = c.applyDeadline() // interrupts Read; fails only if the connection is closed
@@ -117,39 +122,91 @@
 	return true
 }
 
-// Hold makes Read read nothing more. It blocks until the server interrupts it with a read
-// deadline, or closes the connection.
-func (c *CallerConn) Hold() {
+// hold keeps Read from reading.
+type hold struct {
+	ended    chan struct{} // closed when Read may return
+	released bool          // it may read on
+}
+
+// Hold makes Read read nothing more. It blocks until Release is called, the server interrupts it
+// with a read deadline, or the connection is closed. ok is false, and nothing is held, if the
+// caller has sent more than was read, or the connection is one of HTTP/2. numRead is the number of
+// bytes that Read has returned in all.
+func (c *CallerConn) Hold() (numRead int64, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.held == nil && !c.http2 {
-		c.held = make(chan struct{})
+	if c.http2 {
+		return c.numRead, false
+	}
+	if c.hold == nil {
+		c.hold = &hold{ended: make(chan struct{})}
 		_ = c.applyDeadline() // interrupts Read; fails only if the connection is closed
 	}
+	if reading := c.reading; reading != nil {
+		c.mu.Unlock()
+		<-reading
+		c.mu.Lock()
+	}
+	if o, err := outstanding(c.Conn); err == nil && o.Unread > 0 {
+		c.release()
+		return c.numRead, false
+	}
+	return c.numRead, true
+}
+
+// Release lets Read read on after Hold.
+func (c *CallerConn) Release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.release()
+}
+
+// release implements Release. The caller holds mu.
+func (c *CallerConn) release() {
+	c.endHold(true)
+	c.hold = nil
+	_ = c.applyDeadline() // fails only if the connection is closed
 }
 
-// endHold lets Read return, if the connection is held. The caller holds mu.
-func (c *CallerConn) endHold() {
-	if c.held == nil {
+// endHold lets Read return, or read on if released is set, if the connection is held. The
+// caller holds mu.
+func (c *CallerConn) endHold(released bool) {
+	if c.hold == nil {
 		return
 	}
 	select {
-	case <-c.held:
+	case <-c.hold.ended:
 	default:
-		close(c.held)
+		c.hold.released = released
+		close(c.hold.ended)
 	}
 }
 
-// awaitHold blocks while the connection is held. It reports whether Read may read on.
-func (c *CallerConn) awaitHold() bool {
+// beginRead waits while the connection is held. It returns false if Read has to return.
+func (c *CallerConn) beginRead() bool {
 	c.mu.Lock()
-	held := c.held
-	c.mu.Unlock()
-	if held == nil {
-		return true
+	defer c.mu.Unlock()
+	for c.hold != nil {
+		h := c.hold
+		c.mu.Unlock()
+		<-h.ended
+		c.mu.Lock()
+		if !h.released {
+			return false
+		}
 	}
-	<-held
-	return false
+	c.reading = make(chan struct{})
+	return true
+}
+
+// endRead records the end of a read of n bytes. again is set if it was interrupted by Hold.
+func (c *CallerConn) endRead(n int) (again bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.reading)
+	c.reading = nil
+	c.numRead += int64(n)
+	return n == 0 && c.hold != nil
 }
 
 // isRetired reports whether Read returns io.EOF.
@@ -161,31 +218,36 @@
 
 // Read implements net.Conn. The first byte of a request starts the header timeout.
 func (c *CallerConn) Read(b []byte) (int, error) {
-	if !c.awaitHold() {
-		return 0, os.ErrDeadlineExceeded
-	}
-	n, err := c.Conn.Read(b)
-	if n == 0 {
-		if !c.awaitHold() {
+	for {
+		if !c.beginRead() {
 			return 0, os.ErrDeadlineExceeded
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.isRetired() {
-			return 0, io.EOF
+		n, err := c.Conn.Read(b)
+		switch again := c.endRead(n); {
+		case again:
+			continue
+		case n > 0:
+			c.observeInput(b[:n])
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.isRetired():
+			err = io.EOF
 		}
 		return n, err
 	}
+}
+
+// observeInput records what Read returns.
+func (c *CallerConn) observeInput(b []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.awaitingRequest {
 		c.awaitingRequest, c.retired = false, false
-		c.http2 = bytes.HasPrefix(b[:n], http2Preface)
+		c.http2 = bytes.HasPrefix(b, http2Preface)
 		if c.http2 {
 			c.setTimeout(0)
 		} else {
 			c.setTimeout(c.cfg.Timeouts().Header)
 		}
 	}
-	return n, err
 }
 
 // SetReadDeadline implements net.Conn.
@@ -194,7 +256,7 @@
 	defer c.mu.Unlock()
 	c.serverDeadline = t
 	if !t.IsZero() && !t.After(time.Now()) {
-		c.endHold()
+		c.endHold(false)
 	}
 	return c.applyDeadline()
 }
@@ -220,7 +282,7 @@
 // applyDeadline sets the earlier of serverDeadline and timeoutDeadline. The caller
 // holds mu.
 func (c *CallerConn) applyDeadline() error {
-	if c.retired || c.held != nil {
+	if c.retired || c.hold != nil {
 		return c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 	t := c.serverDeadline
