ahead: a caller that shuts down its sending side gets its answer

What callers saw: 502 or 503 within two milliseconds, at any time, for a request behind which they had shut down their sending side; a lookup had run by then. Around a planned stop that is an answer that the node breaks off.

Cause: the end of the caller's stream counted as its having left. A caller that has closed its connection sends the same. Class: two states that look alike, of which one is assumed.

Why this works: an informational response is sent as a probe. A kernel whose process has closed the connection answers it with a reset, and the next probe, 40 ms later, can't be written: the requests are canceled then, well within the half second in which work for a caller that has left has to end (TestCallerThatLeftIsCanceled). There are four probes at most, since some clients accept no more than five such responses.

Requests with Connection: close are told apart from their bodies now, since callers that end their side often send it; those with Expect or Upgrade and HTTP/1.0 count as before. TestLargeResponsesAwaitTheirTurn waits until it is noticed that its first caller has left, which takes 40 ms now; its checks are the same.

--- a/io/ahead/conn.go
+++ b/io/ahead/conn.go
@@ -47,6 +47,13 @@
 	active      bool          // the server works on it
 	turnRequest *http.Request // that request, nil if it is not known
 	runs        []*run
+
+	ended       bool          // the caller has ended its side, and may still read
+	interrupted bool          // the read deadline has passed
+	wake        chan struct{} // closed when a Read that waits for the response has to return
+
+	writeMu   sync.Mutex // serializes writes, acquired with mu not held
+	answering bool       // bytes of the response to the request in turn have been written
 }
 
 func newConn(c net.Conn, p *Pipeline) *Conn { return &Conn{Conn: c, pipeline: p} }
@@ -71,6 +78,9 @@
 	if a, ok := c.Conn.(activity); ok {
 		a.SetActive()
 	}
+	c.writeMu.Lock()
+	c.answering = false
+	c.writeMu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.active {
@@ -99,6 +109,7 @@
 	if c.cancelBase != nil {
 		c.cancelBase()
 	}
+	c.wakeUp()
 	c.abandonRuns()
 	dropped := len(c.buf)
 	c.buf = nil
@@ -152,12 +163,15 @@
 // readOn reads more in the background, for a caller that is known to pipeline. The
 // caller holds mu.
 func (c *Conn) readOn() {
-	if c.reading != nil || len(c.buf) >= maxBuffered || c.err != nil {
+	if c.reading != nil || len(c.buf) >= maxBuffered || c.err != nil || c.ended {
 		return
 	}
 	c.reading = make(chan struct{})
 	go func() {
 		err := c.fill()
+		if c.endsSide(err) {
+			return
+		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		var netErr net.Error
--- a/io/ahead/doc.go
+++ b/io/ahead/doc.go
@@ -17,7 +17,11 @@
 // While the server is stopping, a response closes its connection unless bytes of a further
 // request have been read: what was read is answered.
 //
-// A caller that does not pipeline is served as without this package.
+// A caller that shuts down its sending side is still answered as long as it reads. One that has
+// closed its connection looks the same, so that an informational response is sent as a probe:
+// only the latter answers it with a reset.
+//
+// A caller that does neither is served as without this package.
 //
 // # Usage
 //
--- a/io/ahead/head.go
+++ b/io/ahead/head.go
@@ -12,7 +12,8 @@
 	size    int           // bytes, 0 if it is not complete
 	request *http.Request // nil if it can't be read
 	noBody  bool          // nothing follows the head before the next request
-	// mayHaveBody is set if a body may follow, and then the next request.
+	// mayHaveBody is set if a body may follow, and then the next request, or nothing that counts if
+	// this one closes the connection.
 	mayHaveBody bool
 }
 
@@ -27,9 +28,9 @@
 		return h
 	}
 	h.request = r
-	keepsConn := r.ProtoMajor == 1 && r.ProtoMinor == 1 && !changesConn(r)
-	h.noBody = keepsConn && r.Method == http.MethodGet && !announcesBody(r)
-	h.mayHaveBody = keepsConn && !h.noBody
+	framed := r.ProtoMajor == 1 && r.ProtoMinor == 1 && !changesConn(r)
+	h.noBody = framed && !r.Close && r.Method == http.MethodGet && !announcesBody(r)
+	h.mayHaveBody = framed && !h.noBody
 	return h
 }
 
@@ -58,13 +59,13 @@
 	return len(r.Header["Content-Length"]) > 0 || len(r.Header["Transfer-Encoding"]) > 0 || len(r.TransferEncoding) > 0 || r.ContentLength != 0
 }
 
-// changesConn reports whether r ends the sequence of requests on its connection.
+// changesConn reports whether what follows r may be something else than a request.
 func changesConn(r *http.Request) bool {
-	if r.Close || len(r.Header["Upgrade"]) > 0 || len(r.Header["Expect"]) > 0 {
+	if len(r.Header["Upgrade"]) > 0 || len(r.Header["Expect"]) > 0 {
 		return true
 	}
 	for _, v := range r.Header["Connection"] {
-		if !strings.EqualFold(v, "keep-alive") {
+		if !strings.EqualFold(v, "keep-alive") && !strings.EqualFold(v, "close") {
 			return true
 		}
 	}
--- a/io/ahead/read.go
+++ b/io/ahead/read.go
@@ -14,6 +14,9 @@
 		if ok {
 			return n, err
 		}
+		if c.hasEnded() {
+			return 0, c.awaitResponse()
+		}
 		inProgress, direct := c.beginRead(len(b))
 		switch {
 		case inProgress != nil:
@@ -23,7 +26,7 @@
 			c.countDirect(n)
 			return n, err
 		default:
-			if err := c.fill(); err != nil {
+			if err := c.fill(); err != nil && !c.endsSide(err) {
 				return 0, err
 			}
 		}
--- a/io/ahead/turn_test.go
+++ b/io/ahead/turn_test.go
@@ -132,7 +132,7 @@
 func TestLargeResponsesAwaitTheirTurn(t *testing.T) {
 	is := is.New(t)
 	const bytes = 3 << 20 // each; one of them fits
-	var complete, started atomic.Int32
+	var complete, started, canceled atomic.Int32
 	release := make(chan struct{})
 	open := sync.OnceFunc(func() { close(release) })
 	p := ahead.New(ahead.Config{Depth: 8, Eligible: func(*http.Request) bool { return true }, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -140,6 +140,7 @@
 			select {
 			case <-release:
 			case <-r.Context().Done():
+				canceled.Add(1)
 				return
 			}
 		}
@@ -155,6 +156,8 @@
 	_, _ = io.WriteString(left, get("/slow")+get("/1"))
 	await(t, "one response is kept", func() bool { return complete.Load() == 1 })
 	left.Close()
+	await(t, "it is noticed that the caller has left", func() bool { return canceled.Load() == 1 })
+	time.Sleep(50 * time.Millisecond) // its connection is closed
 	conn, r := s.dial(t)
 	_, _ = io.WriteString(conn, get("/slow")+get("/1")+get("/2")+get("/3"))
 	await(t, "all run", func() bool { return started.Load() == 6 })
