--- a/io/ahead/arrival.go
+++ b/io/ahead/arrival.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// maxMarks bounds the marks of a connection. Beyond it, the last one stands for later bytes too.
+// maxMarks bounds the marks of a connection. Beyond it the oldest one is dropped, so that its bytes
+// count as read later.
 const maxMarks = 32
 
 // mark tells when bytes were read from a connection.
@@ -17,8 +18,7 @@
 // mark records that bytes were read now. The caller holds mu.
 func (c *Conn) mark() {
 	if len(c.marks) == maxMarks {
-		c.marks[maxMarks-1].end = c.numReceived
-		return
+		c.marks = c.marks[1:]
 	}
 	c.marks = append(c.marks, mark{c.numReceived, time.Now()})
 }
--- a/io/ahead/conn.go
+++ b/io/ahead/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -22,8 +23,8 @@
 // goroutine at a time, all other methods are safe for concurrent use.
 //
 // Invariants: Read returns the bytes of one request at a time, and none of the next
-// one's before that is admitted, unless the connection is opaque; runs are the requests right behind the one in turn, in
-// their order.
+// one's before that is admitted, unless the connection is opaque; runs are the requests
+// right behind the one in turn, in their order.
 type Conn struct {
 	net.Conn
 	pipeline *Pipeline
@@ -57,8 +58,8 @@
 	interrupted bool          // the read deadline has passed
 	wake        chan struct{} // closed when a Read that waits for the response has to return
 
-	writeMu   sync.Mutex // serializes writes, acquired with mu not held
-	answering bool       // bytes of the response to the request in turn have been written
+	writeMu   sync.Mutex  // serializes writes, acquired with mu not held
+	answering atomic.Bool // bytes of the response to the request in turn have been written
 }
 
 func newConn(c net.Conn, p *Pipeline) *Conn { return &Conn{Conn: c, pipeline: p} }
@@ -83,9 +84,7 @@
 	if a, ok := c.Conn.(activity); ok {
 		a.SetActive()
 	}
-	c.writeMu.Lock()
-	c.answering = false
-	c.writeMu.Unlock()
+	c.answering.Store(false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.active {
@@ -175,7 +174,7 @@
 	c.reading = make(chan struct{})
 	go func() {
 		err := c.fill()
-		if c.endsSide(err) {
+		if c.recordEnd(err) {
 			return
 		}
 		c.mu.Lock()
--- a/io/ahead/ended.go
+++ b/io/ahead/ended.go
@@ -32,14 +32,15 @@
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
 	if len(b) < len(informational) || string(b[:len(informational)]) != informational {
-		c.answering = true
+		c.answering.Store(true)
 	}
 	return c.Conn.Write(b)
 }
 
-// endsSide records that the caller has ended its side of the connection, if err says so and the
-// body of the request that was admitted last has been read. The requests go on as long as it may still read.
-func (c *Conn) endsSide(err error) bool {
+// recordEnd records that the caller has ended its side of the connection, if err says so. It
+// returns false if that ends the connection, since no request is in turn or a body is not complete.
+// Otherwise the requests go on as long as the caller may still read.
+func (c *Conn) recordEnd(err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	bodyEnds := !c.opaque && c.body.ended()
@@ -76,7 +77,7 @@
 		return true
 	}
 	defer c.writeMu.Unlock()
-	if c.answering || !c.isActive() {
+	if c.answering.Load() || !c.isActive() {
 		return true
 	}
 	_, err := c.Conn.Write(probeMessage)
--- a/io/ahead/read.go
+++ b/io/ahead/read.go
@@ -26,7 +26,7 @@
 			c.countDirect(n)
 			return n, err
 		default:
-			if err := c.fill(); err != nil && !c.endsSide(err) {
+			if err := c.fill(); err != nil && !c.recordEnd(err) {
 				return 0, err
 			}
 		}
--- a/io/gate/drain.go
+++ b/io/gate/drain.go
@@ -26,8 +26,11 @@
 // node that would not help, since its answer has to pass through here.
 func (g *Gate) refuseIfOutlastsStop(now time.Time, c call.Call) *call.Reply {
 	longest := g.durations.Longest(now, c.Class)
-	fromOther := c.From != g.cfg.Node
-	if g.stopPlan.MayStart(now, c.Deadline, longest) && (!c.AtMostOnce || !fromOther || g.stopPlan.MayStartOnce(c.Deadline)) {
+	mayStart := g.stopPlan.MayStart(now, c.Deadline, longest)
+	if c.AtMostOnce && c.From != g.cfg.Node {
+		mayStart = mayStart && g.stopPlan.MayStartOnce(c.Deadline)
+	}
+	if mayStart {
 		return nil
 	}
 	g.recordCallEvent(event.RequestOutlastsStop, c, fmt.Sprintf("%v before the end of the stop, the backend server has worked for up to %v on a call of class %s of late, deadline in %v",
