soak: of two overlapping stops only that of the node that took a call excuses its loss; callers that end their side

The check passed over a call that was worked on in the last sixth of any stop that had a part in it, also of that of the server's node, while the node that took it was in the middle of its own stop. A node that does not stop is judged as before. TestChecks has both sides; the new one fails without the change.

Each third exchange of an eager caller shuts down its sending side behind its requests.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -154,7 +154,12 @@
 	rule := NoFault
 	if stops := e.stopsAround(x); len(stops) > 0 {
 		rule = StopCuts
-		if slices.ContainsFunc(stops, func(s Injection) bool { return !e.stopIsClean(s) || x.lost() && e.worksInLastSixth(s, x) }) {
+		takerStops := slices.ContainsFunc(stops, func(s Injection) bool { return s.Node == x.Node })
+		if slices.ContainsFunc(stops, func(s Injection) bool {
+			// If the node that took the call stops, only its own grace period excuses a loss.
+			counts := s.Node == x.Node || !takerStops
+			return !e.stopIsClean(s) || counts && x.lost() && e.worksInLastSixth(s, x)
+		}) {
 			return
 		}
 	}
--- a/internal/soak/pipe.go
+++ b/internal/soak/pipe.go
@@ -25,6 +25,7 @@
 	pipelineDepth = 4 // setting pipeline_depth of the nodes, and requests that callers send at once
 	dialTimeout   = 2 * time.Second
 	maxEagerBytes = 300 << 10 // of the answers that eager callers ask for
+	endsSideEvery = 3         // exchange of an eager caller: it shuts down its sending side
 )
 
 // lookups are the classes of calls that are pipelined. Their answers are short.
@@ -36,6 +37,8 @@
 	conn net.Conn
 	in   *bufio.Reader
 	used time.Time // when the last answer arrived
+
+	exchanges int // of an eager caller
 }
 
 // runPipeliner makes pipelined calls to a node until ctx ends.
@@ -110,7 +113,8 @@
 }
 
 // runEager makes bookings with large answers on a connection to a node until ctx ends. It sends
-// each second one before it reads the answer to the first, and reads late.
+// each second one before it reads the answer to the first, reads late, and sometimes shuts down
+// its sending side before.
 func (l *load) runEager(ctx context.Context, node int, rng *rand.Rand) {
 	p := &pipeliner{caller: caller{load: l, home: node, rng: rng}}
 	defer p.close()
@@ -149,6 +153,11 @@
 		x.Sent = time.Now()
 		calls, sendErrs = append(calls, x), append(sendErrs, err)
 	}
+	p.exchanges++
+	endsSide := p.exchanges%endsSideEvery == 0
+	if endsSide {
+		_ = p.conn.(*net.TCPConn).CloseWrite() // a closed connection is noticed below
+	}
 	_, err := p.in.Peek(1)
 	firstByteAt := time.Now() // whether the connection is closed is decided before
 	for i, x := range calls {
@@ -167,7 +176,7 @@
 		}
 	}
 	p.used = time.Now()
-	if err != nil {
+	if err != nil || endsSide {
 		p.close()
 	}
 	return calls
@@ -191,6 +200,9 @@
 // whether it closes the connection.
 func (p *pipeliner) read(x *Call, bytes string, calls []*Call) (closes bool, err error) {
 	res, err := http.ReadResponse(p.in, nil)
+	for err == nil && res.StatusCode < http.StatusOK { // informational
+		res, err = http.ReadResponse(p.in, nil)
+	}
 	if err != nil {
 		return false, err
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -218,6 +218,8 @@
 		{"given up by a stopping gatekeeper", []*Call{unknown(call)}, []Run{run(1, 10, 11)}, []Injection{fault(Stop, 1, 9, 15)}, StopCuts},
 		{"given up in the last sixth, sent late", []*Call{unknown(call)}, []Run{run(1, 10, 12)}, []Injection{fault(Stop, 1, 4, 12)}, StopCuts},
 		{"given up in the last sixth, sent early", []*Call{unknown(Call{Key: "k", First: second(10), Sent: second(10), Got: second(16)})}, []Run{run(1, 10, 16)}, []Injection{fault(Stop, 1, 8, 16)}, ""},
+		{"given up in the last sixth of the stop of its node", []*Call{unknown(Call{Key: "k", First: second(10), Sent: second(10), Got: second(16)})}, []Run{run(1, 10, 16)}, []Injection{fault(Stop, 0, 8, 16)}, ""},
+		{"given up in the last sixth of the other of two stops", []*Call{unknown(Call{Key: "k", First: second(10), Sent: second(10), Got: second(16)})}, []Run{run(1, 10, 16)}, []Injection{fault(Stop, 1, 8, 16), fault(Stop, 0, 9.8, 17)}, StopCuts},
 		{"given up in the last sixth, not worked on", []*Call{unknown(Call{Key: "k", First: second(10), Sent: second(10), Got: second(16)})}, []Run{run(1, 10, 11)}, []Injection{fault(Stop, 1, 8, 16)}, StopCuts},
 		{"crossed the close", []*Call{closed(Call{Key: "k", First: second(10), Sent: second(10), Got: second(10.1)})}, nil, []Injection{fault(Stop, 0, 7, 15)}, ""},
 		{"crossed the close and ran", []*Call{closed(Call{Key: "k", First: second(10), Sent: second(10), Got: second(10.1)})}, []Run{run(0, 10, 10.1)}, []Injection{fault(Stop, 0, 7, 15)}, StopCuts},
