ahead: a caller that has left is noticed within milliseconds

What callers saw: nothing.

Cause: sent the second probe, which tells a caller that has left, after 40 ms, while its kernel answers the first one within a round trip.

Why this works: the pauses begin at 2 ms and grow, five probes within 0.3 s, so that a caller far away is noticed as well.

--- a/io/ahead/ended.go
+++ b/io/ahead/ended.go
@@ -14,9 +14,9 @@
 // The probes that tell whether a caller that has ended its side still reads. The first one is
 // sent at once, each further one after probeGrowth times the pause before.
 const (
-	firstProbePause = 40 * time.Millisecond // a caller that has left resets the connection by then
+	firstProbePause = 2 * time.Millisecond
 	probeGrowth     = 5
-	maxProbes       = 4 // some clients accept no more than five informational responses
+	maxProbes       = 5 // within 0.3 s; some clients accept no more informational responses
 )
 
 // probeMessage is the informational response that is a probe. A client has to pass over it, also
