pick: a server with a rate limit is used again after slow calls

What callers saw: a server that limits its rate got no call any more after its first half second, although it would have taken some; its share went to the others.

Cause: what it reports as its service time counts until its next answer. Others without a recent call are estimated lower, so that they are tried again; one with a rate limit is not, since all nodes would try it at once. So a few slow calls at the start (connections are opened then) kept all others away for good.

Its service time is not known any more now once none of its calls has ended for StaleAfter. It then costs what others do, neither less nor more, and its limit keeps the rate.

Evidence: TestLimitedUpstreamIsUsedAfterSlowCalls replays it without a network, and failed before.

--- a/core/pick/cost.go
+++ b/core/pick/cost.go
@@ -2,14 +2,13 @@
 
 import "time"
 
-// meanServiceTime returns the mean of the service times that the candidates
-// have reported.
-func (p *Picker) meanServiceTime(cs []Candidate) time.Duration {
+// meanServiceTime returns the mean of the service times of the candidates of which it is known.
+func (p *Picker) meanServiceTime(now time.Time, cs []Candidate) time.Duration {
 	var sum time.Duration
 	n := 0
 	for _, c := range cs {
-		if s := p.stats[c.ID]; s != nil && s.load.ServiceTime > 0 {
-			sum += s.load.ServiceTime
+		if d, known := p.serviceTime(now, c.ID); known {
+			sum += d
 			n++
 		}
 	}
@@ -19,6 +18,17 @@
 	return sum / time.Duration(n)
 }
 
+// serviceTime returns the service time that a candidate has reported. That of a server with a rate
+// limit is not known any more once none of its calls has ended for StaleAfter: it is not tried
+// again as others are, so that a few slow calls would keep all others away.
+func (p *Picker) serviceTime(now time.Time, id string) (d time.Duration, known bool) {
+	s := p.stats[id]
+	if s == nil || s.load.RateLimit > 0 && s.inFlight == 0 && now.Sub(s.loadAt) > p.cfg.StaleAfter {
+		return 0, false
+	}
+	return s.load.ServiceTime, s.load.ServiceTime > 0
+}
+
 // Parameters of the cost estimate.
 const (
 	untriedFactor      = 0.6 // on the service time of a local candidate without recent calls, so that it is tried again
@@ -31,16 +41,16 @@
 )
 
 // cost estimates the time in which c answers a call, divided by the chance that
-// it succeeds. meanService stands in for a service time that c has not reported.
+// it succeeds. meanService stands in for a service time that is not known.
 func (p *Picker) cost(now time.Time, c Candidate, criteria Criteria, meanService time.Duration) time.Duration {
 	limit := float64(max(c.Slots, 1))
-	service := meanService
+	service, known := p.serviceTime(now, c.ID)
+	if !known {
+		service = meanService
+	}
 	var load, failureRate, refusals float64
 	if s := p.stats[c.ID]; s != nil {
 		load = float64(s.inFlight)
-		if s.load.ServiceTime > 0 {
-			service = s.load.ServiceTime
-		}
 		if now.Sub(s.loadAt) < p.cfg.StaleAfter {
 			if s.load.Limit > 0 {
 				limit = float64(s.load.Limit)
--- a/core/pick/links.go
+++ b/core/pick/links.go
@@ -65,7 +65,7 @@
 // as far as links and the usual time of the work determine it. ok is false if no candidate
 // is left.
 func (p *Picker) EstimateLink(now time.Time, cs []Candidate, criteria Criteria) (best band.Estimate, ok bool) {
-	service := p.meanServiceTime(cs)
+	service := p.meanServiceTime(now, cs)
 	for _, c := range cs {
 		if slices.Contains(criteria.Exclude, c.ID) || p.Ejected(now, c.ID) {
 			continue
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -229,7 +229,7 @@
 		return Candidate{}, "", false
 	}
 	cs = p.sample(cs)
-	meanService := p.meanServiceTime(cs)
+	meanService := p.meanServiceTime(now, cs)
 	var best, local *Candidate
 	var bestCost, localCost time.Duration
 	for i, c := range cs {
--- a/core/pick/picker_test.go
+++ b/core/pick/picker_test.go
@@ -188,6 +188,33 @@
 	is.True(refused <= 15) // the share of the retry budget
 }
 
+// TestLimitedUpstreamIsUsedAfterSlowCalls guards against an upstream with a rate limit that gets
+// no more calls since its first ones were slow. It gets no more than it takes either.
+func TestLimitedUpstreamIsUsedAfterSlowCalls(t *testing.T) {
+	is := is.New(t)
+	const (
+		rate     = 2 // calls a second
+		duration = 20 * time.Second
+		interval = 30 * time.Millisecond // between calls
+	)
+	p := newPicker(1)
+	cs := candidates(3, 0)
+	serviceTime := 200 * time.Millisecond // of the limited one
+	calls := 0
+	for now := epoch; now.Before(epoch.Add(duration)); now = now.Add(interval) {
+		c, _, _ := p.Pick(now, cs, pick.Criteria{})
+		p.Sent(now, c.ID)
+		load := pick.Load{Limit: 12, ServiceTime: 10 * time.Millisecond}
+		if c.ID == "l0" {
+			calls++
+			load.ServiceTime, load.RateLimit, load.QuotaWait = serviceTime, rate, time.Second/rate
+		}
+		p.Done(now, c.ID, pick.Outcome{Result: pick.Success, Latency: load.ServiceTime, Load: load})
+	}
+	is.True(calls >= 5)
+	is.True(calls <= rate*int(duration.Seconds())+1)
+}
+
 // TestPrefersLocalWithinTarget checks that a call stays in its data centre while
 // a local upstream is expected to answer well before the target, however much
 // faster a remote one is, and is sent to the remote one otherwise.
