ahead, proxy, node: large heads of requests keep within the memory

What callers would see: a process over the memory of its instance is killed, and all its connections end without an answer. Found by a test, not reported: 1,500 callers that send 250 KB of headers and no end of the head take 544 of 284 MB; 3,000 requests at once with heads of 16 KB, as the configuration allows, 323.

Cause: heads were counted with the 28 KB of their connection, whatever they held, and the limit of the configuration was checked when a head had been read whole. A request that is served holds its head several times.

Now a head is not read on beyond what the version in force allows (431 in its turn), and heads over 4 KiB share a 24th of the memory until their requests are answered. One that has no room is refused at once, as not run. What they hold is taken from the budget for bodies and answers. A request with a large head is not started ahead of its turn: it could be refused after it has run.

--- a/io/ahead/ahead.go
+++ b/io/ahead/ahead.go
@@ -19,6 +19,14 @@
 	// Stopping, if not nil, reports whether the server begins to stop. Answers close their
 	// connection then, unless bytes behind their requests have been read.
 	Stopping func() bool
+	// MaxHead, if not nil, returns the number of bytes beyond which the head of a request is not
+	// read on. RefusalOf tells the handler.
+	MaxHead func() int
+	// RoomBytes bounds what large heads take together, from their first bytes until their requests
+	// are answered, 0 for no bound. A request whose head has no room is not read on either.
+	RoomBytes int64
+	// OnRoom, if not nil, is called when large heads take n bytes more, or less if it is negative.
+	OnRoom func(n int)
 	// OnStart, if not nil, is called when a request is started ahead of its turn.
 	OnStart func()
 	// OnEnd, if not nil, is called when a caller ends its side of a connection while a request
@@ -36,8 +44,9 @@
 // Pipeline starts pipelined requests ahead of their turn. It is safe for concurrent
 // use.
 type Pipeline struct {
-	cfg  Config
-	kept atomic.Int64 // bytes of responses that wait for their turn
+	cfg   Config
+	kept  atomic.Int64 // bytes of responses that wait for their turn
+	heads atomic.Int64 // bytes of large heads
 }
 
 // New returns a pipeline.
--- a/io/ahead/ahead_test.go
+++ b/io/ahead/ahead_test.go
@@ -18,6 +18,7 @@
 
 	_ "tanagerchute/internal/seed"
 	"tanagerchute/io/ahead"
+	"tanagerchute/io/link"
 )
 
 // site is a server behind a pipeline, whose requests are held until they are released.
@@ -60,7 +61,8 @@
 			c.SetIdle()
 		}
 	}
-	s.Listener = p.Listener(s.Listener)
+	closer := link.NewCloser(link.CloserConfig{}) // answers arrive also if not all that was sent is read
+	s.Listener = p.Listener(closer.Listener(s.Listener))
 	t.Cleanup(s.Close)
 	return s
 }
--- a/io/ahead/conn.go
+++ b/io/ahead/conn.go
@@ -43,9 +43,13 @@
 	body       body          // the rest of its body, behind these bytes
 	admitted   *http.Request // that request, nil if nothing may start early behind it
 	admittedAt time.Time     // when the first byte of that request was read, zero if it is not known
-	numAdmits  uint64        // number of requests that were admitted
-	hadBody    bool          // one of them could have a body: nothing is started early any more
-	scanned    int           // bytes of buf up to the end of the last run
+	refusal    Refusal       // of that request; if it is set, nothing more is read
+	room       int           // bytes of heads for which room is reserved
+	// admittedRoom and turnRoom are the parts of room for that request and for the one in turn.
+	admittedRoom, turnRoom int
+	numAdmits              uint64 // number of requests that were admitted
+	hadBody                bool   // one of them could have a body: nothing is started early any more
+	scanned                int    // bytes of buf up to the end of the last run
 
 	turn        uint64        // number of the request that the server works on
 	active      bool          // the server works on it
@@ -94,6 +98,7 @@
 	c.turn++
 	c.turnRequest, c.admitted = c.admitted, nil
 	c.turnArrivedAt, c.admittedAt = c.admittedAt, time.Time{}
+	c.turnRoom, c.admittedRoom = c.admittedRoom, 0
 	c.lookAhead()
 }
 
@@ -106,6 +111,8 @@
 	defer c.mu.Unlock()
 	c.active = false
 	c.turnRequest = nil
+	c.turnRoom = 0
+	c.setRoom(c.admittedRoom)
 }
 
 // Close implements net.Conn. It cancels the runs.
@@ -116,6 +123,7 @@
 	}
 	c.wakeUp()
 	c.abandonRuns()
+	c.setRoom(0)
 	dropped := len(c.buf)
 	c.buf = nil
 	c.mu.Unlock()
@@ -130,8 +138,8 @@
 func (c *Conn) lookAhead() {
 	for c.mayStartNext() {
 		h := parseHead(c.buf[c.scanned:])
-		if !h.noBody || !c.pipeline.mayStart(h.request) {
-			return
+		if !h.noBody || headRoom(h.size) > 0 || !c.pipeline.mayStart(h.request) {
+			return // a large head may have no room in its turn
 		}
 		h.request.RemoteAddr = c.RemoteAddr().String()
 		e := c.pipeline.start(c.base, h.request)
@@ -168,7 +176,7 @@
 // readOn reads more in the background, for a caller that is known to pipeline. The
 // caller holds mu.
 func (c *Conn) readOn() {
-	if c.reading != nil || len(c.buf) >= maxBuffered || c.err != nil || c.ended {
+	if c.reading != nil || c.err != nil || c.ended || c.refusal != NotRefused || !c.mayReadAhead() {
 		return
 	}
 	c.reading = make(chan struct{})
--- a/io/ahead/ended.go
+++ b/io/ahead/ended.go
@@ -99,11 +99,12 @@
 	c.wakeUp()
 }
 
-// hasEnded reports whether the caller has ended its side and still reads.
-func (c *Conn) hasEnded() bool {
+// readsNoMore reports whether the caller has ended its side and still reads, or its request is
+// refused.
+func (c *Conn) readsNoMore() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ended
+	return c.ended || c.refusal != NotRefused
 }
 
 // awaitResponse waits until the server has answered the request in turn, for a Read that can get
--- a/io/ahead/read.go
+++ b/io/ahead/read.go
@@ -14,7 +14,7 @@
 		if ok {
 			return n, err
 		}
-		if c.hasEnded() {
+		if c.readsNoMore() {
 			return 0, c.awaitResponse()
 		}
 		inProgress, direct := c.beginRead(len(b))
@@ -60,6 +60,9 @@
 	if !c.opaque {
 		c.lookAhead()
 		h := parseHead(c.buf)
+		if why := c.checkHead(h); why != NotRefused && c.refuse(why) {
+			return
+		}
 		if h.size == 0 && len(c.buf) < maxBuffered {
 			return
 		}
--- a/io/memory/room.go
+++ b/io/memory/room.go
@@ -19,6 +19,9 @@
 	// roomShare is the share of the process's memory that bodies and answers may take. The
 	// rest is for the state of the fleet, connections and garbage.
 	roomShare = 0.45
+	// headShare is the share of the process's memory for large heads of requests. While a
+	// request is served, it takes several times its head.
+	headShare = 1.0 / 24
 	// collectShare is the share of the process's memory from which on the collector runs
 	// as often as it must.
 	collectShare = 0.7
@@ -27,6 +30,10 @@
 // RoomBytes returns what bodies and answers may take in a process with the given memory.
 func RoomBytes(limit int64) int64 { return int64(roomShare * float64(limit)) }
 
+// HeadBytes returns what large heads of requests may take together, as they were sent, in such a
+// process.
+func HeadBytes(limit int64) int64 { return int64(headShare * float64(limit)) }
+
 // CollectBytes returns the soft limit for the garbage collector of such a process.
 func CollectBytes(limit int64) int64 { return int64(collectShare * float64(limit)) }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -89,6 +89,7 @@
 	eras             *storeEras
 	byteMeters       byteMeters
 	memory           *memory.Room
+	taken            takenMemory
 	leaves           *leaves.Keeper
 	vars             *expvar.Map
 	attached         []attachedHandler
@@ -213,6 +214,7 @@
 		Incarnation: 1, StartMs: now.UnixMilli(), LinkRate: s.Link.BytesPerSecond(),
 	}
 	n.memory = n.newMemory()
+	n.taken.room = n.memory
 	n.client = peer.NewClient(peer.Config{
 		Deployment: n.deploymentID(),
 		Dial:       n.byteMeters.control.Dial(n.cfg.WrapDial(link.Direct), n.isRemoteAddr),
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -14,6 +14,7 @@
 	"tanagerchute/io/admin"
 	"tanagerchute/io/ahead"
 	"tanagerchute/io/link"
+	"tanagerchute/io/memory"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/proxy"
 	"tanagerchute/io/wire"
@@ -54,7 +55,7 @@
 		egress:      peer.NewServer(n.recordFailures(n.proxy.Ingress(proxy.Origin{Service: n.cfg.Settings.Service, Backend: true}))),
 		peers:       peer.NewServer(n.recordFailures(n.proxy.Peer(control))),
 		admin:       peer.NewServer(admin.Handler(admin.Config{Node: adminNode{n}, Vars: n.vars})),
-		callerConns: newConnTracker(func(open int) { n.memory.SetTaken(ahead.MaxKeptBytes + int64(open)*connBytes) }),
+		callerConns: newConnTracker(n.taken.setConns),
 	}
 	s.callers.ConnState = s.callerConns.track
 	s.callers.ConnContext = ahead.ConnContext
@@ -95,11 +96,14 @@
 // its responses ask callers to close their connection.
 func (n *Node) newPipeline() *ahead.Pipeline {
 	return ahead.New(ahead.Config{
-		Handler:  n.proxy.Ingress(n.callerOrigin()),
-		Depth:    n.cfg.Settings.PipelineDepth,
-		Eligible: n.proxy.MayStartEarly,
-		Stopping: n.stopping.Load,
-		OnStart:  n.metrics.CountPipelined,
+		Handler:   n.proxy.Ingress(n.callerOrigin()),
+		Depth:     n.cfg.Settings.PipelineDepth,
+		Eligible:  n.proxy.MayStartEarly,
+		Stopping:  n.stopping.Load,
+		MaxHead:   n.proxy.MaxHeadBytes,
+		RoomBytes: memory.HeadBytes(n.cfg.Settings.Limits.MemoryBytes()),
+		OnRoom:    n.taken.addHeads,
+		OnStart:   n.metrics.CountPipelined,
 		OnEnd: func(caller net.Addr) {
 			n.recordCaller(event.CallerEnded, caller, "its side of the connection, while a request is in progress")
 		},
--- a/io/node/vars.go
+++ b/io/node/vars.go
@@ -48,6 +48,7 @@
 		{"memory_bodies_bytes", "Memory of bodies.", func() int64 { return n.memory.State().Used[room.Body] }},
 		{"memory_answers_bytes", "Memory of large answers.", func() int64 { return n.memory.State().Used[room.Answer] }},
 		{"memory_small_bytes", "Memory of small bodies and answers.", func() int64 { return n.memory.State().Used[room.Small] }},
+		{"memory_heads_bytes", "Large heads of requests, as they were sent.", n.taken.headBytes},
 		{"memory_waited", "Bodies and answers that waited for memory.", func() int64 { return n.memory.Counts().Waited }},
 		{"memory_refused", "Bodies and answers that had no memory in time.", func() int64 { return n.memory.Counts().Refused }},
 		{"goroutines", "Goroutines.", func() int64 { return int64(runtime.NumGoroutine()) }},
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"tanagerchute/core/event"
 	"tanagerchute/core/room"
+	"tanagerchute/io/ahead"
 	"tanagerchute/io/memory"
 )
 
@@ -18,8 +20,49 @@
 	}}
 }
 
-// connBytes is what an open connection of a caller takes, with its goroutine and buffers.
-const connBytes = 28 << 10
+const (
+	// connBytes is what an open connection of a caller takes, with its goroutine and buffers.
+	connBytes = 28 << 10
+	// headCopies is how many times a large head takes its size while its request is served.
+	headCopies = 5
+)
+
+// takenMemory is what callers take beside bodies and answers. It is safe for concurrent use.
+type takenMemory struct {
+	room *memory.Room
+
+	mu    sync.Mutex
+	conns int64 // open connections
+	heads int64 // bytes of large heads
+}
+
+// setConns sets the number of open connections.
+func (t *takenMemory) setConns(open int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conns = int64(open)
+	t.update()
+}
+
+// addHeads adds n bytes of large heads.
+func (t *takenMemory) addHeads(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heads += int64(n)
+	t.update()
+}
+
+// headBytes returns the bytes of large heads.
+func (t *takenMemory) headBytes() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.heads
+}
+
+// update tells the room what is taken. The caller holds mu.
+func (t *takenMemory) update() {
+	t.room.SetTaken(ahead.MaxKeptBytes + t.conns*connBytes + t.heads*headCopies)
+}
 
 // newMemory returns the memory for bodies and answers.
 func (n *Node) newMemory() *memory.Room {
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -94,7 +94,7 @@
 		defer p.inProgress.Add(-1)
 		in := ingressRequest{arrivedAt: ahead.ArrivedAt(r.Context()), begunAt: time.Now(), origin: origin, snapshot: p.cfg.Feed.Snapshot()}
 		in.limits = p.limits(in.snapshot)
-		if rej := validateHeaders(r, in.limits.MaxHeaderBytes); rej != nil {
+		if rej := p.validateHead(r, in.limits.MaxHeaderBytes); rej != nil {
 			p.reject(w, r, call.Call{}, rej)
 			return
 		}
--- a/io/proxy/read.go
+++ b/io/proxy/read.go
@@ -12,23 +12,47 @@
 	"tanagerchute/core/crash"
 	"tanagerchute/core/event"
 	"tanagerchute/core/routes"
+	"tanagerchute/io/ahead"
 )
 
-// validateHeaders checks the size of the headers, which does not depend on the class of the
-// request.
-func validateHeaders(r *http.Request, limit int) *rejection {
+// maxRequestLineBytes is what the head of a request may have beside its headers.
+const maxRequestLineBytes = 16 << 10
+
+// MaxHeadBytes returns the size beyond which the head of a request need not be read, since it is
+// refused.
+func (p *Proxy) MaxHeadBytes() int { return p.Limits().MaxHeaderBytes + maxRequestLineBytes }
+
+// validateHead checks the size of the head, which does not depend on the class of the request.
+func (p *Proxy) validateHead(r *http.Request, limit int) *rejection {
+	why := ahead.RefusalOf(r.Context())
+	if why == ahead.NoRoom {
+		return p.refuseHead()
+	}
 	size := 0
 	for k, vs := range r.Header {
 		for _, v := range vs {
 			size += len(k) + len(v) + len(": \r\n")
 		}
 	}
-	if size > limit {
+	if size > limit || why == ahead.HeadTooLarge {
 		return newRejection(http.StatusRequestHeaderFieldsTooLarge, "headers have more than "+strconv.Itoa(limit)+" bytes")
 	}
 	return nil
 }
 
+// refuseHead returns the rejection of a request for whose head there is no memory. It may have had a
+// key, with which an earlier request has run.
+func (p *Proxy) refuseHead() *rejection {
+	r := call.Refuse(call.NotRun, call.CauseMemoryFull, p.spread(headRetryAfter))
+	if !p.cfg.KeysUnused {
+		r = withUnknownFate(r)
+	}
+	return &rejection{refusal: &r, kind: event.MemoryRefused, cause: "large heads of other requests take all memory for them"}
+}
+
+// headRetryAfter is the Retry-After time of a request for whose head there is no memory.
+const headRetryAfter = time.Second
+
 // readCall reads the whole call and classifies it. If it is rejected, the returned
 // call holds what is known of it.
 func (p *Proxy) readCall(w http.ResponseWriter, r *http.Request, in ingressRequest) (call.Call, *rejection) {
