--- a/io/ahead/doc.go
+++ b/io/ahead/doc.go
@@ -24,7 +24,11 @@
 // closed its connection looks the same, so that an informational response is sent as a probe:
 // only the latter answers it with a reset.
 //
-// A caller that does neither is served as without this package.
+// The head of a request is read up to a bound, and large heads share a bounded room until their
+// requests are answered. A request whose head is not read whole is handed on in its turn as a
+// substitute that closes the connection: RefusalOf tells the handler why.
+//
+// A caller that does none of this is served as without this package.
 //
 // # Usage
 //
