io/ports: no two processes get the same port; tests of several packages run side by side

Cause: both packages looked for a port that was free at the moment. platform took pairs from 20000 to 32000, beginning elsewhere in each process since, integ single ports from 12000 to 32000. Of the ports of the failure, 30667 and 30669 belong to nodes that had been killed.

Now each process reserves blocks of 500 ports, by a datagram socket on the first one that it holds as long as it lives, and hands out only the others. So the kernel decides who has a block, and ends a reservation with its process.

--- a/cmd/tanagerchute/script_test.go
+++ b/cmd/tanagerchute/script_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"tanagerchute/io/mesh"
+	"tanagerchute/io/ports"
 )
 
 func TestMain(m *testing.M) {
@@ -36,7 +36,7 @@
 
 // setUpScript sets the address variables of a script and writes its files.
 func setUpScript(e *testscript.Env) error {
-	addrs, err := mesh.FreeAddrs(9)
+	addrs, err := ports.Addrs(9)
 	if err != nil {
 		return err
 	}
--- a/internal/procs/fleet.go
+++ b/internal/procs/fleet.go
@@ -17,6 +17,7 @@
 	"tanagerchute/core/jsonc"
 	"tanagerchute/io/admin"
 	"tanagerchute/io/mesh"
+	"tanagerchute/io/ports"
 	"tanagerchute/io/setup"
 )
 
@@ -106,7 +107,7 @@
 }
 
 func (f *Fleet) startPlatform() error {
-	addrs, err := mesh.FreeAddrs(1)
+	addrs, err := ports.Addrs(1)
 	if err != nil {
 		return err
 	}
@@ -125,7 +126,7 @@
 // files of the nodes and backend servers.
 func (f *Fleet) configureInstances() error {
 	centres := DataCentres()
-	addrs, err := mesh.FreeAddrs(addrsPerInstance*len(f.cfg.Specs) + len(centres))
+	addrs, err := ports.Addrs(addrsPerInstance*len(f.cfg.Specs) + len(centres))
 	if err != nil {
 		return err
 	}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -36,6 +36,7 @@
 	"tanagerchute/io/ledger"
 	"tanagerchute/io/link"
 	"tanagerchute/io/node"
+	"tanagerchute/io/ports"
 	"tanagerchute/io/proxy"
 	"tanagerchute/io/server"
 	"tanagerchute/io/setup"
@@ -161,7 +162,7 @@
 		return err
 	}
 	const addrsPerInstance = 4
-	addrs, err := FreeAddrs(addrsPerInstance * len(m.cfg.Instances))
+	addrs, err := ports.Addrs(addrsPerInstance * len(m.cfg.Instances))
 	if err != nil {
 		return err
 	}
