proxy: a call behind a GOAWAY has not run, and is sent elsewhere

Cause: a stopping node closes its connections with GOAWAY, which names the last request that it has taken. A request that crosses it, by the latency of the link or since its sender was frozen, is dropped unread. net/http sends one without a body again, to the listener that is closed, and returns one with a body as an error. The proxy took both for a lost answer, and asked the other node about it, which was about to end or had ended.

Fix: the last stream of the frame is the other node's word that the request was not looked at (RFC 9113, 6.8). Such a call is not_run, unreachable, so that it goes to another upstream without a charge to the retry budget; request_unprocessed tells it. A call on a stream that the frame covers, and one whose connection ends without a GOAWAY, keep their unknown fate.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -87,14 +87,17 @@
 	// RequestOutlastsStop is that of a call which is refused during a planned stop of the
 	// node, since it might last beyond its end.
 	RequestOutlastsStop Kind = "request_outlasts_stop"
-	AnswerMissing       Kind = "answer_missing"   // the connection to the node that a call was sent to ended before its answer
-	LinkSilent          Kind = "link_silent"      // nothing is received from a node that calls are in flight to
-	TransferWaited      Kind = "transfer_waited"  // a body or a large answer was admitted to a link after a wait
-	TransferRefused     Kind = "transfer_refused" // a link has no room in time for a body or a large answer
-	RequestFenced       Kind = "request_fenced"   // an attempt that had not started may no longer start
-	RequestReplayed     Kind = "request_replayed" // it got the answer recorded for its key
-	StandingLost        Kind = "standing_lost"    // the node has lost the quorum
-	StandingGained      Kind = "standing_gained"  // the node has gained a quorum
+	AnswerMissing       Kind = "answer_missing" // the connection to the node that a call was sent to ended before its answer
+	// RequestUnprocessed is that of a call whose node has closed the connection without looking at
+	// the call, so that it has not run there.
+	RequestUnprocessed Kind = "request_unprocessed"
+	LinkSilent         Kind = "link_silent"      // nothing is received from a node that calls are in flight to
+	TransferWaited     Kind = "transfer_waited"  // a body or a large answer was admitted to a link after a wait
+	TransferRefused    Kind = "transfer_refused" // a link has no room in time for a body or a large answer
+	RequestFenced      Kind = "request_fenced"   // an attempt that had not started may no longer start
+	RequestReplayed    Kind = "request_replayed" // it got the answer recorded for its key
+	StandingLost       Kind = "standing_lost"    // the node has lost the quorum
+	StandingGained     Kind = "standing_gained"  // the node has gained a quorum
 
 	RolloutOrdered     Kind = "rollout_ordered"
 	RolloutRefused     Kind = "rollout_refused" // an order, or its stored state, can't be read
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -113,6 +113,10 @@
 	req.Header.Set(peer.HeaderDeployment, p.cfg.Deployment)
 	res, err := client.http.Do(req)
 	if err != nil {
+		if ctx.Err() == nil && (unprocessedError(err) || a.unprocessed.Load()) {
+			p.recordUnprocessed(addr, c, a, err)
+			return call.Reply{Fate: call.NotRun, Cause: call.CauseUnreachable}
+		}
 		p.recordMissingAnswer(ctx, addr, c, a, err)
 		if !body.started() {
 			return unsentReply(ctx)
@@ -215,9 +219,12 @@
 	wait  acks.Wait
 	timer *time.Timer // nil after stop
 
-	connected atomic.Bool // the attempt has a connection
-	expired   atomic.Bool
-	acked     atomic.Bool
+	connected atomic.Bool // the attempt has had a connection
+	// unprocessed is set while the transport looks for a connection again, since the node has
+	// closed the last one without looking at the call.
+	unprocessed atomic.Bool
+	expired     atomic.Bool
+	acked       atomic.Bool
 }
 
 func newAckWatch(times *ackTimes) *ackWatch { return &ackWatch{times: times} }
@@ -279,7 +286,11 @@
 // reports the connection and the acknowledgement.
 func (a *ackWatch) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
+		GetConn: func(string) { a.unprocessed.Store(a.connected.Load()) },
+		GotConn: func(httptrace.GotConnInfo) {
+			a.connected.Store(true)
+			a.unprocessed.Store(false)
+		},
 		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
 			if rate, ok := parseGrant(h.Get(headerGrant)); ok {
 				a.onGrant(rate)
