--- a/internal/soak/loss.go
+++ b/internal/soak/loss.go
@@ -20,7 +20,7 @@
 		if slices.ContainsFunc(stops, func(s Injection) bool {
 			// If the node that took the call stops, only its own grace period excuses a loss.
 			counts := s.Node == x.Node || !takerStops
-			return !e.stopIsClean(s) || counts && x.lost() && e.worksInLastSixth(s, x)
+			return !e.stopIsClean(s) || counts && x.lost() && e.worksInLastSixth(s, x) || e.frozenAsStopEnds(s, x)
 		}) {
 			return
 		}
@@ -59,6 +59,20 @@
 	})
 }
 
+// frozenAsStopEnds reports whether the node that took a call told its caller at the end of its own
+// planned stop that the fate of the call is unknown, while the node that ran the call last was
+// frozen, so that its answer could not come.
+func (e *Evidence) frozenAsStopEnds(stop Injection, x *Call) bool {
+	runs := e.Runs[x.Key]
+	if stop.Node != x.Node || x.Outcome != "unknown" || x.Got.Before(stop.Began.Add(e.Drain.Timeout.Std())) || len(runs) == 0 {
+		return false
+	}
+	last := slices.MaxFunc(runs, func(a, b Run) int { return a.At.Compare(b.At) })
+	return slices.ContainsFunc(e.Injections, func(i Injection) bool {
+		return i.Kind == Freeze && i.Node == last.Node && i.Began.Before(x.Got) && i.Ended.After(x.Got)
+	})
+}
+
 // crossedClose reports whether a call may have been sent as its connection was closed, so that its
 // node has not read it.
 func (e *Evidence) crossedClose(x *Call) bool {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -187,6 +187,7 @@
 		return out
 	}
 	slow := fault(Stop, 0, 1, 12)
+	atEnd := Call{Key: "k", First: second(8.5), Sent: second(8.5), Got: second(12.1)}
 	for _, c := range []struct {
 		name       string
 		calls      []*Call
@@ -221,6 +222,11 @@
 		{"given up in the last sixth of the stop of its node", []*Call{unknown(Call{Key: "k", First: second(10), Sent: second(10), Got: second(16)})}, []Run{run(1, 10, 16)}, []Injection{fault(Stop, 0, 8, 16)}, ""},
 		{"given up in the last sixth of the other of two stops", []*Call{unknown(Call{Key: "k", First: second(10), Sent: second(10), Got: second(16)})}, []Run{run(1, 10, 16)}, []Injection{fault(Stop, 1, 8, 16), fault(Stop, 0, 9.8, 17)}, StopCuts},
 		{"given up in the last sixth, not worked on", []*Call{unknown(Call{Key: "k", First: second(10), Sent: second(10), Got: second(16)})}, []Run{run(1, 10, 11)}, []Injection{fault(Stop, 1, 8, 16)}, StopCuts},
+		{"server's node frozen as the stop ends", []*Call{unknown(atEnd)}, []Run{run(1, 8.6, 12)}, []Injection{fault(Stop, 0, 4, 13), fault(Freeze, 1, 11.9, 13)}, ""},
+		{"server's node thawed before the stop ends", []*Call{unknown(atEnd)}, []Run{run(1, 8.6, 11)}, []Injection{fault(Stop, 0, 4, 13), fault(Freeze, 1, 10.9, 11.9)}, StopCuts},
+		{"server's node frozen, told before the stop ends", []*Call{unknown(atEnd)}, []Run{run(1, 8.6, 11)}, []Injection{fault(Stop, 0, 4.5, 13), fault(Freeze, 1, 10.9, 13)}, StopCuts},
+		{"server's node frozen, no answer", []*Call{closed(atEnd)}, []Run{run(1, 8.6, 11)}, []Injection{fault(Stop, 0, 4, 13), fault(Freeze, 1, 10.9, 13)}, StopCuts},
+		{"another node frozen as the stop ends", []*Call{unknown(atEnd)}, []Run{run(1, 8.6, 11)}, []Injection{fault(Stop, 0, 4, 13), fault(Freeze, 2, 10.9, 13)}, StopCuts},
 		{"crossed the close", []*Call{closed(Call{Key: "k", First: second(10), Sent: second(10), Got: second(10.1)})}, nil, []Injection{fault(Stop, 0, 7, 15)}, ""},
 		{"crossed the close and ran", []*Call{closed(Call{Key: "k", First: second(10), Sent: second(10), Got: second(10.1)})}, []Run{run(0, 10, 10.1)}, []Injection{fault(Stop, 0, 7, 15)}, StopCuts},
 		{"idle connection reset without a stop", []*Call{closed(Call{Key: "k", Idle: time.Minute, First: second(10), Sent: second(10), Got: second(10.1)})}, nil, nil, NoFault},
