node: half of a stop is left for the work of the last call that is taken

Cause: a node takes calls until its linger time has passed, and starts what has lasted short enough of late. The class had not lasted as long before at that node. With a linger time close to drain.timeout little time is left for such a call.

Fix: the last arrival is after half of drain.timeout at the latest, however long the node lingers for the keys; later ones, with a deadline after the end, are told not_run at once.

--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -119,11 +119,13 @@
 	return done
 }
 
-// callsDuringStop returns the course of a planned stop that began at startedAt.
+// callsDuringStop returns the course of a planned stop that began at startedAt. However long it
+// lingers, half of the time is left for the work of the last call that it takes, since how long
+// calls have lasted of late promises nothing.
 func callsDuringStop(startedAt time.Time, drain setup.Drain) stop.Plan {
 	timeout := drain.Timeout.Std()
 	return stop.Plan{
-		LastArrival: startedAt.Add(drain.Linger.Std()),
+		LastArrival: startedAt.Add(min(drain.Linger.Std(), timeout/2)),
 		LastStart:   startedAt.Add(max(timeout-startReserve, timeout/2)),
 		End:         startedAt.Add(timeout),
 	}
