proxy, dedup: an entry node is told the age of an attempt, not its time by another clock

What callers could see: a booking that runs twice. A node whose clock is more than 0.5 s ahead sends it to an entry node of another data centre, whose process runs it and dies; the next process at the address is asked, finds the booking issued after its own start, and says that it has not begun, so that it is sent to another server. With a clock that is behind, a booking that certainly did not run is told unknown.

Cause: the sender knows no process of an entry node, only an address. The entry node compared the issue time, of the sender's clock, with its own start.

Fix: the inquiry carries the age of the attempt when its answer counts at the latest, in a header: an age is the same by every clock. The asked process counts back from its own clock. A sender that gives none (an older version) is judged as before.

--- a/core/dedup/table.go
+++ b/core/dedup/table.go
@@ -69,7 +69,7 @@
 	MaxFences  int           // maximum number of fenced attempts that are kept
 	Floor      time.Time     // keys issued at or before it may have run without a record here
 	// Start is the start of the process plus a margin for clock differences. An
-	// attempt at work issued before it may have been sent to an earlier process
+	// attempt that was sent before it may have been sent to an earlier process
 	// at the same address, of which this one has no records.
 	Start time.Time
 }
@@ -240,6 +240,17 @@
 	// Own is set if the attempt was sent to this very process. Otherwise an earlier process
 	// at its address may have got it.
 	Own bool
+	// SentAt is when the attempt was sent at the earliest, by the clock of this process. If it is
+	// zero, the issue time of the key stands for it, which is a time of the sender's clock.
+	SentAt time.Time
+}
+
+// sentAt returns when the attempt was sent at the earliest.
+func (q Inquiry) sentAt() time.Time {
+	if q.SentAt.IsZero() {
+		return q.Key.Issued
+	}
+	return q.SentAt
 }
 
 // Inquire returns what became of an attempt. If the work has not begun, Inquire fences
@@ -252,7 +263,7 @@
 	// The clock of the sender may be ahead, so that the floor alone proves nothing.
 	droppedLately := !t.droppedAt.IsZero() && now.Sub(t.droppedAt) < t.cfg.Retention
 	maybeDropped := droppedLately || !q.Key.Issued.After(t.floor)
-	maybeEarlier := !q.Own && !q.Key.Issued.After(t.cfg.Start)
+	maybeEarlier := !q.Own && !q.sentAt().After(t.cfg.Start)
 	if maybeDropped || maybeEarlier {
 		return TooOld, Answer{}
 	}
--- a/core/dedup/table_test.go
+++ b/core/dedup/table_test.go
@@ -193,3 +193,16 @@
 		})
 	}
 }
+
+// TestClockOfSenderIsNoProof guards against work that runs twice, since a sender whose clock is
+// ahead is told by a process that started later that its attempt has not begun.
+func TestClockOfSenderIsNoProof(t *testing.T) {
+	is := is.New(t)
+	table := dedup.NewTable(dedup.DefaultConfig(epoch))
+	ahead := dedup.Key{ID: "ahead", Issued: epoch.Add(time.Hour)}
+	behind := dedup.Key{ID: "behind", Issued: epoch.Add(-time.Hour)}
+	v, _ := table.Inquire(epoch.Add(time.Minute), dedup.Inquiry{Key: ahead, Attempt: "1", SentAt: epoch.Add(-time.Second)})
+	is.Equal(v, dedup.TooOld)
+	v, _ = table.Inquire(epoch.Add(time.Minute), dedup.Inquiry{Key: behind, Attempt: "2", SentAt: epoch.Add(time.Second)})
+	is.Equal(v, dedup.Fenced)
+}
--- a/io/node/serve.go
+++ b/io/node/serve.go
@@ -46,8 +46,8 @@
 }
 
 // Inquire implements wire.Peer.
-func (s peerServer) Inquire(_ context.Context, r *wire.InquireRequest) (*wire.InquireReply, error) {
-	return s.n.proxy.Inquire(r), nil
+func (s peerServer) Inquire(ctx context.Context, r *wire.InquireRequest) (*wire.InquireReply, error) {
+	return s.n.proxy.Inquire(ctx, r), nil
 }
 
 // Report implements wire.Peer.
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -31,7 +31,7 @@
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(w, withReceivedAge(r))
 	})
 }
 
--- a/io/proxy/home.go
+++ b/io/proxy/home.go
@@ -277,9 +277,12 @@
 
 // Inquire answers another node's inquiry about an attempt that was sent here, or
 // about a key.
-func (p *Proxy) Inquire(req *wire.InquireRequest) *wire.InquireReply {
+func (p *Proxy) Inquire(ctx context.Context, req *wire.InquireRequest) *wire.InquireReply {
 	key := dedup.Key{ID: req.GetKey(), Issued: time.Unix(0, req.GetIssued())}
 	q := dedup.Inquiry{Key: key, Attempt: req.GetAttempt(), Own: req.GetTo() == p.cfg.Node}
+	if age, ok := peer.AgeOf(ctx); ok {
+		q.SentAt = time.Now().Add(-age)
+	}
 	var res inquiryResult
 	switch {
 	case req.GetTo() != "" && req.GetTo() != p.cfg.Node:
--- a/io/proxy/home_test.go
+++ b/io/proxy/home_test.go
@@ -160,7 +160,7 @@
 			}
 			is.Equal(p.homeTable.Contains(first.ID), c.recorded)
 			time.Sleep(600 * time.Millisecond) // until attempts are not taken for those of an earlier process
-			reply := p.Inquire(&wire.InquireRequest{
+			reply := p.Inquire(t.Context(), &wire.InquireRequest{
 				Key: first.ID, Issued: first.Issued.UnixNano(), Attempt: "first", Mode: wire.Mode(call.Entry), From: "other", To: p.cfg.Node,
 			})
 			is.Equal(dedup.Verdict(reply.GetVerdict()), c.want)
--- a/io/proxy/inquire.go
+++ b/io/proxy/inquire.go
@@ -46,6 +46,7 @@
 	sendCtx, stopSend := context.WithCancel(ctx)
 	defer stopSend()
 	unresolved := call.Reply{Fate: call.Unknown, Cause: call.CauseSilent}
+	sentAt := time.Now()
 	var silent atomic.Bool
 	outcome := make(chan call.Reply, 1)
 	r := p.send(sendCtx, target.Addr, c, func(s silence) {
@@ -54,7 +55,7 @@
 			return // asked already
 		}
 		go func() {
-			outcome <- p.resolveOutcome(inquiryCtx, target, c, unresolved)
+			outcome <- p.resolveOutcome(inquiryCtx, target, c, sentAt, unresolved)
 			stopSend()
 		}()
 	})
@@ -64,16 +65,16 @@
 	case silent.Load():
 		return <-outcome
 	}
-	return p.resolveOutcome(inquiryCtx, target, c, r)
+	return p.resolveOutcome(inquiryCtx, target, c, sentAt, r)
 }
 
-// resolveOutcome asks the target for the outcome of an attempt whose answer was
+// resolveOutcome asks the target for the outcome of an attempt, sent at sentAt, whose answer was
 // lost. The inquiry fences an attempt that has not started, so that the call may
 // be sent to another upstream. It returns unresolved if the outcome can't be
 // learned in time.
-func (p *Proxy) resolveOutcome(ctx context.Context, target pick.Candidate, c call.Call, unresolved call.Reply) call.Reply {
+func (p *Proxy) resolveOutcome(ctx context.Context, target pick.Candidate, c call.Call, sentAt time.Time, unresolved call.Reply) call.Reply {
 	for pace := newInquiryPace(); ; {
-		res, err := p.inquire(ctx, target.Addr, processID(target), c, pace.timeout)
+		res, err := p.inquire(peer.WithAge(ctx, time.Since(sentAt)+pace.timeout), target.Addr, processID(target), c, pace.timeout)
 		switch {
 		case err != nil || res.verdict == dedup.Join:
 		case res.verdict == dedup.Fenced:
