--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -48,6 +48,8 @@
 		if cfg.Dir, err = os.MkdirTemp("", "soak"); err != nil {
 			return nil, err
 		}
+	} else if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
+		return nil, err
 	}
 	if cfg.Binary == "" {
 		if cfg.Binary, err = procs.Build(cfg.Dir); err != nil {
