ahead: large heads over HTTP/2 keep within the memory of the instance

What callers saw: the process ends for want of memory (on the users' machines by SIGKILL), with all that it works on. 1,500 connections of HTTP/2 with heads of 250 KB that do not end took 459 MB of 284, and 3,000 requests with heads of 16 KB, which the configuration allows, 285 MB, of which 64 got 502.

Cause: heads took room on connections of HTTP/1.1 only.

Fix: the frames of such a connection are followed, without looking into them: a head that is on its way takes room as it comes, and waits for it unread in its socket, for 5 s at most. One that does not end within 5 s closes its connection (head_cut), so that room comes back. A request holds room for its head until it is answered, or is refused as any other (memory_full).

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -112,6 +112,7 @@
 	ConnectionReset    Kind = "connection_reset" // that of a caller was closed before its answer had arrived
 	CallerEnded        Kind = "caller_ended"     // a caller shut down its sending side, or left, while its request was in progress
 	StopCutsCall       Kind = "stop_cuts_call"   // the backend server still works on a call as a planned stop ends
+	HeadCut            Kind = "head_cut"         // the connection of a caller was closed in the middle of a large head
 	RequestDropped     Kind = "request_dropped"  // the connection of a caller was closed with requests that were read and not answered
 	HandlerFailed      Kind = "handler_failed"   // a request was not answered, since the code that serves it failed
 	MemoryWaited       Kind = "memory_waited"    // a body or an answer was read after a wait for memory
--- a/io/ahead/ahead.go
+++ b/io/ahead/ahead.go
@@ -27,6 +27,9 @@
 	RoomBytes int64
 	// OnRoom, if not nil, is called when large heads take n bytes more, or less if it is negative.
 	OnRoom func(n int)
+	// OnHeadCut, if not nil, is called when a connection of HTTP/2 is closed in the middle of a large
+	// head, which does not end or has no room in time.
+	OnHeadCut func(caller net.Addr)
 	// OnStart, if not nil, is called when a request is started ahead of its turn.
 	OnStart func()
 	// OnEnd, if not nil, is called when a caller ends its side of a connection while a request
@@ -102,6 +105,12 @@
 func (p *Pipeline) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connKey{}).(*Conn) // nil if the listener is another one
+		if r.ProtoMajor > 1 {
+			with, release := p.withHeadRoom(r)
+			defer release()
+			p.cfg.Handler.ServeHTTP(p.closingWriter(c, w, with), with)
+			return
+		}
 		early := c.take(r)
 		if early == nil {
 			w = p.closingWriter(c, w, r)
--- a/io/ahead/conn.go
+++ b/io/ahead/conn.go
@@ -38,6 +38,8 @@
 	err         error         // with which reading ended, nil if it has not
 	reading     chan struct{} // closed when the read from Conn in progress has ended, nil if there is none
 	opaque      bool          // the requests can't be told apart any more
+	frames      *frames       // of HTTP/2, nil for another protocol
+	headTimer   *time.Timer   // closes the connection unless the large head of HTTP/2 on its way ends
 
 	delivering int           // bytes of buf of the request that was admitted last
 	body       body          // the rest of its body, behind these bytes
@@ -124,6 +126,9 @@
 	c.wakeUp()
 	c.abandonRuns()
 	c.setRoom(0)
+	if c.headTimer != nil {
+		c.headTimer.Stop()
+	}
 	dropped := len(c.buf)
 	c.buf = nil
 	c.mu.Unlock()
--- a/io/ahead/read.go
+++ b/io/ahead/read.go
@@ -24,6 +24,9 @@
 		case direct > 0:
 			n, err := c.Conn.Read(b[:direct])
 			c.countDirect(n)
+			if noRoom := c.followFrames(b[:n]); noRoom != nil {
+				return 0, noRoom
+			}
 			return n, err
 		default:
 			if err := c.fill(); err != nil && !c.recordEnd(err) {
@@ -70,6 +73,10 @@
 			return
 		}
 		c.opaque = true
+		if h.request != nil && h.request.ProtoMajor > 1 {
+			c.frames = newFrames()
+			c.frames.take(c.buf)
+		}
 	}
 	c.delivering = len(c.buf)
 }
--- a/io/ahead/refusal.go
+++ b/io/ahead/refusal.go
@@ -26,6 +26,9 @@
 // RefusalOf returns why the head of the request with the given context was not read whole. Such a
 // request has to be refused, and nothing of it can be relied on.
 func RefusalOf(ctx context.Context) Refusal {
+	if why, ok := ctx.Value(refusalKey{}).(Refusal); ok {
+		return why
+	}
 	c, ok := ctx.Value(connKey{}).(*Conn)
 	if !ok {
 		return NotRefused
--- a/io/node/servers.go
+++ b/io/node/servers.go
@@ -104,6 +104,9 @@
 		RoomBytes: memory.HeadBytes(n.cfg.Settings.Limits.MemoryBytes()),
 		OnRoom:    n.taken.addHeads,
 		OnStart:   n.metrics.CountPipelined,
+		OnHeadCut: func(caller net.Addr) {
+			n.recordCaller(event.HeadCut, caller, "the connection is closed: a large head did not end, or got no room, in time")
+		},
 		OnEnd: func(caller net.Addr) {
 			n.recordCaller(event.CallerEnded, caller, "its side of the connection, while a request is in progress")
 		},
