soak: bodies of the largest size allowed, and a check of the memory of the nodes

It has to be named, so that the seeds of earlier runs give the same plans, excuses no finding, and a stop beside it counts.

--- a/internal/procs/process.go
+++ b/internal/procs/process.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,6 +33,7 @@
 	Exited  chan struct{} // closed when the process started last has ended
 	binary  string
 	args    []string
+	pid     atomic.Int64 // of the process that was started last
 }
 
 // Start starts the process, or starts it again after it ended.
@@ -46,6 +48,7 @@
 		log.Close()
 		return errors.Wrapf(err, "start %s", p.Name)
 	}
+	p.pid.Store(int64(p.Cmd.Process.Pid))
 	exited := make(chan struct{})
 	p.Exited = exited
 	cmd := p.Cmd
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -51,6 +51,7 @@
 	Revoked   Rule = "a withdrawn key runs nothing after the bound"
 	Account   Rule = "a server is told the account of a call"
 	NoKey     Rule = "a server is told no key"
+	InMemory  Rule = "a node stays within its memory"
 	Serving   Rule = "all nodes serve again in time after the last fault"
 )
 
@@ -87,6 +88,7 @@
 	r.checkVersions(e)
 	r.checkKeys(e)
 	r.checkServing(e)
+	r.checkMemory(e)
 	return r
 }
 
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -11,7 +11,8 @@
 // Each version of the configuration adds a key of a client account and withdraws one.
 // Some calls carry a key, which may have been withdrawn. A caller at each node pipelines
 // lookups, and another one sends a second booking before it reads the large answer to the
-// first. Others stop in the middle of a body.
+// first. Others stop in the middle of a body. With the kind heavy, many callers of a node send
+// bodies of the largest size allowed.
 //
 // The exit status is 1 if a check failed or if the run tested nothing. The directory
 // with logs, settings and ledgers is kept then.
@@ -20,5 +21,5 @@
 //
 //	go run ./internal/soak -seed 7 -duration 20s -nodes 9
 //	go run ./internal/soak -seed 7 -kinds stall,kill,leave
-//	go run ./internal/soak -seed 7 -kinds foreign,kill_again,roll
+//	go run ./internal/soak -seed 7 -kinds foreign,kill_again,roll,heavy
 package main
--- a/internal/soak/evidence.go
+++ b/internal/soak/evidence.go
@@ -29,16 +29,18 @@
 
 // Evidence is what was done and seen in a run of the soak.
 type Evidence struct {
-	Drain      setup.Drain // of the nodes
-	Centres    []string    // data centre of each node
-	Injections []Injection // in the order of their start
-	Starts     [][]time.Time
-	Calls      []*Call
-	Refused    int // connections
-	Versions   []Applied
-	Probes     []Probe
-	FailedPubs int
-	Runs       map[string][]Run // by the key of the work
+	Drain       setup.Drain // of the nodes
+	MemoryBytes int64       // of each node's instance
+	Peaks       []int64     // of the memory of each node
+	Centres     []string    // data centre of each node
+	Injections  []Injection // in the order of their start
+	Starts      [][]time.Time
+	Calls       []*Call
+	Refused     int // connections
+	Versions    []Applied
+	Probes      []Probe
+	FailedPubs  int
+	Runs        map[string][]Run // by the key of the work
 }
 
 // readLedgers reads the ledgers of all backend servers.
@@ -108,7 +110,7 @@
 // calmTime before it to its end.
 func (e *Evidence) stopIsClean(stop Injection) bool {
 	for _, i := range e.Injections {
-		other := i.Fault != stop.Fault
+		other := i.Fault != stop.Fault && i.Kind != Heavy
 		if other && i.touches([]int{stop.Node}) && i.around(stop.Began.Add(-calmTime), stop.Exited) {
 			return false
 		}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -34,13 +34,15 @@
 type injector struct {
 	fleet    *procs.Fleet
 	stopTime time.Duration // a planned stop that takes longer is ended by SIGKILL
-	mu       sync.Mutex
-	done     []Injection
-	starts   [][]time.Time // of each node's processes
+	// heavy runs the callers of Heavy at a node until ctx ends.
+	heavy  func(ctx context.Context, node int)
+	mu     sync.Mutex
+	done   []Injection
+	starts [][]time.Time // of each node's processes
 }
 
-func newInjector(f *procs.Fleet, stopTime time.Duration) *injector {
-	return &injector{fleet: f, stopTime: stopTime, starts: make([][]time.Time, len(f.Instances))}
+func newInjector(f *procs.Fleet, stopTime time.Duration, heavy func(context.Context, int)) *injector {
+	return &injector{fleet: f, stopTime: stopTime, heavy: heavy, starts: make([][]time.Time, len(f.Instances))}
 }
 
 // run injects all faults of a plan and returns when the last one has ended. After ctx
@@ -76,6 +78,10 @@
 		i.Err = j.injectServer(&i)
 	case storeLane:
 		i.Err = j.injectStore(f)
+	case callerLane:
+		ctx, cancel := context.WithTimeout(context.Background(), f.Length)
+		j.heavy(ctx, f.Node)
+		cancel()
 	}
 	i.Ended = time.Now()
 	i.Felt = j.bytes(f) - bytesBefore
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -225,7 +225,7 @@
 	res, err := c.client.Do(req)
 	if err != nil {
 		x.Err = err
-		return !errors.Is(err, syscall.ECONNREFUSED)
+		return !isRefusedConn(err)
 	}
 	defer res.Body.Close()
 	body, err := io.ReadAll(res.Body)
@@ -234,6 +234,9 @@
 	return true
 }
 
+// isRefusedConn reports whether err says that no process listens.
+func isRefusedConn(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // maxKeptBody is the number of bytes that are kept of an unexpected answer.
 const maxKeptBody = 100
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -34,11 +34,12 @@
 	KillAgain Kind = "kill_again" // SIGKILL of a node again and again while it starts
 	Foreign   Kind = "foreign"    // a backend server answers with a head that is no answer
 	Roll      Kind = "roll"       // planned stops of all nodes, one shortly after the other
+	Heavy     Kind = "heavy"      // many callers of a node send bodies of the largest size allowed
 )
 
 // NamedKinds returns the kinds that a run has only if they are named. With them in AllKinds, the
 // seeds of earlier runs would give other plans.
-func NamedKinds() []Kind { return []Kind{KillAgain, Foreign, Roll} }
+func NamedKinds() []Kind { return []Kind{KillAgain, Foreign, Roll, Heavy} }
 
 // AllKinds returns all kinds of faults.
 func AllKinds() []Kind {
@@ -75,6 +76,7 @@
 	linkLane
 	serverLane
 	storeLane
+	callerLane
 	lanes // number of lanes
 )
 
@@ -86,6 +88,8 @@
 		return linkLane
 	case Crash, Leave, Break, Foreign, Late, Limit:
 		return serverLane
+	case Heavy:
+		return callerLane
 	}
 	return storeLane
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -94,8 +94,8 @@
 	plan := NewPlan(PlanConfig{
 		Seed: cfg.Seed, Duration: cfg.Duration, Nodes: cfg.Nodes, Centres: len(procs.DataCentres()), Kinds: cfg.Kinds, StopTime: stopTime,
 	})
-	j := newInjector(f, 2*stopTime)
 	l := &load{fleet: f, newest: o.newest}
+	j := newInjector(f, 2*stopTime, l.runHeavy)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -104,10 +104,13 @@
 	for n := range f.Instances {
 		wg.Go(func() { o.probe(ctx, n) })
 	}
-	e := &Evidence{Drain: drain, Starts: j.starts}
+	e := &Evidence{Drain: drain, Starts: j.starts, MemoryBytes: setup.DefaultMemoryMB << 20}
+	var nodes []memoryReader
 	for _, in := range f.Instances {
+		nodes = append(nodes, in.Node)
 		e.Centres = append(e.Centres, in.Spec.DataCentre)
 	}
+	wg.Go(func() { e.Peaks = watchMemory(ctx, nodes) })
 	e.Injections = j.run(ctx, plan)
 	if !sleep(ctx, recoveryBound+steadyTime) {
 		return nil, ctx.Err()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -325,3 +325,13 @@
 func TestSoakOfForeignAnswers(t *testing.T) {
 	runSoak(t, Config{Seed: 301, Duration: 8 * time.Second, Nodes: 9, Kinds: []Kind{Foreign}})
 }
+
+// TestMemoryIsChecked guards against a node beyond its memory that nobody notices, and against a
+// finding about one at it.
+func TestMemoryIsChecked(t *testing.T) {
+	is := is.New(t)
+	r := Check(&Evidence{MemoryBytes: 256 << 20, Peaks: []int64{256 << 20, 256<<20 + 1}})
+	is.Equal(r.Checked[InMemory], 2)
+	is.Equal(len(r.Findings), 1)
+	is.Equal(r.Findings[0].Rule, InMemory)
+}
