--- a/internal/soak/heavy.go
+++ b/internal/soak/heavy.go
@@ -15,8 +15,7 @@
 const (
 	heavyCallers = 200     // of one node; their bodies together are most of its memory
 	heavyBytes   = 1 << 20 // of each body, the default limit of a node
-	// memorySampling is the interval in which the memory of the nodes is read.
-	memorySampling = 20 * time.Millisecond
+	heavyPause   = 50 * time.Millisecond
 )
 
 // runHeavy makes bookings with bodies of the largest size allowed, of many callers of one node at
@@ -34,7 +33,7 @@
 				if x.sendHeavy(client, l.fleet.Instances[node].CallerAddr, body) {
 					l.add(&x)
 				}
-				sleep(ctx, 50*time.Millisecond)
+				sleep(ctx, heavyPause)
 			}
 		})
 	}
@@ -61,24 +60,3 @@
 	_ = res.Body.Close()
 	return true
 }
-
-// watchMemory returns the most memory that each node had until ctx ended, in bytes.
-func watchMemory(ctx context.Context, nodes []memoryReader) []int64 {
-	peaks := make([]int64, len(nodes))
-	for sleep(ctx, memorySampling) {
-		for i, n := range nodes {
-			peaks[i] = max(peaks[i], n.MemoryBytes())
-		}
-	}
-	return peaks
-}
-
-// memoryReader is a process whose memory can be read.
-type memoryReader interface{ MemoryBytes() int64 }
-
-// checkMemory checks the memory of the nodes.
-func (r *Result) checkMemory(e *Evidence) {
-	for n, peak := range e.Peaks {
-		r.check(InMemory, peak <= e.MemoryBytes, "node %d had %d MB, its memory is %d MB", n, peak>>20, e.MemoryBytes>>20)
-	}
-}
