--- a/io/proxy/goaway_test.go
+++ b/io/proxy/goaway_test.go
@@ -46,7 +46,7 @@
 // A call whose sender has not read yet that the other node closes their connection (GOAWAY) is
 // not looked at by that node, and the sender learns that from the last stream that it names. If
 // the call's fate is unknown, a booking is not sent to another node, and nobody is left to be
-// asked for it: soak, seed 5021.
+// asked for it.
 func TestCallAfterGoAwayIsNotRun(t *testing.T) {
 	withBody := func(c call.Call) call.Call {
 		c.Body = []byte("a booking")
