upconn: the end of a connection that has failed is not the end of an answer

What callers saw: an upstream answered an upload of 8 MB at once with 200 and no length, sent 20 kB of its body and reset the connection. Callers got 200 with these 20,000 bytes as a whole answer.

Cause: a body without a length ends with its connection. The kernel reports the failure of a connection once, to the next system call. A long request is written while its answer is read, so the write may take the error (ECONNRESET), and the read then finds the end of the connection, as if the server had sent it.

Fix: at the end of such a body the writing of the request is asked. The end counts if the connection is in CLOSE_WAIT (the server has ended its sending and may read on), if the request has been written, or if its write has failed with EPIPE, which the kernel reports for a reset behind an end. If the connection has failed, the write ends at once, so nothing waits for a server that is slow to read.

--- a/io/link/outstanding.go
+++ b/io/link/outstanding.go
@@ -44,14 +44,7 @@
 
 // deliveryOf returns what has become of the end of c, whose writing side is closed.
 func deliveryOf(c net.Conn) (delivery, error) {
-	var state uint8
-	err := control(c, func(fd int) error {
-		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err == nil {
-			state = info.State
-		}
-		return err
-	})
+	state, err := stateOf(c)
 	if err != nil {
 		return onItsWay, err
 	}
@@ -64,6 +57,25 @@
 	return endsAgree, nil
 }
 
+// PeerEnded reports whether the other end of c has ended its sending while c is otherwise
+// open. It is false if c is reset, or not a socket.
+func PeerEnded(c net.Conn) bool {
+	state, err := stateOf(c)
+	return err == nil && state == unix.BPF_TCP_CLOSE_WAIT
+}
+
+// stateOf returns the state of the TCP connection c.
+func stateOf(c net.Conn) (state uint8, err error) {
+	err = control(c, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			state = info.State
+		}
+		return err
+	})
+	return state, err
+}
+
 // discardInput discards what was received on c and not read, so that closing c does not reset
 // it.
 func discardInput(c net.Conn) error {
--- a/io/upconn/exchange.go
+++ b/io/upconn/exchange.go
@@ -72,45 +72,31 @@
 	if err := r.writeHead(&head); err != nil {
 		return Answer{}, false, &Error{Err: err}
 	}
-	written := make(chan error, 1)
+	w := newWriting(c.Conn)
 	if len(r.Body) <= maxInlineBodyBytes {
 		n, err := c.Write(append(head.Bytes(), r.Body...))
 		if err != nil {
 			return Answer{}, false, &Error{Sent: n > 0, Err: errors.Wrap(err, "write")}
 		}
-		written <- nil
+		w.finish(nil)
 	} else {
 		go func() {
 			buffers := net.Buffers{head.Bytes(), r.Body}
 			_, err := buffers.WriteTo(c.Conn)
-			written <- err
+			w.finish(err)
 		}()
 	}
-	a, clean, err := p.readAnswer(ctx, c, r)
+	a, clean, err := p.readAnswer(ctx, c, r, w)
 	if err != nil {
 		return Answer{}, false, &Error{Sent: true, Err: err}
 	}
-	return a, clean && awaitWritten(written), nil
-}
-
-// awaitWritten reports whether the whole request is written within writeGrace.
-// A server may answer before it has read the body. The connection can't be reused
-// then, since the server would take the rest of the body for the next request.
-func awaitWritten(written <-chan error) bool {
-	t := time.NewTimer(writeGrace)
-	defer t.Stop()
-	select {
-	case err := <-written:
-		return err == nil
-	case <-t.C:
-		return false
-	}
+	return a, clean && w.succeedsSoon(), nil
 }
 
 // readAnswer reads answers until one belongs to the request, and drops the others.
 // There must be fewer than maxDropped of these, no larger than one answer. clean reports whether the
 // connection can be reused.
-func (p *Pool) readAnswer(ctx context.Context, c *conn, r Request) (a Answer, clean bool, err error) {
+func (p *Pool) readAnswer(ctx context.Context, c *conn, r Request, w *writing) (a Answer, clean bool, err error) {
 	clean = true
 	c.limit.left = maxHeadBytes
 	for range maxDropped {
@@ -140,6 +126,11 @@
 		if err != nil {
 			return Answer{}, false, err
 		}
+		if endsWithConn(res) {
+			if err := w.checkEnd(ctx); err != nil {
+				return Answer{}, false, errors.Wrap(err, "read body")
+			}
+		}
 		c.applyKeepAlive(res.Header.Get("Keep-Alive"))
 		clean = clean && named && !res.Close && c.br.Buffered() == 0
 		return Answer{Response: res, Verdict: verdict, BodyBytes: body}, clean, nil
@@ -159,6 +150,11 @@
 	return v, a.Named != "", reason
 }
 
+// endsWithConn reports whether the body of an answer ends with the connection.
+func endsWithConn(res *http.Response) bool {
+	return res.Body != http.NoBody && res.ContentLength < 0 && len(res.TransferEncoding) == 0
+}
+
 // dropAnswer reads the body of an answer to another request.
 func dropAnswer(res *http.Response) error {
 	if res.Close {
