upconn: an answer with a malformed line is no answer

What callers saw: answers with a blank in the name of a field reached them as whole. "X Bad: 1" got 200; "Content-Length : 5" was taken for an unknown field, and the body for what came until the end; with "Transfer-Encoding : chunked" the body held the framing of the chunks. On other systems an answer with status 000 passed.

Cause: net/http reads the heads of answers tolerantly. It accepts blanks in the names of fields, also in interim answers and trailers, any three characters that are a number as the status (000, 999, +20), control characters in the reason, and any version. Status 000 to 099, 600 to 999 and +20 were stopped by author.Judge, so only where a dialect is set; in a Pool without Parse they passed.

Evidence: TestMalformedAnswer (io/upconn: requests, health checks, no dialect; new and kept connections) fails on for blanks in and behind a name, for both framing fields with one, in interim answers, answers to other requests and trailers, for control characters in the reason, versions 0.9 and 2.0, and without a dialect for status 000, 001, 099, 600, 999 and +20. The new cases of TestForeignAnswerIsNoAnswer fail over one hop and over two. The other cases were handled before and are kept: control characters, parentheses and letters beyond ASCII in a name, no name, no colon, bad lengths and chunks, cut trailers.

Fix: heads and trailers are read line by line, and each line is checked as it arrives (core/field, after RFC 9110, section 5, and RFC 9112, sections 4 and 5). The framing of bodies is decided here, too; it is still that of net/http. What the protocol lets a client accept is accepted: TestWholeAnswer passes before and after, and TestHeaderAgreesWithLibrary compares with net/textproto. golang.org/x/net, which is used already, becomes a direct dependency.

--- /dev/null
+++ b/core/field/field.go
@@ -0,0 +1,137 @@
+package field
+
+import (
+	"bytes"
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/net/http/httpguts"
+)
+
+// Statuses of answers, see RFC 9110, section 15.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// Status is the first line of an answer.
+type Status struct {
+	Minor int // of the version of the protocol, whose major number is 1
+	Code  int
+}
+
+// versionPrefix is the start of a version with the major number 1.
+const versionPrefix = "HTTP/1."
+
+// ParseStatus parses the first line of an answer, which is given without its line end.
+func ParseStatus(line string) (Status, error) {
+	version, rest, _ := strings.Cut(line, " ")
+	minor, ok := strings.CutPrefix(version, versionPrefix)
+	if !ok || len(minor) != 1 || !isDigit(minor[0]) {
+		return Status{}, errors.Errorf("version %.20q is not one of HTTP/1", version)
+	}
+	code, reason, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+	s := Status{Minor: int(minor[0] - '0')}
+	if s.Code, ok = parseCode(code); !ok {
+		return Status{}, errors.Errorf("status %.20q is not between %d and %d", code, minStatus, maxStatus)
+	}
+	if !httpguts.ValidHeaderFieldValue(reason) {
+		return Status{}, errors.New("reason of the status holds a control character")
+	}
+	return s, nil
+}
+
+// parseCode parses the three digits of a status.
+func parseCode(s string) (code int, ok bool) {
+	const digits = 3
+	if len(s) != digits {
+		return 0, false
+	}
+	for i := range digits {
+		if !isDigit(s[i]) {
+			return 0, false
+		}
+		code = 10*code + int(s[i]-'0')
+	}
+	return code, code >= minStatus && code <= maxStatus
+}
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
+// CheckLine returns an error if a line behind the status line, which is given without its
+// line end, is neither a field nor the continuation of the field in front of it. first
+// reports that there is none in front.
+func CheckLine(line []byte, first bool) error {
+	if continues(line) {
+		if first {
+			return errors.New("the first field begins with a blank")
+		}
+		return checkValue(line)
+	}
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok {
+		return errors.Errorf("line %.40q has no colon", line)
+	}
+	if !isToken(name) {
+		return errors.Errorf("%.40q is no name of a field", name)
+	}
+	return checkValue(value)
+}
+
+// continues reports whether a line continues the value in front of it.
+func continues[T string | []byte](line T) bool {
+	return len(line) > 0 && (line[0] == ' ' || line[0] == '\t')
+}
+
+// isToken reports whether name is a token, which is never empty.
+func isToken[T string | []byte](name T) bool {
+	for i := range len(name) {
+		if !httpguts.IsTokenRune(rune(name[i])) {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
+// checkValue returns an error if a value holds a control character.
+func checkValue(value []byte) error {
+	const del = 0x7f
+	for _, b := range value {
+		if b < ' ' && b != '\t' || b == del {
+			return errors.Errorf("value %.40q holds a control character", value)
+		}
+	}
+	return nil
+}
+
+// Header returns the fields in lines that CheckLine accepts, each with its end. It refers to
+// the text of the lines.
+func Header(lines string) http.Header {
+	h := http.Header{}
+	name := "" // of the last field
+	for line := range strings.Lines(lines) {
+		if continues(line) {
+			values := h[name]
+			last := &values[len(values)-1]
+			*last = textproto.TrimString(*last + " " + textproto.TrimString(line))
+			continue
+		}
+		key, value, _ := strings.Cut(line, ":")
+		name = textproto.CanonicalMIMEHeaderKey(key)
+		h[name] = append(h[name], textproto.TrimString(value))
+	}
+	return h
+}
+
+// CheckNames returns an error if h holds a field with a malformed name. net/http accepts
+// blanks in names.
+func CheckNames(h http.Header) error {
+	for name := range h {
+		if !isToken(name) {
+			return errors.Errorf("%.40q is no name of a field", name)
+		}
+	}
+	return nil
+}
--- a/io/upconn/answer_test.go
+++ b/io/upconn/answer_test.go
@@ -8,10 +8,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"tanagerchute/core/author"
 	"tanagerchute/io/upconn"
 )
@@ -37,15 +40,24 @@
 	}
 }
 
-// scriptedPool returns a pool whose server sends data on each of its connections and closes
-// it. If kept is set, the connection carries an earlier request first.
-func scriptedPool(data []byte, kept bool) *upconn.Pool {
+// script is a request to a server that sends data in place of an answer, on each of its
+// connections, and closes it.
+type script struct {
+	name  string
+	parse func(*http.Response) author.Answer // nil for servers that do not name the request
+	id    string                             // of the request
+	kept  bool                               // the connection carries an earlier request first
+	data  []byte
+}
+
+// pool returns a pool of connections to the server.
+func (s script) pool() *upconn.Pool {
 	serve := func(c net.Conn) {
 		defer c.Close()
 		br := bufio.NewReader(c)
-		answers := [][]byte{data}
-		if kept {
-			answers = [][]byte{[]byte(earlierAnswer), data}
+		answers := [][]byte{s.data}
+		if s.kept {
+			answers = [][]byte{[]byte(earlierAnswer), s.data}
 		}
 		for _, a := range answers {
 			req, err := http.ReadRequest(br)
@@ -57,7 +69,7 @@
 		}
 	}
 	return upconn.New(upconn.Config{
-		MaxAnswerBytes: 1 << 16, Parse: parseHead, Rules: author.Rules{NamesRequest: true, PromisesByStatus: true},
+		MaxAnswerBytes: 1 << 16, Parse: s.parse, Rules: author.Rules{NamesRequest: true, PromisesByStatus: true},
 		Dial: func(context.Context, string, string) (net.Conn, error) {
 			client, server := net.Pipe()
 			go serve(server)
@@ -66,23 +78,33 @@
 	})
 }
 
-// doScripted sends a request to a server that sends data.
-func doScripted(data []byte, kept bool) (upconn.Answer, error) {
-	data = bytes.ReplaceAll(data, []byte(placeID), []byte(requestID))
-	data = bytes.ReplaceAll(data, []byte(placeOther), []byte(earlierID))
-	p := scriptedPool(data, kept)
+// do sends the request.
+func (s script) do() (upconn.Answer, error) {
+	p := s.pool()
 	defer p.CloseIdle()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	request := func(id string) upconn.Request {
 		return upconn.Request{Method: http.MethodPost, Path: "/", Host: "a", Header: http.Header{}, ID: id}
 	}
-	if kept {
+	if s.kept {
 		if _, err := p.Do(ctx, "a", request(earlierID)); err != nil {
 			return upconn.Answer{}, err
 		}
 	}
-	return p.Do(ctx, "a", request(requestID))
+	return p.Do(ctx, "a", request(s.id))
+}
+
+// withData returns s with the given data, in which the ids of the requests take their places.
+func (s script) withData(data []byte) script {
+	data = bytes.ReplaceAll(data, []byte(placeID), []byte(s.id))
+	s.data = bytes.ReplaceAll(data, []byte(placeOther), []byte(earlierID))
+	return s
+}
+
+// doScripted sends a request to a server that sends data.
+func doScripted(data []byte, kept bool) (upconn.Answer, error) {
+	return script{parse: parseHead, id: requestID, kept: kept}.withData(data).do()
 }
 
 // TestHeadCutAnywhere guards against an answer that ends in its head and is taken for a
@@ -136,6 +158,9 @@
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 500 Oops\r\nX-Seal: s\r\nX-Id: {id}\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 000 x\r\nX-Seal: s\r\nX-Id: {id}\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX-Seal: s\r\nX-Id: {id}\r\n\n",
+		"HTTP/1.1 200 OK\r\nX-Seal: s\r\nX-Id: {id}\r\nContent-Length : 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nX-Seal: s\r\nX-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX T: a\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nX-Seal: s\r\nX-Id: {id}\r\nTransfer-Encoding: chunked\r\nX-A: b\r\n c\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 		"\x16\x03\x01\x00*\x02\x00\x00",
 	} {
 		f.Add([]byte(seed), false)
@@ -166,5 +191,10 @@
 		if a.StatusCode < 200 || a.StatusCode > 599 {
 			t.Fatalf("%q passes with status %d", data, a.StatusCode)
 		}
+		for name, values := range a.Header {
+			if !httpguts.ValidHeaderFieldName(name) || slices.ContainsFunc(values, func(v string) bool { return !httpguts.ValidHeaderFieldValue(v) }) {
+				t.Fatalf("%q passes with the field %q: %q", data, name, values)
+			}
+		}
 	})
 }
--- a/io/upconn/conn.go
+++ b/io/upconn/conn.go
@@ -24,35 +24,18 @@
 type conn struct {
 	net.Conn
 	br        *bufio.Reader
-	limit     readLimit
+	heads     headReader
 	addr      string
 	idleSince time.Time     // start of the idle time, zero for a new connection
 	maxIdle   time.Duration // longest idle time after which the connection is reused
 }
 
 func newConn(nc net.Conn, addr string) *conn {
-	c := &conn{Conn: nc, limit: readLimit{conn: nc, left: maxHeadBytes}, addr: addr, maxIdle: defaultMaxIdle}
-	c.br = bufio.NewReader(&c.limit)
+	c := &conn{Conn: nc, br: bufio.NewReader(nc), addr: addr, maxIdle: defaultMaxIdle}
+	c.heads = headReader{br: c.br}
 	return c
 }
 
-// readLimit reads from a connection until a number of bytes is used up. net/http sets
-// no limit on the head of an answer.
-type readLimit struct {
-	conn net.Conn
-	left int64
-}
-
-// Read implements io.Reader. It returns ErrAnswerTooLarge at the limit.
-func (l *readLimit) Read(b []byte) (int, error) {
-	if l.left <= 0 {
-		return 0, ErrAnswerTooLarge
-	}
-	n, err := l.conn.Read(b[:min(int64(len(b)), l.left)])
-	l.left -= int64(n)
-	return n, err
-}
-
 // applyKeepAlive sets maxIdle from the Keep-Alive header of an answer, whose
 // timeout parameter is the server's idle timeout in whole seconds.
 func (c *conn) applyKeepAlive(header string) {
--- a/io/upconn/exchange.go
+++ b/io/upconn/exchange.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"time"
@@ -24,9 +23,6 @@
 	// read. It fits into the socket buffers, so the write does not block. Larger
 	// bodies are written while the answer is read.
 	maxInlineBodyBytes = 16 << 10
-	// maxHeadBytes bounds what is read of an answer before its body: its head, the
-	// interim answers before it, and the heads of answers to other requests.
-	maxHeadBytes = 1 << 20
 	// maxDropped bounds the answers that are dropped for one request: interim ones, and
 	// those to other requests.
 	maxDropped = 8
@@ -94,50 +90,76 @@
 }
 
 // readAnswer reads answers until one belongs to the request, and drops the others.
-// There must be fewer than maxDropped of these, no larger than one answer. clean reports whether the
-// connection can be reused.
+// There must be fewer than maxDropped of these, together no larger than one answer. clean reports
+// whether the connection can be reused.
 func (p *Pool) readAnswer(ctx context.Context, c *conn, r Request, w *writing) (a Answer, clean bool, err error) {
 	clean = true
-	c.limit.left = maxHeadBytes
+	m := memoryRequest(ctx, r.ID)
+	mayDrop := p.cfg.MaxAnswerBytes
 	for range maxDropped {
-		res, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
+		in, err := c.readHead(ctx, r.Method, w)
 		if err != nil {
-			return Answer{}, false, errors.Wrap(err, "read answer")
+			return Answer{}, false, errors.Wrap(err, "read head of answer")
 		}
-		if res.StatusCode >= 100 && res.StatusCode < 200 {
+		if in.interim {
 			continue
 		}
-		verdict, named, reason := p.judge(c, r, res)
+		verdict, named, reason := p.judge(c, r, in.Response)
 		switch verdict {
 		case author.Foreign:
-			return Answer{}, false, errors.Wrapf(ErrForeign, "status %d: %s", res.StatusCode, reason)
+			return Answer{}, false, errors.Wrapf(ErrForeign, "status %d: %s", in.StatusCode, reason)
 		case author.Other:
-			if clean {
-				c.limit.left += p.cfg.MaxAnswerBytes // one answer, which may be large
-			}
 			clean = false
-			if err := dropAnswer(res); err != nil {
-				return Answer{}, false, err
+			if in.last {
+				return Answer{}, false, errors.New("the answer is to another request")
+			}
+			if mayDrop, err = dropBody(in.body, mayDrop); err != nil {
+				return Answer{}, false, errors.Wrap(err, "read answer to another request")
 			}
 			continue
 		}
-		c.limit.left = math.MaxInt64 // readBody has its own limit
-		body, err := p.readBody(ctx, r.ID, res)
+		body, err := p.readBody(ctx, in, m)
 		if err != nil {
 			return Answer{}, false, err
 		}
-		if endsWithConn(res) {
-			if err := w.checkEnd(ctx); err != nil {
-				return Answer{}, false, errors.Wrap(err, "read body")
-			}
-		}
-		c.applyKeepAlive(res.Header.Get("Keep-Alive"))
-		clean = clean && named && !res.Close && c.br.Buffered() == 0
-		return Answer{Response: res, Verdict: verdict, BodyBytes: body}, clean, nil
+		c.applyKeepAlive(in.Header.Get("Keep-Alive"))
+		clean = clean && named && !in.last && c.br.Buffered() == 0
+		return Answer{Response: in.Response, Verdict: verdict, BodyBytes: body}, clean, nil
 	}
 	return Answer{}, false, errors.New("too many interim answers or answers to other requests")
 }
 
+// incoming is an answer whose body has not been read.
+type incoming struct {
+	*http.Response
+	interim bool // the answer itself is still to come
+	last    bool // on its connection
+	body    io.Reader
+	length  int64 // of the body, negative if it is not declared
+}
+
+// readHead reads the head of an answer to a request with the given method.
+func (c *conn) readHead(ctx context.Context, method string, w *writing) (incoming, error) {
+	h, err := c.heads.readHead()
+	if err != nil {
+		return incoming{}, err
+	}
+	f, err := framingOf(method, h)
+	if err != nil {
+		return incoming{}, err
+	}
+	return incoming{
+		Response: &http.Response{StatusCode: h.Code, Header: h.header},
+		interim:  h.isInterim(),
+		last:     h.endsConn() || f.kind == untilClose,
+		length:   f.declared(),
+		body: newBody(c.br, f, bodyEnds{
+			trailer: c.heads.readTrailer,
+			conn:    func() error { return w.checkEnd(ctx) },
+		}),
+	}, nil
+}
+
 // judge decides on the head of an answer. named reports that it says which request it is to,
 // so that further answers on the connection can be told apart.
 func (p *Pool) judge(c *conn, r Request, res *http.Response) (v author.Verdict, named bool, reason string) {
@@ -150,34 +172,30 @@
 	return v, a.Named != "", reason
 }
 
-// endsWithConn reports whether the body of an answer ends with the connection.
-func endsWithConn(res *http.Response) bool {
-	return res.Body != http.NoBody && res.ContentLength < 0 && len(res.TransferEncoding) == 0
-}
-
-// dropAnswer reads the body of an answer to another request.
-func dropAnswer(res *http.Response) error {
-	if res.Close {
-		return errors.New("the answer is to another request")
+// dropBody reads the body of an answer to another request, and returns how much of limit is
+// left.
+func dropBody(body io.Reader, limit int64) (left int64, err error) {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
+	if err == nil && n > limit {
+		err = ErrAnswerTooLarge
 	}
-	if _, err := io.Copy(io.Discard, res.Body); err != nil {
-		return errors.Wrap(err, "read answer to another request")
-	}
-	return nil
+	return limit - n, err
 }
 
-// readBody reads the body of the answer to a request up to its declared end, or returns
-// ErrAnswerTooLarge if it is too long. It waits for memory until ctx ends.
-func (p *Pool) readBody(ctx context.Context, id string, res *http.Response) ([]byte, error) {
-	length := res.ContentLength
-	if res.Body == http.NoBody { // the answer to a HEAD request may declare a length
-		length = 0
-	}
+// memoryRequest asks for memory for the answer to the request with the given id. It waits
+// until ctx ends.
+func memoryRequest(ctx context.Context, id string) memory.Request {
 	until, ok := ctx.Deadline()
 	if !ok {
 		until = time.Now().Add(defaultMemoryWait)
 	}
-	b, err := p.cfg.Memory.Read(ctx, res.Body, length, p.cfg.MaxAnswerBytes, memory.Request{Call: id, Class: room.Answer, Until: until})
+	return memory.Request{Call: id, Class: room.Answer, Until: until}
+}
+
+// readBody reads the body of the answer to a request up to its end. It returns
+// ErrAnswerTooLarge if the body is too long.
+func (p *Pool) readBody(ctx context.Context, in incoming, m memory.Request) ([]byte, error) {
+	b, err := p.cfg.Memory.Read(ctx, in.body, in.length, p.cfg.MaxAnswerBytes, m)
 	switch {
 	case errors.Is(err, memory.ErrTooLong):
 		return nil, ErrAnswerTooLarge
