upconn: an answer with an ambiguous end is no answer

What callers saw: an answer of HTTP/1.0 with "Transfer-Encoding: chunked" reached them with the framing of the chunks as its body, over one hop and over two. An answer with both a transfer coding and a length was taken by its coding. A length or a coding in an answer with status 204 let its body, which came later, be read as the head of the answer to the next request, which then got 502.

RFC 9112 calls a transfer coding in HTTP/1.0 faulty framing (6.1) and both fields an error to handle (6.3), and forbids a body to 204 (RFC 9110, 15.3.5).

Fix: the first two are errors. After a 204 with a body declared the answer is whole, as the protocol says, and its connection carries no other request.

--- a/io/upconn/answer_test.go
+++ b/io/upconn/answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -48,6 +49,8 @@
 	id    string                             // of the request
 	kept  bool                               // the connection carries an earlier request first
 	data  []byte
+	// earlier is the answer to the earlier request, earlierAnswer if it is empty.
+	earlier string
 }
 
 // pool returns a pool of connections to the server.
@@ -57,7 +60,7 @@
 		br := bufio.NewReader(c)
 		answers := [][]byte{s.data}
 		if s.kept {
-			answers = [][]byte{[]byte(earlierAnswer), s.data}
+			answers = [][]byte{[]byte(cmp.Or(s.earlier, earlierAnswer)), s.data}
 		}
 		for _, a := range answers {
 			req, err := http.ReadRequest(br)
--- a/io/upconn/exchange.go
+++ b/io/upconn/exchange.go
@@ -151,7 +151,7 @@
 	return incoming{
 		Response: &http.Response{StatusCode: h.Code, Header: h.header},
 		interim:  h.isInterim(),
-		last:     h.endsConn() || f.kind == untilClose,
+		last:     h.endsConn() || f.kind == untilClose || f.excess,
 		length:   f.declared(),
 		body: newBody(c.br, f, bodyEnds{
 			trailer: c.heads.readTrailer,
--- a/io/upconn/framing.go
+++ b/io/upconn/framing.go
@@ -13,6 +13,9 @@
 type framing struct {
 	kind   framingKind
 	length int64 // of a sized body
+	// excess reports that bytes may follow that belong to no answer, since a body is declared
+	// where there can be none.
+	excess bool
 }
 
 type framingKind int
@@ -28,21 +31,21 @@
 // method. It returns an error if the head is ambiguous about it.
 func framingOf(method string, h head) (framing, error) {
 	coding, lengths := h.header["Transfer-Encoding"], h.header["Content-Length"]
-	if h.Minor == 0 {
-		coding = nil
-	}
-	if len(coding) > 0 {
-		lengths = nil
-	}
 	length, err := parseLength(lengths)
 	switch {
 	case err != nil:
 		return framing{}, err
+	case len(coding) > 0 && h.Minor == 0:
+		return framing{}, errors.New("transfer coding in an answer of HTTP/1.0")
+	case len(coding) > 0 && len(lengths) > 0:
+		return framing{}, errors.New("both a transfer coding and a length")
 	case len(coding) > 0 && (len(coding) > 1 || !strings.EqualFold(coding[0], "chunked")):
 		return framing{}, errors.Errorf("transfer coding %.40q is not supported", coding)
 	}
 	switch {
-	case method == http.MethodHead || h.isInterim() || h.Code == http.StatusNoContent || h.Code == http.StatusNotModified:
+	case h.Code == http.StatusNoContent:
+		return framing{excess: len(coding) > 0 || length > 0}, nil
+	case method == http.MethodHead || h.isInterim() || h.Code == http.StatusNotModified:
 		return framing{}, nil
 	case len(coding) > 0:
 		return framing{kind: chunked}, nil
--- a/io/upconn/malformed_test.go
+++ b/io/upconn/malformed_test.go
@@ -53,6 +53,8 @@
 	"CR in a continued value":       okLine + named + "X-A: b\r\n c\rX-B: d\r\n" + okSized,
 	"interim, blank in a name":      "HTTP/1.1 103 Early Hints\r\nX Bad: 1\r\n\r\n" + okLine + named + okSized,
 
+	"coding and length":              okLine + named + "Transfer-Encoding: chunked\r\nContent-Length: 17\r\n\r\n" + okEnd + "\r\n",
+	"coding in HTTP/1.0":             "HTTP/1.0 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n" + okEnd + "\r\n",
 	"unknown coding":                 okLine + named + "Transfer-Encoding: zip\r\n\r\nok",
 	"two codings":                    okLine + named + "Transfer-Encoding: zip, chunked\r\n\r\n" + okEnd + "\r\n",
 	"coding twice":                   okLine + named + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + okEnd + "\r\n",
@@ -159,3 +161,15 @@
 	}
 	return []byte(data)
 }
+
+// TestExcessBodyEndsConnection guards against a body where there can be none that is taken for
+// the start of the next answer.
+func TestExcessBodyEndsConnection(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n"} {
+		s := script{parse: parseHead, id: earlierID, kept: true, data: []byte("ok")}
+		s.earlier = "HTTP/1.1 204 No Content\r\nX-Id: " + earlierID + "\r\nX-Seal: s\r\n" + framing + "\r\n"
+		if a, err := s.do(); err != nil || a.StatusCode != http.StatusNoContent {
+			t.Errorf("%s: %+v, error %v", framing, a.Response, err)
+		}
+	}
+}
