upconn: status 101 is no interim answer

What callers saw: an upstream that answered 101 and then 200 got its 200 passed on.

Cause: all statuses from 100 to 199 were skipped as interim answers. Behind 101 the connection speaks another protocol, to which no request of a node asks.

Evidence: TestMalformedAnswer ("other protocol", all readers) fails on. A 101 with nothing behind it got 502 before, as the connection ended.

Fix: 101 is an error.

--- a/io/upconn/exchange.go
+++ b/io/upconn/exchange.go
@@ -144,6 +144,9 @@
 	if err != nil {
 		return incoming{}, err
 	}
+	if h.Code == http.StatusSwitchingProtocols {
+		return incoming{}, errors.New("change to a protocol that the request has not asked for")
+	}
 	f, err := framingOf(method, h)
 	if err != nil {
 		return incoming{}, err
--- a/io/upconn/malformed_test.go
+++ b/io/upconn/malformed_test.go
@@ -29,6 +29,7 @@
 	"status of two digits":  "HTTP/1.1 20 short\r\n" + named + okSized,
 	"status of four digits": "HTTP/1.1 2000 long\r\n" + named + okSized,
 	"status missing":        "HTTP/1.1\r\n" + named + okSized,
+	"other protocol":        "HTTP/1.1 101 Switching Protocols\r\n" + "\r\n" + okLine + named + okSized,
 	"version 0.9":           "HTTP/0.9 200 OK\r\n" + named + okSized,
 	"version 2.0":           "HTTP/2.0 200 OK\r\n" + named + okSized,
 	"NUL in the reason":     "HTTP/1.1 200 O\x00K\r\n" + named + okSized,
