platform, native: an answer that names two requests names none

What callers saw: an answer with two Mesh-Attempt-Id fields, of which the first was that of their request, got through as whole, and a refusal like this as the promise that the request has not run.

Cause: of a repeated field the first value was taken. What is sent twice may be glued together from two answers.

--- a/core/field/field.go
+++ b/core/field/field.go
@@ -135,3 +135,13 @@
 	}
 	return nil
 }
+
+// Single returns the value of the field with the given name. It is empty if h has none, or
+// several, of which none can be told to be the one that is meant.
+func Single(h http.Header, name string) string {
+	values := h.Values(name)
+	if len(values) != 1 {
+		return ""
+	}
+	return values[0]
+}
--- a/core/field/field_test.go
+++ b/core/field/field_test.go
@@ -74,3 +74,12 @@
 		t.Fatal("no lines were accepted")
 	}
 }
+
+func TestSingle(t *testing.T) {
+	h := http.Header{"X-A": {"a"}, "X-B": {"b", "b"}}
+	for name, want := range map[string]string{"x-a": "a", "X-B": "", "X-C": ""} {
+		if got := field.Single(h, name); got != want {
+			t.Errorf("%s: %q, want %q", name, got, want)
+		}
+	}
+}
--- a/io/native/native.go
+++ b/io/native/native.go
@@ -11,6 +11,7 @@
 	"tanagerchute/core/acct"
 	"tanagerchute/core/author"
 	"tanagerchute/core/call"
+	"tanagerchute/core/field"
 	"tanagerchute/core/quota"
 )
 
@@ -159,7 +160,7 @@
 // ParseResponse implements tanagerchute.Dialect. A backend server reports that it
 // has not run a call with status 503 or 429 and the outcome not_run.
 func (Dialect) ParseResponse(res *http.Response) tanagerchute.ResponseInfo {
-	info := tanagerchute.ResponseInfo{ID: res.Header.Get(HeaderRequest), Marked: true}
+	info := tanagerchute.ResponseInfo{ID: field.Single(res.Header, HeaderRequest), Marked: true}
 	s := &info.Server
 	s.RateLimit, s.Limited, s.Malformed = quota.ParseRate(res.Header.Values(HeaderRateLimit))
 	refused := res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests
