upconn, memory: the head of an answer takes room before it is read

What callers saw: upstreams that sent heads of 1 MB of very short fields, at 184 MB of memory, 120 requests at once over six upstreams: five of nine processes exceeded their memory and were ended, and 68 callers got no answer.

Cause: a head was bounded by 1 MB as received, and took no room of the memory budget. Parsed, a field of four bytes takes fifty times as much, and the head is held as received, parsed, and once more where it is written.

Evidence: TestLargeAnswerHeadsKeepMemory (a process with 184 MB beside five nodes, 120 lookups at once): 272 MB with equal names and 350 MB with different ones on, 17 and 16 MB now, where the heads are refused. Heads of 200 KB, of 900 fields or of one, arrive as before (42 and 32 MB). TestEndlessAnswer (heads, fields, interim answers, bodies, chunks, trailers and answers to others without an end, on each kind of reader) fails on for short fields, 21 MB an answer of 8 allowed; its other cases were bounded and are kept, as is TestSlowReadersOfHeadsKeepMemory.

Fix: a head has at most 256 KiB, which is the limit of nodes for heads of requests, and 1000 lines. Over 4 KiB it is read into buffers of the budget. When its lines are counted, and before they are parsed, room is taken for all that will be made of them (memory.Room.Text). The header is cut out of that text, so that the room is given back when nothing refers to the header any more, as with bodies. Heads between 256 KiB and 1 MB got through before; they get 502 now, cause answer_too_large.

--- a/io/memory/read.go
+++ b/io/memory/read.go
@@ -69,7 +69,7 @@
 		case err != nil:
 			return nil, errors.Wrap(err, "read message")
 		}
-		r.Bytes, r.grows = min(growth*int64(len(b)), limit+1), true
+		r.Bytes, r.Grows = min(growth*int64(len(b)), limit+1), true
 		larger, err := m.Buffer(ctx, r)
 		if err != nil {
 			return nil, err
--- a/io/memory/room.go
+++ b/io/memory/room.go
@@ -51,10 +51,16 @@
 	Call  string     // id of the call that it is for
 	Class room.Class // if it is larger than room.SmallBytes
 	Bytes int64
-	Until time.Time // how long it may wait, zero for not at all
-	grows bool      // a smaller buffer of the same message is held meanwhile
+	// Beside is counted with the buffer, for what is made from its content.
+	Beside int64
+	Until  time.Time // how long it may wait, zero for not at all
+	// Grows reports that a smaller buffer of the same message is held meanwhile.
+	Grows bool
 }
 
+// Total returns all that is counted.
+func (r Request) Total() int64 { return r.Bytes + r.Beside }
+
 // FullError means that there is no room in time.
 type FullError struct {
 	RetryAfter time.Duration // when there should be, 0 if never
@@ -90,11 +96,11 @@
 // Buffer returns a buffer of r.Bytes bytes. It waits until there is room, and returns a
 // *FullError if there is none in time, or the error of ctx.
 func (m *Room) Buffer(ctx context.Context, r Request) ([]byte, error) {
-	if m == nil || r.Bytes <= uncountedBytes {
+	if m == nil || r.Total() <= uncountedBytes {
 		return make([]byte, r.Bytes), nil
 	}
 	start := time.Now()
-	c := room.ClassOf(r.Class, r.Bytes)
+	c := room.ClassOf(r.Class, r.Total())
 	id, given, err := m.offer(start, c, r)
 	if err != nil {
 		return nil, err
@@ -104,7 +110,7 @@
 			return nil, err
 		}
 	}
-	return m.allocate(c, r.Bytes), nil
+	return m.allocate(c, r), nil
 }
 
 // offer asks for the room of r. If it has to wait, it returns the channel that is closed
@@ -113,7 +119,7 @@
 	m.mu.Lock()
 	m.lastID++
 	id = m.lastID
-	v, retryAfter := m.table.Offer(now, room.Message{ID: id, Class: c, Bytes: r.Bytes, Until: r.Until, Grows: r.grows})
+	v, retryAfter := m.table.Offer(now, room.Message{ID: id, Class: c, Bytes: r.Total(), Until: r.Until, Grows: r.Grows})
 	switch v {
 	case room.Given:
 		m.mu.Unlock()
@@ -129,7 +135,7 @@
 	m.collectOnce()
 	m.mu.Unlock()
 	m.refuse(r, 0)
-	return id, nil, &FullError{RetryAfter: retryAfter, Bytes: r.Bytes}
+	return id, nil, &FullError{RetryAfter: retryAfter, Bytes: r.Total()}
 }
 
 // await waits for the room of r.
@@ -140,7 +146,7 @@
 	select {
 	case <-given:
 	case <-t.C:
-		err = &FullError{RetryAfter: time.Since(start), Bytes: r.Bytes}
+		err = &FullError{RetryAfter: time.Since(start), Bytes: r.Total()}
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
@@ -203,9 +209,9 @@
 }
 
 // allocate returns a buffer whose room is given back when it has been collected.
-func (m *Room) allocate(c room.Class, n int64) []byte {
-	b := make([]byte, n)
-	runtime.AddCleanup(&b[0], func(a allocation) { a.room.release(a) }, allocation{m, c, n})
+func (m *Room) allocate(c room.Class, r Request) []byte {
+	b := make([]byte, r.Bytes)
+	runtime.AddCleanup(&b[0], func(a allocation) { a.room.release(a) }, allocation{m, c, r.Total()})
 	return b
 }
 
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -20,12 +20,8 @@
 	}}
 }
 
-const (
-	// connBytes is what an open connection of a caller takes, with its goroutine and buffers.
-	connBytes = 28 << 10
-	// headCopies is how many times a large head takes its size while its request is served.
-	headCopies = 5
-)
+// connBytes is what an open connection of a caller takes, with its goroutine and buffers.
+const connBytes = 28 << 10
 
 // takenMemory is what callers take beside bodies and answers. It is safe for concurrent use.
 type takenMemory struct {
@@ -61,7 +57,7 @@
 
 // update tells the room what is taken. The caller holds mu.
 func (t *takenMemory) update() {
-	t.room.SetTaken(ahead.MaxKeptBytes + t.conns*connBytes + t.heads*headCopies)
+	t.room.SetTaken(ahead.MaxKeptBytes + t.conns*connBytes + t.heads*memory.HeadCopies)
 }
 
 // newMemory returns the memory for bodies and answers.
@@ -70,7 +66,7 @@
 		return func(r memory.Request, waited time.Duration, s room.State) {
 			n.journal.Add(event.Event{At: time.Now(), Kind: k, Subject: r.Call, Cause: fmt.Sprintf(
 				"%v of %d bytes, waited %v; bodies hold %d bytes, answers %d, small messages %d, %d wait",
-				r.Class, r.Bytes, waited.Round(time.Millisecond), s.Used[room.Body], s.Used[room.Answer], s.Used[room.Small], s.Waiting)})
+				r.Class, r.Total(), waited.Round(time.Millisecond), s.Used[room.Body], s.Used[room.Answer], s.Used[room.Small], s.Waiting)})
 		}
 	}
 	return memory.NewRoom(memory.Config{
--- a/io/upconn/conn.go
+++ b/io/upconn/conn.go
@@ -7,6 +7,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"tanagerchute/io/memory"
 )
 
 // Limits on idle connections.
@@ -30,9 +32,9 @@
 	maxIdle   time.Duration // longest idle time after which the connection is reused
 }
 
-func newConn(nc net.Conn, addr string) *conn {
+func newConn(nc net.Conn, addr string, room *memory.Room) *conn {
 	c := &conn{Conn: nc, br: bufio.NewReader(nc), addr: addr, maxIdle: defaultMaxIdle}
-	c.heads = headReader{br: c.br}
+	c.heads = headReader{br: c.br, room: room}
 	return c
 }
 
--- a/io/upconn/exchange.go
+++ b/io/upconn/exchange.go
@@ -97,7 +97,7 @@
 	m := memoryRequest(ctx, r.ID)
 	mayDrop := p.cfg.MaxAnswerBytes
 	for range maxDropped {
-		in, err := c.readHead(ctx, r.Method, w)
+		in, err := c.readHead(ctx, r.Method, m, w)
 		if err != nil {
 			return Answer{}, false, errors.Wrap(err, "read head of answer")
 		}
@@ -139,8 +139,8 @@
 }
 
 // readHead reads the head of an answer to a request with the given method.
-func (c *conn) readHead(ctx context.Context, method string, w *writing) (incoming, error) {
-	h, err := c.heads.readHead()
+func (c *conn) readHead(ctx context.Context, method string, m memory.Request, w *writing) (incoming, error) {
+	h, err := c.heads.readHead(ctx, m)
 	if err != nil {
 		return incoming{}, err
 	}
@@ -157,7 +157,7 @@
 		last:     h.endsConn() || f.kind == untilClose || f.excess,
 		length:   f.declared(),
 		body: newBody(c.br, f, bodyEnds{
-			trailer: c.heads.readTrailer,
+			trailer: func() error { return c.heads.readTrailer(ctx, m) },
 			conn:    func() error { return w.checkEnd(ctx) },
 		}),
 	}, nil
--- a/io/upconn/pool.go
+++ b/io/upconn/pool.go
@@ -17,7 +17,7 @@
 	// is called for each new connection.
 	MaxConns       func() int
 	MaxAnswerBytes int64 // maximum size of an answer's body
-	// Memory holds the answers' bodies, nil for no limit.
+	// Memory holds the answers, nil for no limit.
 	Memory *memory.Room
 	// Parse returns what the head of an answer says. Judged by Rules, an answer to another
 	// request is read and dropped, and one that is foreign fails the request. nil accepts all
@@ -164,7 +164,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return newConn(nc, addr), nil
+	return newConn(nc, addr, p.cfg.Memory), nil
 }
 
 // putIdle returns a connection to the pool, or closes it if the address of the pool
