proxy, peer: the heads of answers that other nodes pass on count

The node that has taken a request held the head of its answer as well, decoded, for as long as its caller took to read it.

Cause: net/http accepts heads of 10 MB over HTTP/2, and only the bodies of answers between nodes took room of the memory budget. Only an answer with a large body had a deadline by which its caller must have read it.

Fix: a head over 16 KB, as it is held, moves into the budget when it has been decoded (memory.Room.Header), before the body is read, and is no answer if there is no room in time. What is decoded before is bounded by 512 KiB, which is above what gatekeepers pass on. An answer with such a head has the deadline of large ones.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -14,6 +14,11 @@
 // identifier of the sender's deployment.
 const HeaderDeployment = "Tanager-Deployment"
 
+// maxAnswerHeadBytes bounds the head of an answer, in which each field counts with 32 bytes
+// more than its text. A connection may be closed at it, so it is well above what nodes pass on
+// of backend servers.
+const maxAnswerHeadBytes = 512 << 10
+
 // Timeouts of a connection.
 const (
 	// controlPingTimeout is when a connection for control messages is closed if a ping
@@ -55,10 +60,11 @@
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
-		DialContext:        dial,
-		Protocols:          &protocols,
-		IdleConnTimeout:    idleTimeout,
-		DisableCompression: true,
+		DialContext:            dial,
+		Protocols:              &protocols,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHeadBytes,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: acks.PingAfterIdle,
 			PingTimeout:     pingTimeout,
--- a/io/proxy/ack_test.go
+++ b/io/proxy/ack_test.go
@@ -35,6 +35,7 @@
 type slowPeer struct {
 	ackAfter    time.Duration
 	answerAfter time.Duration // counted from the acknowledgement
+	header      http.Header   // of the answer
 }
 
 func (s slowPeer) start(t *testing.T) string {
@@ -66,7 +67,7 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		p.writePeerReply(r.Context(), w, c, call.Reply{Fate: call.Answered, Status: http.StatusOK, Body: []byte("done"), Replied: true})
+		p.writePeerReply(r.Context(), w, c, call.Reply{Fate: call.Answered, Status: http.StatusOK, Header: s.header, Body: []byte("done"), Replied: true})
 	}))
 	ts := httptest.NewUnstartedServer(nil)
 	ts.Config = srv
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -21,6 +21,7 @@
 	"tanagerchute/core/routes"
 	"tanagerchute/core/vers"
 	"tanagerchute/io/ahead"
+	"tanagerchute/io/memory"
 )
 
 // HeaderIdempotencyKey is the header for a caller's idempotency key.
@@ -258,7 +259,7 @@
 	if c.Method != http.MethodHead && bodyAllowed(r.Status) {
 		h.Set("Content-Length", strconv.Itoa(len(r.Body)))
 	}
-	if len(r.Body) > room.SmallBytes {
+	if len(r.Body) > room.SmallBytes || memory.IsLarge(r.Header) {
 		rc := http.NewResponseController(w)
 		_ = rc.SetWriteDeadline(writeDeadline(c)) // not supported by a response that is kept, see package ahead
 		defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
@@ -269,8 +270,8 @@
 	}
 }
 
-// slowReaderGrace is how long after the deadline of its request a caller may take to read a
-// large answer. The answer takes memory until then.
+// slowReaderGrace is how long after the deadline of its request a caller may take to read an
+// answer with a large head or body. The answer takes memory until then.
 const slowReaderGrace = 5 * time.Second
 
 // writeDeadline returns when the caller of c must have read a large answer.
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -125,6 +125,10 @@
 	}
 	a.stop()
 	defer res.Body.Close()
+	if res.Header, err = p.cfg.Memory.Header(ctx, res.Header, answerMemory(c)); err != nil {
+		p.recordMissingAnswer(ctx, addr, c, a, err)
+		return failedReply(ctx, a)
+	}
 	answer, err := p.readAnswer(ctx, c, res)
 	if err != nil {
 		p.recordMissingAnswer(ctx, addr, c, a, err)
