peer: the answers to control requests are bounded

What callers would see: a node that runs out of memory since another one, or what has its address now, sends the answer to a control request without an end. Not reported; found by looking for what the budget does not count.

Cause: the generated clients read the body of an answer to its end, whatever its length, while requests are bounded by 2 MiB.

Fix: the body fails at 8 MiB.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -19,6 +19,9 @@
 // of backend servers.
 const maxAnswerHeadBytes = 512 << 10
 
+// maxAnswerBytes bounds the body of the answer to a control request.
+const maxAnswerBytes = 8 << 20
+
 // Timeouts of a connection.
 const (
 	// controlPingTimeout is when a connection for control messages is closed if a ping
@@ -115,14 +118,21 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// deploymentTransport is a transport that sets HeaderDeployment in each request.
+// deploymentTransport is a transport that sets HeaderDeployment in each request and bounds
+// the answers.
 type deploymentTransport struct {
 	*http.Transport
 	deployment string
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. The body of the response returns an error at
+// maxAnswerBytes.
 func (s *deploymentTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r.Header.Set(HeaderDeployment, s.deployment)
-	return s.Transport.RoundTrip(r)
+	res, err := s.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	res.Body = http.MaxBytesReader(nil, res.Body, maxAnswerBytes)
+	return res, nil
 }
