etcd: a broken answer of the store is no answer

Cause: no answer was checked for what each holds; an unknown status was a refusal; net/http accepts blanks in the names of fields.

Evidence: TestBrokenAnswer (io/etcd) fails on for "empty object", "null", both blanks and status 000 and 204. Bodies that are missing or cut were handled and are kept.

Fix: each answer must hold the revision of the store, or the id of the lease. Otherwise the outcome is unknown, as after a status that the store does not send.

--- /dev/null
+++ b/io/etcd/answer_test.go
@@ -0,0 +1,73 @@
+package etcd_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"tanagerchute"
+	"tanagerchute/internal/faulty"
+	"tanagerchute/io/etcd"
+)
+
+// newClient returns a client of a store that sends b in place of each answer.
+func newClient(t *testing.T, b faulty.Bytes) *etcd.Client {
+	t.Helper()
+	c := etcd.New(etcd.Config{Endpoints: []string{"http://" + faulty.Serve(t, b)}, Timeout: time.Second})
+	t.Cleanup(c.Close)
+	return c
+}
+
+// calls are the calls whose answers hold something.
+var calls = map[string]func(ctx context.Context, c *etcd.Client) error{
+	"get": func(ctx context.Context, c *etcd.Client) error { _, _, err := c.Get(ctx, "my/key"); return err },
+	"list": func(ctx context.Context, c *etcd.Client) error {
+		_, _, err := c.List(ctx, "my/", tanagerchute.Stale)
+		return err
+	},
+	"commit": func(ctx context.Context, c *etcd.Client) error {
+		_, err := c.Commit(ctx, tanagerchute.Txn{Puts: []tanagerchute.Put{{Key: "my/key", Value: []byte("v")}}})
+		return err
+	},
+	"grant":      func(ctx context.Context, c *etcd.Client) error { _, err := c.Grant(ctx, time.Second); return err },
+	"keep alive": func(ctx context.Context, c *etcd.Client) error { return c.KeepAlive(ctx, tanagerchute.Lease{ID: 7}) },
+	"watch": func(ctx context.Context, c *etcd.Client) error {
+		return c.Watch(ctx, "my/key", tanagerchute.Revision{Number: 1}, func() {}, func(tanagerchute.Event) {})
+	},
+}
+
+// TestBrokenAnswer guards against bytes that are taken for an answer of the store: for a key that
+// does not exist, an empty list, a condition that does not hold, a lease that has ended, or a
+// refusal. It is not known then whether the call was executed.
+func TestBrokenAnswer(t *testing.T) {
+	const okLine = "HTTP/1.1 200 OK\r\n"
+	const whole = `{"header":{"revision":"5"},"ID":"7","succeeded":true,"result":{"ID":"7","TTL":"3"}}`
+	for name, raw := range map[string]string{
+		"nothing":                     "",
+		"no body":                     okLine + "Content-Length: 0\r\n\r\n",
+		"empty object":                okLine + "Content-Length: 2\r\n\r\n{}",
+		"null":                        okLine + "Content-Length: 4\r\n\r\nnull",
+		"cut body":                    okLine + "\r\n" + whole[:60],
+		"blank in a name":             okLine + "Store Era: 1\r\nConnection: close\r\n\r\n" + whole,
+		"blank behind Content-Length": okLine + "Content-Length : 2\r\nConnection: close\r\n\r\n" + whole,
+		"status 000":                  "HTTP/1.1 000 zero\r\nConnection: close\r\n\r\n" + whole,
+		"status 204":                  "HTTP/1.1 204 No Content\r\n\r\n",
+		"status 307":                  "HTTP/1.1 307 Temporary Redirect\r\nLocation: /\r\nContent-Length: 0\r\n\r\n",
+		"status 600":                  "HTTP/1.1 600 high\r\nContent-Length: 0\r\n\r\n",
+	} {
+		c := newClient(t, faulty.Bytes{Start: raw})
+		for call, do := range calls {
+			err := do(t.Context(), c)
+			if !errors.Is(err, tanagerchute.ErrOutcomeUnknown) && (call == "commit" || call == "grant" || call == "keep alive" || !errors.Is(err, tanagerchute.ErrUnavailable)) {
+				t.Errorf("%s, %s: error %v", name, call, err)
+			}
+		}
+	}
+	c := newClient(t, faulty.Bytes{Start: okLine + "Connection: close\r\n\r\n" + whole})
+	for call, do := range calls {
+		if err := do(t.Context(), c); err != nil && call != "watch" {
+			t.Errorf("whole answer, %s: %v", call, err)
+		}
+	}
+}
--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -15,6 +15,7 @@
 
 	"tanagerchute"
 	"tanagerchute/core/eras"
+	"tanagerchute/core/field"
 	"tanagerchute/io/eramon"
 )
 
@@ -52,13 +53,17 @@
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{Timeout: cfg.Timeout}).DialContext
 	}
-	return &Client{cfg: cfg, eras: eramon.New(), http: &http.Client{Transport: &http.Transport{
+	t := &http.Transport{
 		DialContext:         cfg.Dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     time.Minute,
-	}}}
+	}
+	return &Client{cfg: cfg, eras: eramon.New(), http: &http.Client{Transport: t, CheckRedirect: noRedirect}}
 }
 
+// noRedirect keeps the client from following redirects, which the store does not send.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -166,7 +171,7 @@
 
 // callLease makes a call about one lease. It returns tanagerchute.ErrLeaseExpired if
 // the lease is of another era than the store.
-func (c *Client) callLease(ctx context.Context, path string, lease tanagerchute.Lease, res any) error {
+func (c *Client) callLease(ctx context.Context, path string, lease tanagerchute.Lease, res response) error {
 	if err := c.eras.CheckLease(lease); err != nil {
 		return err
 	}
@@ -240,16 +245,22 @@
 	}
 }
 
+// response is the body of a response.
+type response interface {
+	// complete reports whether the response holds what the store always sends.
+	complete() bool
+}
+
 // read is like call, for a read-only call. A lost response returns ErrUnavailable
 // instead of ErrOutcomeUnknown, since the call has had no effect.
-func (c *Client) read(ctx context.Context, path string, req, res any) (eras.Era, error) {
+func (c *Client) read(ctx context.Context, path string, req any, res response) (eras.Era, error) {
 	era, err := c.call(ctx, path, req, res)
 	return era, tanagerchute.ReadError(err)
 }
 
 // call sends req to path and decodes the response into res. It returns the era of the
 // response.
-func (c *Client) call(ctx context.Context, path string, req, res any) (eras.Era, error) {
+func (c *Client) call(ctx context.Context, path string, req any, res response) (eras.Era, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
 	r, era, err := c.post(ctx, path, req)
@@ -264,6 +275,9 @@
 	if err := json.Unmarshal(body, res); err != nil {
 		return era, errors.Wrap(tanagerchute.ErrOutcomeUnknown, err.Error())
 	}
+	if !res.complete() {
+		return era, errors.Wrapf(tanagerchute.ErrOutcomeUnknown, "response %.80q is not complete", body)
+	}
 	return era, nil
 }
 
@@ -290,6 +304,10 @@
 		c.endpoint.Add(1)
 		return nil, eras.Era{}, tanagerchute.CallError(err)
 	}
+	if err := field.CheckNames(res.Header); err != nil {
+		_ = res.Body.Close()
+		return nil, eras.Era{}, tanagerchute.CallError(err)
+	}
 	era, err := c.eras.Observe(res.Header.Values(EraHeader), sentAt)
 	if err == nil && res.StatusCode == http.StatusOK {
 		return res, era, nil
@@ -320,9 +338,9 @@
 		return errors.Wrap(tanagerchute.ErrLeaseExpired, e.Message)
 	case e.Code == codeOutOfRange:
 		return errors.Wrap(tanagerchute.ErrCompacted, e.Message)
-	case res.StatusCode >= http.StatusInternalServerError:
+	case res.StatusCode < http.StatusBadRequest || res.StatusCode >= http.StatusInternalServerError:
 		// The store may still execute a write that it has reported as failed, for
-		// example after a timeout.
+		// example after a timeout, or for which it has sent no status of its own.
 		return errors.Wrapf(tanagerchute.ErrOutcomeUnknown, "status %d %s", res.StatusCode, e.Message)
 	}
 	return errors.Errorf("store rejected the call: status %d %s", res.StatusCode, e.Message)
--- a/io/etcd/wire.go
+++ b/io/etcd/wire.go
@@ -19,6 +19,10 @@
 	Lease          int64  `json:"lease,string,omitempty"`
 }
 
+// complete reports whether the header is that of an answer of the store, whose first
+// revision is 1.
+func (h Header) complete() bool { return h.Revision > 0 }
+
 // RangeRequest is the body of /v3/kv/range.
 type RangeRequest struct {
 	Key      []byte `json:"key"`
@@ -36,6 +40,8 @@
 	Count  int64      `json:"count,string,omitempty"`
 }
 
+func (r RangeResponse) complete() bool { return r.Header.complete() }
+
 // PutRequest is the body of /v3/kv/put.
 type PutRequest struct {
 	Key   []byte `json:"key"`
@@ -76,11 +82,15 @@
 	Succeeded bool   `json:"succeeded,omitempty"`
 }
 
+func (r TxnResponse) complete() bool { return r.Header.complete() }
+
 // HeaderResponse is a response of which only the header is used.
 type HeaderResponse struct {
 	Header Header `json:"header"`
 }
 
+func (HeaderResponse) complete() bool { return true } // its status says all
+
 // LeaseRequest is the body of the lease calls. TTL is in seconds.
 type LeaseRequest struct {
 	ID  int64 `json:"ID,string,omitempty"`
@@ -96,11 +106,15 @@
 	TTL    int64  `json:"TTL,string,omitempty"`
 }
 
+func (r LeaseResponse) complete() bool { return r.ID > 0 }
+
 // KeepAliveResponse is the response of /v3/lease/keepalive.
 type KeepAliveResponse struct {
 	Result LeaseResponse `json:"result"`
 }
 
+func (r KeepAliveResponse) complete() bool { return r.Result.complete() }
+
 // WatchRequest is the body of /v3/watch.
 type WatchRequest struct {
 	Create WatchCreate `json:"create_request"`
