platform, etcd: answers of the store are bounded wherever they take memory

What callers would see: a node that runs out of memory since its store, or what has its address now, sends the head of an answer without an end, or a message of a watch. Not reported; found by looking for what the budget does not count.

Cause: net/http accepts heads of 10 MB, which take many times that if their fields are short. A decoder of JSON keeps a message until it is complete.

Bodies, chunks and trailers were bounded and are kept.

Fix: heads have at most 64 KiB, and a message of a watch the 8 MiB of other answers.

--- a/io/etcd/answer_test.go
+++ b/io/etcd/answer_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,3 +73,30 @@
 		}
 	}
 }
+
+// TestEndlessAnswer guards against an answer of the store that takes memory for as long as the
+// store sends it.
+func TestEndlessAnswer(t *testing.T) {
+	const okLine, allowedMB = "HTTP/1.1 200 OK\r\n", 60
+	for name, b := range map[string]faulty.Bytes{
+		"short fields": {Start: okLine, Rest: strings.Repeat("a:\r\n", 1000)},
+		"value":        {Start: okLine + "X-A: ", Rest: strings.Repeat("a", 4000)},
+		"body":         {Start: okLine + "\r\n", Rest: strings.Repeat(" ", 4000)},
+		"text":         {Start: okLine + "\r\n" + `{"result":{"x":"`, Rest: strings.Repeat("a", 4000)},
+	} {
+		c := newClient(t, b)
+		for _, call := range []string{"get", "watch"} {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			if err := calls[call](ctx, c); err == nil {
+				t.Errorf("%s, %s: no error", name, call)
+			}
+			runtime.ReadMemStats(&after)
+			cancel()
+			if mb := (after.TotalAlloc - before.TotalAlloc) >> 20; mb > allowedMB {
+				t.Errorf("%s, %s: %d MB allocated", name, call, mb)
+			}
+		}
+	}
+}
--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -31,8 +31,9 @@
 
 const (
 	defaultTimeout      = 2 * time.Second
-	maxResponseBytes    = 8 << 20 // of a response body, except that of a watch
-	maxIdleConnsPerHost = 4       // to each endpoint
+	maxResponseBytes    = 8 << 20  // of a response body, and of each message of a watch
+	maxHeadBytes        = 64 << 10 // of the head of a response
+	maxIdleConnsPerHost = 4        // to each endpoint
 )
 
 // Client implements tanagerchute.Store.
@@ -54,9 +55,10 @@
 		cfg.Dial = (&net.Dialer{Timeout: cfg.Timeout}).DialContext
 	}
 	t := &http.Transport{
-		DialContext:         cfg.Dial,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     time.Minute,
+		DialContext:            cfg.Dial,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Client{cfg: cfg, eras: eramon.New(), http: &http.Client{Transport: t, CheckRedirect: noRedirect}}
 }
@@ -210,8 +212,10 @@
 		return errors.Wrapf(err, "watch %s", key)
 	}
 	defer res.Body.Close()
-	dec := json.NewDecoder(res.Body)
+	messages := &stream{r: res.Body}
+	dec := json.NewDecoder(messages)
 	for {
+		messages.left = maxResponseBytes
 		var m WatchResponse
 		if err := dec.Decode(&m); err != nil {
 			return errors.Wrapf(tanagerchute.ErrUnavailable, "watch %s ended: %v", key, err)
@@ -234,6 +238,22 @@
 	}
 }
 
+// stream reads the messages of a watch. It fails if one has more than maxResponseBytes.
+type stream struct {
+	r    io.Reader
+	left int64 // bytes that may be read before the next message
+}
+
+// Read implements io.Reader.
+func (s *stream) Read(b []byte) (int, error) {
+	if s.left <= 0 {
+		return 0, errors.New("message is too large")
+	}
+	n, err := s.r.Read(b[:min(int64(len(b)), s.left)])
+	s.left -= int64(n)
+	return n, err
+}
+
 // kv converts a key from its wire format.
 func (kv KeyValue) kv() tanagerchute.KV {
 	return tanagerchute.KV{
