upconn, proxy: what holds room for its head asks for the body as what grows

What callers would see: answers with large heads that wait for room for their bodies behind each other until their deadlines.

Cause: package room lets only one message of a class wait that already holds room, since two would wait for what the other one holds. A body or trailer behind a counted head is such a message, and did not say so.

Evidence: by reading.

--- a/io/proxy/peerbody.go
+++ b/io/proxy/peerbody.go
@@ -44,6 +44,7 @@
 // it.
 func (p *Proxy) readAnswer(ctx context.Context, c call.Call, res *http.Response) ([]byte, error) {
 	in, m := p.links.in, answerMemory(c)
+	m.Grows = memory.IsLarge(res.Header) // the head holds room
 	if !in.Bulk(res.ContentLength) {
 		length := res.ContentLength
 		if res.Body == http.NoBody {
--- a/io/upconn/exchange.go
+++ b/io/upconn/exchange.go
@@ -118,6 +118,7 @@
 			}
 			continue
 		}
+		m.Grows = memory.IsLarge(in.Header) // the head holds room
 		body, err := p.readBody(ctx, in, m)
 		if err != nil {
 			return Answer{}, false, err
--- a/io/upconn/head.go
+++ b/io/upconn/head.go
@@ -77,6 +77,7 @@
 // readTrailer reads a trailer, its end included, and drops its fields. The errors are those of
 // readHead.
 func (h *headReader) readTrailer(ctx context.Context, r memory.Request) error {
+	r.Grows = true // beside the body
 	_, err := h.readLines(ctx, r, func(i int, line []byte) error { return field.CheckLine(line, i == 0) })
 	return err
 }
@@ -96,7 +97,7 @@
 		}
 		line := trimLineEnd(raw[start:])
 		if len(line) == 0 {
-			r.Grows = cap(raw) > keptHeadBytes
+			r.Grows = r.Grows || cap(raw) > keptHeadBytes
 			return h.room.Text(ctx, raw[:start], i, r)
 		}
 		if err := check(i, line); err != nil {
@@ -133,7 +134,7 @@
 		return raw, nil
 	}
 	r.Bytes = int64(min(max(headGrowth*cap(raw), len(raw)+n), maxHeadBytes))
-	r.Grows = cap(raw) > keptHeadBytes
+	r.Grows = r.Grows || cap(raw) > keptHeadBytes
 	larger, err := h.room.Buffer(ctx, r)
 	if err != nil {
 		return nil, err
