--- a/core/field/field.go
+++ b/core/field/field.go
@@ -18,8 +18,8 @@
 
 // Status is the first line of an answer.
 type Status struct {
-	Minor int // of the version of the protocol, whose major number is 1
-	Code  int
+	MinorVersion int // of HTTP/1
+	Code         int
 }
 
 // versionPrefix is the start of a version with the major number 1.
@@ -33,7 +33,7 @@
 		return Status{}, errors.Errorf("version %.20q is not one of HTTP/1", version)
 	}
 	code, reason, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
-	s := Status{Minor: int(minor[0] - '0')}
+	s := Status{MinorVersion: int(minor[0] - '0')}
 	if s.Code, ok = parseCode(code); !ok {
 		return Status{}, errors.Errorf("status %.20q is not between %d and %d", code, minStatus, maxStatus)
 	}
@@ -60,9 +60,9 @@
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
 
-// CheckLine returns an error if a line behind the status line, which is given without its
-// line end, is neither a field nor the continuation of the field in front of it. first
-// reports that there is none in front.
+// CheckLine returns an error if a line after the status line, which is given without its
+// line end, is neither a field nor the continuation of the field before it. first reports
+// that there is none before it.
 func CheckLine(line []byte, first bool) error {
 	if continues(line) {
 		if first {
@@ -75,12 +75,12 @@
 		return errors.Errorf("line %.40q has no colon", line)
 	}
 	if !isToken(name) {
-		return errors.Errorf("%.40q is no name of a field", name)
+		return errors.Errorf("%.40q is not a valid field name", name)
 	}
 	return checkValue(value)
 }
 
-// continues reports whether a line continues the value in front of it.
+// continues reports whether a line continues the value of the line before it.
 func continues[T string | []byte](line T) bool {
 	return len(line) > 0 && (line[0] == ' ' || line[0] == '\t')
 }
@@ -110,18 +110,23 @@
 // the text of the lines.
 func Header(lines string) http.Header {
 	h := http.Header{}
-	name := "" // of the last field
+	var name string
+	var value []string // of the last field, in the parts in which it came
+	add := func() {
+		if len(value) > 0 {
+			h[name] = append(h[name], textproto.TrimString(strings.Join(value, " ")))
+		}
+	}
 	for line := range strings.Lines(lines) {
 		if continues(line) {
-			values := h[name]
-			last := &values[len(values)-1]
-			*last = textproto.TrimString(*last + " " + textproto.TrimString(line))
+			value = append(value, textproto.TrimString(line))
 			continue
 		}
-		key, value, _ := strings.Cut(line, ":")
-		name = textproto.CanonicalMIMEHeaderKey(key)
-		h[name] = append(h[name], textproto.TrimString(value))
+		add()
+		key, first, _ := strings.Cut(line, ":")
+		name, value = textproto.CanonicalMIMEHeaderKey(key), append(value[:0], textproto.TrimString(first))
 	}
+	add()
 	return h
 }
 
@@ -130,7 +135,7 @@
 func CheckNames(h http.Header) error {
 	for name := range h {
 		if !isToken(name) {
-			return errors.Errorf("%.40q is no name of a field", name)
+			return errors.Errorf("%.40q is not a valid field name", name)
 		}
 	}
 	return nil
--- a/core/field/field_test.go
+++ b/core/field/field_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"net/textproto"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -17,10 +18,10 @@
 
 func TestParseStatus(t *testing.T) {
 	for line, want := range map[string]field.Status{
-		"HTTP/1.1 200 OK":        {Minor: 1, Code: 200},
-		"HTTP/1.0 599 \xc3\xa9 ": {Minor: 0, Code: 599},
-		"HTTP/1.1 100":           {Minor: 1, Code: 100},
-		"HTTP/1.1  404  Not\tF":  {Minor: 1, Code: 404},
+		"HTTP/1.1 200 OK":        {MinorVersion: 1, Code: 200},
+		"HTTP/1.0 599 \xc3\xa9 ": {MinorVersion: 0, Code: 599},
+		"HTTP/1.1 100":           {MinorVersion: 1, Code: 100},
+		"HTTP/1.1  404  Not\tF":  {MinorVersion: 1, Code: 404},
 	} {
 		if got, err := field.ParseStatus(line); err != nil || got != want {
 			t.Errorf("%q: %+v, error %v", line, got, err)
@@ -75,6 +76,23 @@
 	}
 }
 
+// TestContinuedValueIsReadOnce guards against a value in many lines that is copied once for each
+// of them.
+func TestContinuedValueIsReadOnce(t *testing.T) {
+	const lines, allowedCopies = 1000, 4
+	text := "X-A: a\r\n" + strings.Repeat(" "+strings.Repeat("b", 250)+"\r\n", lines)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	h := field.Header(text)
+	runtime.ReadMemStats(&after)
+	if got := after.TotalAlloc - before.TotalAlloc; got > allowedCopies*uint64(len(text)) {
+		t.Errorf("%d bytes allocated for %d", got, len(text))
+	}
+	if n := len(h.Get("X-A")); n != 1+251*lines {
+		t.Errorf("value of %d bytes", n)
+	}
+}
+
 func TestSingle(t *testing.T) {
 	h := http.Header{"X-A": {"a"}, "X-B": {"b", "b"}}
 	for name, want := range map[string]string{"x-a": "a", "X-B": "", "X-C": ""} {
--- a/io/memory/header.go
+++ b/io/memory/header.go
@@ -68,8 +68,8 @@
 	return textBytes, fields
 }
 
-// Header returns a header equal to h, which another package has read, with a Text behind it.
-// h itself is returned if it is not large.
+// Header returns a header equal to h, which another package has read, whose names and values
+// are cut out of a Text. It returns h itself if it is not large.
 func (m *Room) Header(ctx context.Context, h http.Header, r Request) (http.Header, error) {
 	if !IsLarge(h) {
 		return h, nil
--- a/io/upconn/body.go
+++ b/io/upconn/body.go
@@ -8,7 +8,7 @@
 
 // bodyEnds tell whether the end of a body without a length is one that the server has sent.
 type bodyEnds struct {
-	trailer func() error // reads what is behind the last chunk
+	trailer func() error // reads what follows the last chunk
 	conn    func() error // is called when there is nothing more to read from the connection
 }
 
--- a/io/upconn/framing.go
+++ b/io/upconn/framing.go
@@ -27,7 +27,7 @@
 	untilClose             // it ends with the connection
 )
 
-// framingOf returns the framing of the body behind h, in an answer to a request with the given
+// framingOf returns the framing of the body that follows h in an answer to a request with the given
 // method. It returns an error if the head is ambiguous about it.
 func framingOf(method string, h head) (framing, error) {
 	coding, lengths := h.header["Transfer-Encoding"], h.header["Content-Length"]
@@ -35,7 +35,7 @@
 	switch {
 	case err != nil:
 		return framing{}, err
-	case len(coding) > 0 && h.Minor == 0:
+	case len(coding) > 0 && h.MinorVersion == 0:
 		return framing{}, errors.New("transfer coding in an answer of HTTP/1.0")
 	case len(coding) > 0 && len(lengths) > 0:
 		return framing{}, errors.New("both a transfer coding and a length")
--- a/io/upconn/head.go
+++ b/io/upconn/head.go
@@ -45,10 +45,10 @@
 // isInterim reports whether the answer itself is still to come.
 func (h head) isInterim() bool { return h.Code < http.StatusOK }
 
-// endsConn reports whether the connection ends behind the answer.
+// endsConn reports whether the connection ends after the answer.
 func (h head) endsConn() bool {
 	has := func(token string) bool { return httpguts.HeaderValuesContainsToken(h.header["Connection"], token) }
-	return has("close") || h.Minor == 0 && !has("keep-alive")
+	return has("close") || h.MinorVersion == 0 && !has("keep-alive")
 }
 
 // readHead reads a head, its end included. It returns ErrAnswerTooLarge if the head is too
--- a/io/upconn/writing.go
+++ b/io/upconn/writing.go
@@ -43,11 +43,11 @@
 // checkEnd is called when a read has returned the end of the connection. It returns an error
 // if the connection has failed instead.
 //
-// The system reports the failure of a connection once, to the next read or write. If that is
-// the write of the request, reads return an end as if the server had sent it. So the end
-// counts only if the server has ended its sending, as the state of the connection shows, or if
-// no write has failed for another reason: after EPIPE alone, the end has come before the
-// failure.
+// The kernel reports the failure of a connection once, to the next read or write. If that is
+// the write of the request, reads return the end as if the server had sent it. So the end
+// counts only if the state of the connection shows that the server has sent it, or if the
+// write has not taken another error. EPIPE is what the write gets if the connection is reset
+// after its end, and no failure of the answer.
 func (w *writing) checkEnd(ctx context.Context) error {
 	select {
 	case <-w.done:
