platform, etcd: the error of an incomplete answer shows no bytes of it

The first bytes of an answer that holds the configuration may hold keys of client accounts, which stay out of logs.

--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -299,7 +299,7 @@
 		return era, errors.Wrap(tanagerchute.ErrOutcomeUnknown, err.Error())
 	}
 	if !res.complete() {
-		return era, errors.Wrapf(tanagerchute.ErrOutcomeUnknown, "response %.80q is not complete", body)
+		return era, errors.Wrapf(tanagerchute.ErrOutcomeUnknown, "response of %d bytes is not complete", len(body))
 	}
 	return era, nil
 }
