--- a/internal/faulty/faulty.go
+++ b/internal/faulty/faulty.go
@@ -1,4 +1,5 @@
-// Package faulty serves bytes that are no answers, for tests of those who read answers.
+// Package faulty serves bytes that are no answers, for tests of those who read answers. For
+// the clients of a store it has the calls whose answers they read.
 //
 // # Usage
 //
@@ -6,10 +7,14 @@
 package faulty
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
+
+	"tanagerchute"
 )
 
 // Bytes is what a server sends in place of an answer.
@@ -40,3 +45,17 @@
 	t.Cleanup(srv.Close)
 	return srv.Listener.Addr().String()
 }
+
+// StoreCalls are the calls to a store whose answers hold something.
+var StoreCalls = map[string]func(ctx context.Context, s tanagerchute.Store) error{
+	"get": func(ctx context.Context, s tanagerchute.Store) error { _, _, err := s.Get(ctx, "my/key"); return err },
+	"list": func(ctx context.Context, s tanagerchute.Store) error {
+		_, _, err := s.List(ctx, "my/", tanagerchute.Stale)
+		return err
+	},
+	"commit": func(ctx context.Context, s tanagerchute.Store) error {
+		_, err := s.Commit(ctx, tanagerchute.Txn{Puts: []tanagerchute.Put{{Key: "my/key", Value: []byte("v")}}})
+		return err
+	},
+	"grant": func(ctx context.Context, s tanagerchute.Store) error { _, err := s.Grant(ctx, time.Second); return err },
+}
--- a/io/etcd/answer_test.go
+++ b/io/etcd/answer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"runtime"
 	"strings"
 	"testing"
@@ -22,22 +23,16 @@
 	return c
 }
 
-// calls are the calls whose answers hold something.
-var calls = map[string]func(ctx context.Context, c *etcd.Client) error{
-	"get": func(ctx context.Context, c *etcd.Client) error { _, _, err := c.Get(ctx, "my/key"); return err },
-	"list": func(ctx context.Context, c *etcd.Client) error {
-		_, _, err := c.List(ctx, "my/", tanagerchute.Stale)
-		return err
-	},
-	"commit": func(ctx context.Context, c *etcd.Client) error {
-		_, err := c.Commit(ctx, tanagerchute.Txn{Puts: []tanagerchute.Put{{Key: "my/key", Value: []byte("v")}}})
-		return err
-	},
-	"grant":      func(ctx context.Context, c *etcd.Client) error { _, err := c.Grant(ctx, time.Second); return err },
-	"keep alive": func(ctx context.Context, c *etcd.Client) error { return c.KeepAlive(ctx, tanagerchute.Lease{ID: 7}) },
-	"watch": func(ctx context.Context, c *etcd.Client) error {
-		return c.Watch(ctx, "my/key", tanagerchute.Revision{Number: 1}, func() {}, func(tanagerchute.Event) {})
-	},
+// calls returns the calls whose answers hold something.
+func calls() map[string]func(ctx context.Context, s tanagerchute.Store) error {
+	out := maps.Clone(faulty.StoreCalls)
+	out["keep alive"] = func(ctx context.Context, s tanagerchute.Store) error {
+		return s.KeepAlive(ctx, tanagerchute.Lease{ID: 7})
+	}
+	out["watch"] = func(ctx context.Context, s tanagerchute.Store) error {
+		return s.Watch(ctx, "my/key", tanagerchute.Revision{Number: 1}, func() {}, func(tanagerchute.Event) {})
+	}
+	return out
 }
 
 // TestBrokenAnswer guards against bytes that are taken for an answer of the store: for a key that
@@ -60,7 +55,7 @@
 		"status 600":                  "HTTP/1.1 600 high\r\nContent-Length: 0\r\n\r\n",
 	} {
 		c := newClient(t, faulty.Bytes{Start: raw})
-		for call, do := range calls {
+		for call, do := range calls() {
 			err := do(t.Context(), c)
 			if !errors.Is(err, tanagerchute.ErrOutcomeUnknown) && (call == "commit" || call == "grant" || call == "keep alive" || !errors.Is(err, tanagerchute.ErrUnavailable)) {
 				t.Errorf("%s, %s: error %v", name, call, err)
@@ -68,7 +63,7 @@
 		}
 	}
 	c := newClient(t, faulty.Bytes{Start: okLine + "Connection: close\r\n\r\n" + whole})
-	for call, do := range calls {
+	for call, do := range calls() {
 		if err := do(t.Context(), c); err != nil && call != "watch" {
 			t.Errorf("whole answer, %s: %v", call, err)
 		}
@@ -105,7 +100,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			if err := calls[call](ctx, c); err == nil {
+			if err := calls()[call](ctx, c); err == nil {
 				t.Errorf("%s, %s: no error", name, call)
 			}
 			runtime.ReadMemStats(&after)
