proxy, feed: logs tell a late version from a wait beyond the deadline

request_done has timeout and timeout_of, request_overdue says what a request last waited for when its reply comes over 0.1 s after the deadline, version_applied names the watch or the check, and both ways are counted (versions_watched, versions_checked). No logic changes.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -51,6 +51,7 @@
 	MaxUpstreams     int       // number of upstreams that may receive the call, 0 for the default
 	Target           time.Time // time by which it should be answered, zero if only the deadline counts
 	Deadline         time.Time
+	Limit            Limit     // what sets Deadline
 	WaitUntil        time.Time // end of the time that it may spend in a queue
 	CallerDeadline   time.Time // up to which its caller waits, zero if not known
 	AskedAt          time.Time // when its caller first asked, as far as that is known
@@ -68,6 +69,24 @@
 	Notice           ServerNotice // what the sender has heard from the backend server of the node it is sent to
 }
 
+// Limit names what sets the deadline of a call.
+type Limit string
+
+// Limits.
+const (
+	RouteLimit     Limit = "route"          // the timeout of its route, by the version of the call
+	CallerLimit    Limit = "caller"         // the time for which its caller waits
+	EnclosingLimit Limit = "enclosing_call" // the deadline of the call that it is nested in
+)
+
+// WithDeadlineBy returns c with the deadline at if that is earlier than the present one.
+func (c Call) WithDeadlineBy(at time.Time, l Limit) Call {
+	if c.Deadline.IsZero() || at.Before(c.Deadline) {
+		c.Deadline, c.Limit = at, l
+	}
+	return c
+}
+
 // WithAttempt returns c as another attempt in the given mode.
 func (c Call) WithAttempt(id string, m Mode) Call {
 	c.Attempt = id
@@ -85,7 +104,7 @@
 	c.LargeResponse = r.LargeResponse
 	c.MaxUpstreams = r.MaxUpstreams
 	if r.Timeout > 0 {
-		c.Deadline = arrived.Add(r.Timeout)
+		c.Deadline, c.Limit = arrived.Add(r.Timeout), RouteLimit
 	}
 	if r.TargetLatency > 0 && r.TargetLatency != r.Timeout {
 		c.Target = arrived.Add(r.TargetLatency)
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -84,6 +84,7 @@
 	RequestSpilled  Kind = "request_spilled"   // sent to another data centre, since the own one refuses more calls
 	RequestNotMoved Kind = "request_not_moved" // refused for load, and every other upstream is full too
 	RequestUnknown  Kind = "request_unknown"   // it may have run
+	RequestOverdue  Kind = "request_overdue"   // it had no reply some time after its deadline
 	// RequestOutlastsStop is that of a call which is refused during a planned stop of the
 	// node, since it might last beyond its end.
 	RequestOutlastsStop Kind = "request_outlasts_stop"
--- a/io/feed/boot.go
+++ b/io/feed/boot.go
@@ -110,7 +110,7 @@
 	}
 	cur := f.Stamp()
 	if head.Version.Stamp().After(cur) {
-		f.offerToTracker(head.Version, origin{name: "store"})
+		f.offerToTracker(head.Version, origin{name: fromCheck.name})
 	}
 	f.recordHead(head, began)
 }
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -85,6 +85,8 @@
 	joined    atomic.Bool  // set by SetJoined
 	rank      atomic.Int64 // rank that runReader acts on
 	appliedAt atomic.Int64 // when the version in force was applied, Unix nanoseconds
+	watched   atomic.Int64 // versions applied that the watch of the store told
+	checked   atomic.Int64 // versions applied that a check of the store found
 	proofs    *proofs      // nil without Config.RevokeWithin
 }
 
@@ -189,10 +191,16 @@
 
 // origin is the source of a version.
 type origin struct {
-	name    string // "store", or the node, address or data centre it came from
+	name    string // how it was learned from the store, or the node, address or data centre it came from
 	isStore bool
 }
 
+// Origins of versions that were learned from the store.
+var (
+	fromWatch = origin{"the watch of the store", true}
+	fromCheck = origin{"a check of the store", true}
+)
+
 // offerToTracker offers a version to the tracker, which decides whether it is put
 // in force, and journals the decision.
 func (f *Feed) offerToTracker(v vers.Version, from origin) vers.Decision {
@@ -210,6 +218,7 @@
 		s := f.tracker.Current()
 		f.appliedAt.Store(time.Now().UnixNano())
 		f.putInForce(&s)
+		f.countApplied(from)
 		f.refusal = ""
 		f.recordVersionEvent(event.VersionApplied, v.Number, cause)
 	case vers.Refused:
@@ -223,6 +232,20 @@
 	return d
 }
 
+// countApplied counts a version that was applied, by its origin.
+func (f *Feed) countApplied(from origin) {
+	switch from.name {
+	case fromWatch.name:
+		f.watched.Add(1)
+	case fromCheck.name:
+		f.checked.Add(1)
+	}
+}
+
+// Learned returns how many of the versions applied at this node were told by its watch of the
+// store, and found by its checks of the store. The others came from other nodes.
+func (f *Feed) Learned() (watched, checked int64) { return f.watched.Load(), f.checked.Load() }
+
 // reportOnce journals an event about a version, unless one has been reported for
 // its stamp already.
 func (f *Feed) reportOnce(k event.Kind, s vers.Stamp, cause string) {
--- a/io/feed/reader.go
+++ b/io/feed/reader.go
@@ -206,7 +206,7 @@
 	failed := make(chan error, 2)
 	go func() {
 		failed <- f.cfg.Source.Watch(ctx, f.VersionByDigest, head.Revision.Next(), f.recordStoreBack, func(v vers.Version, err error) {
-			f.applyFromStore(ctx, v, err)
+			f.applyFromStore(ctx, v, err, fromWatch)
 			lastValid = f.recordWatched(lastValid, v, err)
 		})
 	}()
@@ -216,12 +216,12 @@
 
 // applyFromStore handles a version read from the store, or the error of a record
 // that can't be decoded. It distributes the version if it was applied.
-func (f *Feed) applyFromStore(ctx context.Context, v vers.Version, err error) {
+func (f *Feed) applyFromStore(ctx context.Context, v vers.Version, err error, from origin) {
 	if err != nil {
 		f.recordReaderEvent(event.VersionRefused, "record in the store: "+err.Error())
 		return
 	}
-	if f.offerToTracker(v, origin{"store", true}).Kind == vers.Applied {
+	if f.offerToTracker(v, from).Kind == vers.Applied {
 		f.distribute(ctx, v, int(f.rank.Load()))
 	}
 }
@@ -271,11 +271,11 @@
 		}
 	}
 	if cur != nil && head.Version.Number < cur.Version.Number {
-		f.offerToTracker(head.Version, origin{"store", true})
+		f.offerToTracker(head.Version, fromCheck)
 		return head, f.restoreStore(ctx, head, cur.Version)
 	}
 	if head.Version.Number > 0 {
-		f.applyFromStore(ctx, head.Version, nil)
+		f.applyFromStore(ctx, head.Version, nil, fromCheck)
 		f.recordHead(head, began)
 	}
 	return head, nil
--- a/io/logs/request.go
+++ b/io/logs/request.go
@@ -33,6 +33,8 @@
 	Arrived   int    // attempts that may have reached a backend server
 	Took      time.Duration
 	TimeLeft  time.Duration // until its deadline, when it ended
+	Timeout   time.Duration // from its arrival to its deadline
+	Limit     string        // what set its deadline, the name of a call.Limit
 	Succeeded bool
 }
 
@@ -70,6 +72,7 @@
 		zap.Uint64("version", end.Version), zap.String("fate", end.Fate), zap.Int("status", end.Status),
 		zap.String("sent_to", end.SentTo), zap.String("replied_by", end.RepliedBy), zap.Int("attempts", end.Attempts), zap.Int("arrived", end.Arrived),
 		zap.Duration("took", end.Took), zap.Duration("left", end.TimeLeft),
+		zap.Duration("timeout", end.Timeout), zap.String("timeout_of", end.Limit),
 	}
 	if end.Cause != "" {
 		fields = append(fields, zap.String("cause", end.Cause))
--- a/io/node/vars.go
+++ b/io/node/vars.go
@@ -27,6 +27,8 @@
 		{"call_bytes_inside", "Bytes of call connections, inside the data centre.", n.byteMeters.calls.Inside},
 		{"call_bytes_across", "Bytes of call connections, to other data centres.", n.byteMeters.calls.Across},
 		{"version", "Number of the version in force.", func() int64 { return int64(n.feed.Stamp().Number) }},
+		{"versions_watched", "Versions applied that the node's watch of the store told.", func() int64 { watched, _ := n.feed.Learned(); return watched }},
+		{"versions_checked", "Versions applied that a check of the store by the node found.", func() int64 { _, checked := n.feed.Learned(); return checked }},
 		{"members_up", "Members believed to be running.", func() int64 { return int64(len(n.fleet.View().UpIDs())) }},
 		{"in_flight", "Calls at the own backend server.", func() int64 { return int64(n.gate.Load().InFlight) }},
 		{"queued", "Calls that wait for the own backend server.", func() int64 { return int64(n.gate.Load().Queued) }},
--- a/io/proxy/callerbody.go
+++ b/io/proxy/callerbody.go
@@ -78,6 +78,7 @@
 		_, err := w.Write(body)
 		return err
 	}
+	enterStep(ctx, stepLink)
 	d := l.callerOut.Acquire(ctx, band.Transfer{Call: c.ID, Bytes: n, Priority: int(c.Priority), Target: c.Target, Detached: true})
 	if !d.Admitted {
 		return ctx.Err()
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -228,10 +228,13 @@
 func (p *Proxy) sendTo(ctx context.Context, target pick.Candidate, c call.Call, onSilent func(silence)) call.Reply {
 	switch {
 	case target.ID == p.cfg.Node:
+		enterStep(ctx, stepOwnServer)
 		return p.serveLocally(ctx, c)
 	case c.AtMostOnce:
+		enterStep(ctx, stepPeer)
 		return p.sendAtMostOnce(ctx, target, c, onSilent)
 	}
+	enterStep(ctx, stepPeer)
 	return p.send(ctx, target.Addr, c, onSilent)
 }
 
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -103,6 +103,8 @@
 		ctx, span := p.cfg.Tracer.Start(ctx, "ingress", trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
 		in.trace = span.SpanContext().TraceID().String()
+		ctx, at := withProgress(ctx)
+		r = r.WithContext(ctx)
 		c, rej := p.readCall(w, r, in)
 		endNested := p.beginNestedCall(origin, c)
 		if rej != nil {
@@ -129,6 +131,7 @@
 		}
 		p.rememberRefusal(c, reply)
 		p.observeDuration(c, reply, in.begunAt)
+		p.recordOverdue(c, time.Now(), at.current())
 		p.reportResult(c, reply, summary, in.arrivedAt)
 		p.writeReply(ctx, w, c, reply)
 	})
@@ -173,7 +176,7 @@
 	}
 	p.cfg.OnCall(CallResult{
 		ID: c.ID, Trace: c.Trace, Service: c.Service, Class: c.Class, Version: c.Version,
-		Took: time.Since(arrivedAt), Timeout: c.Deadline.Sub(arrivedAt), Reply: r, AttemptSummary: summary,
+		Took: time.Since(arrivedAt), Timeout: c.Deadline.Sub(arrivedAt), Limit: c.Limit, Reply: r, AttemptSummary: summary,
 	})
 }
 
@@ -189,6 +192,7 @@
 		r, summary := p.dispatch(ctx, c, false)
 		return r, summary, nil
 	}
+	enterStep(ctx, stepHome)
 	key, err := dedup.ParseKey(c.Header.Get(HeaderIdempotencyKey), time.Now(), p.cfg.DataCentres)
 	if err != nil {
 		return call.Reply{}, AttemptSummary{}, newRejection(http.StatusBadRequest, err.Error())
--- a/io/proxy/inquire.go
+++ b/io/proxy/inquire.go
@@ -73,6 +73,7 @@
 // be sent to another upstream. It returns unresolved if the outcome can't be
 // learned in time.
 func (p *Proxy) resolveOutcome(ctx context.Context, target pick.Candidate, c call.Call, sentAt time.Time, unresolved call.Reply) call.Reply {
+	enterStep(ctx, stepInquiry)
 	for pace := newInquiryPace(); ; {
 		res, err := p.inquire(peer.WithAge(ctx, time.Since(sentAt)+pace.timeout), target.Addr, processID(target), c, pace.timeout)
 		switch {
--- a/io/proxy/quota.go
+++ b/io/proxy/quota.go
@@ -18,6 +18,7 @@
 	if target.IsZero() {
 		target = c.Deadline
 	}
+	enterStep(ctx, stepQuota)
 	permit, refusal := p.cfg.Quotas.Admit(ctx, c.Account, tokens.WaitUntil(arrivedAt, target))
 	if refusal != nil {
 		return *refusal, AttemptSummary{}, nil
--- a/io/proxy/read.go
+++ b/io/proxy/read.go
@@ -155,6 +155,7 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
+	enterStep(r.Context(), stepBody)
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(c.Deadline) // a request that was started early has no body
 	body, rej := p.readBody(r, c, limit)
--- a/io/proxy/waited.go
+++ b/io/proxy/waited.go
@@ -15,14 +15,14 @@
 func (p *Proxy) limitDeadline(c *call.Call, info tanagerchute.RequestInfo, in ingressRequest) *rejection {
 	if info.TimeLeft > 0 {
 		c.CallerDeadline = in.arrivedAt.Add(info.TimeLeft)
-		c.Deadline = earlier(c.Deadline, in.arrivedAt.Add(info.TimeLeft))
+		*c = c.WithDeadlineBy(c.CallerDeadline, call.CallerLimit)
 	}
 	if c.Deadline.IsZero() {
 		return newRejection(http.StatusBadRequest, "neither the request nor its route has a deadline")
 	}
 	if in.origin.Backend {
 		if parentDeadline, ok := p.cfg.Gate.Deadline(in.trace); ok {
-			c.Deadline = earlier(c.Deadline, parentDeadline)
+			*c = c.WithDeadlineBy(parentDeadline, call.EnclosingLimit)
 		}
 	}
 	c.AskedAt = in.arrivedAt.Add(-p.waitedBefore(c, info, in.arrivedAt))
