feed: versions are found in time where watches are silent

Cause: the silence of a watch was taken for "nothing has changed". The check behind the watches was a read each 3 s, jittered to 1.5 to 4.5 s, by the first reader of each data centre only, while a version must be in force after 2 s. If the first readers got no answer of the store, nobody read it until a watch timed out after 22 s.

The proofs that bound withdrawn keys are kept for all versions, and five nodes of each data centre renew them in time: the first reader reads, the others ask it and read if that fails. A read without an answer does not delay the next.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -34,10 +34,12 @@
 	NodePaused         Kind = "node_paused" // the process did not run for a while
 	VersionApplied     Kind = "version_applied"
 	VersionRefused     Kind = "version_refused"
-	VersionForked      Kind = "version_forked" // it contradicts the history of the version in force
-	StoreBackward      Kind = "store_backward" // the newest version in the store is older than the one in force
-	StoreRepaired      Kind = "store_repaired" // a version that the store had lost was written back
-	StoreLost          Kind = "store_lost"     // the store can't be reached
+	VersionForked      Kind = "version_forked"   // it contradicts the history of the version in force
+	VersionUnproved    Kind = "version_unproved" // a node that looks for newer versions has not been able to in time
+	VersionProved      Kind = "version_proved"   // it has been able to again
+	StoreBackward      Kind = "store_backward"   // the newest version in the store is older than the one in force
+	StoreRepaired      Kind = "store_repaired"   // a version that the store had lost was written back
+	StoreLost          Kind = "store_lost"       // the store can't be reached
 	StoreBack          Kind = "store_back"
 	StoreEraChanged    Kind = "store_era_changed" // the store has restarted from an older copy
 	StoreEraIgnored    Kind = "store_era_ignored" // an answer of the store named no era, or one that is not credible
--- a/core/proof/proof_test.go
+++ b/core/proof/proof_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -196,9 +197,13 @@
 	perZone    int
 	reads      int
 	firstReads int // in the first second
+	startReads int // in the first two bounds
 	asks       int
 	oldest     time.Duration // age of the oldest proof after the start
+	stalest    time.Duration // age of the newest proof of all nodes when it was oldest, after the start
 	canRead    func(i int) bool
+	schedule   proof.Schedule // KeySchedule if it is zero
+	checkers   int            // nodes of each data centre that look for proofs, 0 for all
 }
 
 type fleetNode struct {
@@ -209,9 +214,12 @@
 // run runs the fleet for d, in steps of 100 ms.
 func (f *fleet) run(size int, d time.Duration) {
 	r := rand.New(rand.NewPCG(1, uint64(size)))
+	if f.schedule == (proof.Schedule{}) {
+		f.schedule = proof.KeySchedule()
+	}
 	for range size {
 		cfg := proof.Config{Bound: bound, Spread: r.Float64()}
-		n := &fleetNode{proof.NewKeeper(cfg), proof.NewPlanner(cfg)}
+		n := &fleetNode{proof.NewKeeper(cfg), proof.NewPlanner(cfg, f.schedule)}
 		n.Apply(stampOf(1))
 		f.nodes = append(f.nodes, n)
 	}
@@ -220,12 +228,20 @@
 		if now.Sub(start) == time.Second {
 			f.firstReads = f.reads
 		}
+		if now.Sub(start) == 2*bound {
+			f.startReads = f.reads
+		}
+		newest := time.Duration(math.MaxInt64)
 		for i, n := range f.nodes {
 			f.step(now, i, n, r)
 			if age, ok := n.Age(now); ok && now.Sub(start) > 2*bound {
 				f.oldest = max(f.oldest, age)
+				newest = min(newest, age)
 			}
 		}
+		if now.Sub(start) > 2*bound {
+			f.stalest = max(f.stalest, newest)
+		}
 	}
 }
 
@@ -238,13 +254,20 @@
 		}
 	}
 	rank := i % f.perZone
-	if rank > 1 {
+	if f.checkers > 0 && rank >= f.checkers {
+		return
+	}
+	if f.checkers == 0 && rank > 1 {
 		rank = -1
 	}
 	step := n.Next(now, n.Keeper, rank, r.Float64())
 	if step.Ask {
 		f.asks++
-		f.pass(now, i-i%f.perZone, n)
+		first := i - i%f.perZone
+		if second := first + 1; second != i && f.asks%2 == 0 {
+			first = second
+		}
+		f.pass(now, first, n)
 	}
 	if step.Read {
 		f.reads++
@@ -290,3 +313,44 @@
 		})
 	}
 }
+
+// TestChecksFindVersionInTime counts the checks of the store for versions of which no watch tells,
+// and looks at how old the knowledge of the whole fleet gets: a version that is accepted when it
+// is oldest is found by the next check. The checks must not become more with the nodes, and what
+// is left of the bound must do for a version to reach all nodes.
+func TestChecksFindVersionInTime(t *testing.T) {
+	const (
+		zones    = 3
+		checkers = 5
+		mostAge  = bound * 7 / 10
+		// mostWhile is about a hundredth of the reads that the platform allows in a bound of 2 s.
+		mostWhile = 50
+		mostUsual = zones / 0.22 // the first readers read
+	)
+	rank := func(i, size int) int { return i % (size / zones) }
+	for _, size := range []int{15, 90, 639} {
+		for _, c := range []struct {
+			name      string
+			canRead   func(i int) bool
+			mostReads float64 // of the whole fleet in a bound
+			found     bool    // a node reaches the store
+		}{
+			{"all reach the store", func(int) bool { return true }, mostUsual, true},
+			{"no first reader does", func(i int) bool { return rank(i, size) > 0 }, mostWhile, true},
+			{"no reader does", func(i int) bool { return rank(i, size) > 1 }, mostWhile, true},
+			{"one checker does", func(i int) bool { return i == size/zones+4 }, mostWhile, true},
+			{"none does", func(int) bool { return false }, mostWhile, false},
+		} {
+			t.Run(fmt.Sprint(size, " nodes, ", c.name), func(t *testing.T) {
+				f := &fleet{perZone: size / zones, canRead: c.canRead, schedule: proof.VersionSchedule(), checkers: checkers}
+				f.run(size, time.Minute)
+				const perBound = float64(bound) / float64(time.Minute-2*bound)
+				reads := float64(f.reads-f.startReads) * perBound
+				t.Logf("%.1f reads in a bound, %d at the start, knowledge %v old at most", reads, f.startReads, f.stalest)
+				if reads > c.mostReads || c.found && f.stalest > mostAge {
+					t.Errorf("want at most %.1f reads in a bound and knowledge of at most %v", c.mostReads, mostAge)
+				}
+			})
+		}
+	}
+}
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -10,13 +11,16 @@
 
 	"tanagerchute"
 	"tanagerchute/core/event"
-	"tanagerchute/core/proof"
 	"tanagerchute/core/vers"
 	"tanagerchute/io/fleet"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/wire"
 )
 
+// DefaultInForceWithin is the time from the acceptance of a version to its being in force
+// at all nodes if the settings don't say another one.
+const DefaultInForceWithin = 7 * time.Second
+
 // ReadersPerDataCentre is the number of nodes of a data centre that watch the
 // store.
 const ReadersPerDataCentre = 2
@@ -24,7 +28,6 @@
 // Intervals and timeouts.
 const (
 	fetchTimeout  = time.Second
-	pollInterval  = 3 * time.Second // mean time between polls of the store
 	minRetryDelay = 200 * time.Millisecond
 	maxRetryDelay = 3 * time.Second
 )
@@ -47,9 +50,16 @@
 	Client        *peer.Client
 	Journal       *event.Journal
 	Rand          *rand.Rand
+	// InForceWithin is the time from the acceptance of a version by the store to its being in
+	// force at all nodes that can reach others, 0 for DefaultInForceWithin. The checks
+	// that find a version of which no watch has told follow from it.
+	InForceWithin time.Duration
 	// RevokeWithin is the time within which withdrawn keys must end, 0 if nodes go on
 	// with the keys that they know.
 	RevokeWithin time.Duration
+	// OnChecked, if not nil, is called with the revision of the store as of each check of it
+	// that succeeds.
+	OnChecked func(ctx context.Context, r tanagerchute.Revision)
 	// Mode is how versions are distributed. Only benchmarks set it.
 	Mode Mode
 }
@@ -87,7 +97,9 @@
 	appliedAt atomic.Int64 // when the version in force was applied, Unix nanoseconds
 	watched   atomic.Int64 // versions applied that the watch of the store told
 	checked   atomic.Int64 // versions applied that a check of the store found
-	proofs    *proofs      // nil without Config.RevokeWithin
+	proofs    *proofs
+	// checkFailed receives the error of a check of the store that failed.
+	checkFailed chan error
 }
 
 // deltaKey identifies a delta by the digests of the version and of its base.
@@ -109,20 +121,20 @@
 
 // New returns a feed without a version.
 func New(cfg Config) *Feed {
+	cfg.InForceWithin = cmp.Or(cfg.InForceWithin, DefaultInForceWithin)
 	f := &Feed{
-		cfg:       cfg,
-		tracker:   vers.NewTracker(cfg.TrackerConfig),
-		reported:  map[vers.Stamp]bool{},
-		forwarded: map[forwardKey]bool{},
-		deltas:    map[deltaKey]*wire.Version{},
-		fetches:   make(chan string, fetchQueueSize),
-		pushes:    make(chan push, pushQueueSize),
-		readAgain: make(chan struct{}, 1),
+		cfg:         cfg,
+		tracker:     vers.NewTracker(cfg.TrackerConfig),
+		reported:    map[vers.Stamp]bool{},
+		forwarded:   map[forwardKey]bool{},
+		deltas:      map[deltaKey]*wire.Version{},
+		fetches:     make(chan string, fetchQueueSize),
+		pushes:      make(chan push, pushQueueSize),
+		readAgain:   make(chan struct{}, 1),
+		proofs:      newProofs(cfg),
+		checkFailed: make(chan error, 1),
 	}
 	f.rank.Store(noRank)
-	if cfg.RevokeWithin > 0 {
-		f.proofs = newProofs(proof.Config{Bound: cfg.RevokeWithin, Spread: cfg.Rand.Float64()})
-	}
 	return f
 }
 
@@ -168,10 +180,7 @@
 // until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	loops := []func(context.Context){f.runPushes, f.runReader}
-	if f.proofs != nil {
-		loops = append(loops, f.runProofs)
-	}
+	loops := []func(context.Context){f.runPushes, f.runReader, f.runChecks}
 	for range fetchWorkers {
 		loops = append(loops, f.runFetchWorker)
 	}
--- a/io/feed/reader.go
+++ b/io/feed/reader.go
@@ -192,26 +192,30 @@
 	return d/2 + time.Duration(f.cfg.Rand.Int64N(int64(d)))
 }
 
-// follow reads the newest version and then watches for later ones until either
-// fails. It also polls the store, since a watch whose connection is dead can't be
-// told from one without events.
+// follow reads the newest version and then watches for later ones until the watch or a check
+// of the store fails. A watch whose connection is dead can't be told from one without events,
+// but a check can, see runChecks.
 func (f *Feed) follow(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	f.forgetFailedCheck()
 	head, err := f.syncWithStore(ctx)
 	if err != nil {
 		return err
 	}
 	lastValid := f.recordWatched(vers.Stamp{}, head.Version, nil)
-	failed := make(chan error, 2)
+	failed := make(chan error, 1)
 	go func() {
 		failed <- f.cfg.Source.Watch(ctx, f.VersionByDigest, head.Revision.Next(), f.recordStoreBack, func(v vers.Version, err error) {
 			f.applyFromStore(ctx, v, err, fromWatch)
 			lastValid = f.recordWatched(lastValid, v, err)
 		})
 	}()
-	go func() { failed <- f.poll(ctx) }()
-	return <-failed
+	select {
+	case err = <-failed:
+	case err = <-f.checkFailed:
+	}
+	return err
 }
 
 // applyFromStore handles a version read from the store, or the error of a record
@@ -226,33 +230,6 @@
 	}
 }
 
-// poll reads the store every pollInterval while this node is the reader of rank 0
-// of its data centre. It returns when ctx ends or a read fails. The readers of all
-// data centres poll, since some of them may be unable to reach the store while a
-// watch of another one hears nothing.
-func (f *Feed) poll(ctx context.Context) error {
-	for {
-		if !timer.Sleep(ctx, f.jitter(pollInterval)) {
-			return ctx.Err()
-		}
-		if f.rank.Load() != 0 {
-			continue
-		}
-		if err := f.pollStore(ctx); err != nil {
-			return err
-		}
-	}
-}
-
-// pollStore reads what is new in the store.
-func (f *Feed) pollStore(ctx context.Context) error {
-	if f.proofs != nil {
-		return f.confirmHead(ctx)
-	}
-	_, err := f.syncWithStore(ctx)
-	return err
-}
-
 // syncWithStore reads the newest version of the store and applies it if it is later
 // than the one in force. If it is earlier, the store has lost the version in force,
 // which it had accepted. syncWithStore then writes that version back.
--- a/io/fleet/view.go
+++ b/io/fleet/view.go
@@ -27,7 +27,7 @@
 }
 
 // MaxReaderRank is the number of members that are ranked as readers.
-const MaxReaderRank = 3
+const MaxReaderRank = 5
 
 func newView(t *member.Table, r *remote.Table) *View {
 	v := &View{
--- a/io/node/components.go
+++ b/io/node/components.go
@@ -151,7 +151,7 @@
 	}
 	n.feed = feed.New(feed.Config{
 		Self: n.id, TrackerConfig: trackerConfig, Source: source, Fleet: n.fleet, Client: n.client,
-		Journal: n.journal, Rand: n.newRand("feed"), Mode: n.cfg.Mode, RevokeWithin: s.Keys.RevokeWithin.Std(),
+		Journal: n.journal, Rand: n.newRand("feed"), Mode: n.cfg.Mode, InForceWithin: s.Versions.InForceWithin.Std(), RevokeWithin: s.Keys.RevokeWithin.Std(),
 	})
 }
 
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -61,11 +61,12 @@
 	TrustHeartbeats bool `json:"trust_heartbeats,omitempty"`
 	// PipelineDepth is the number of requests on one connection of a caller that may
 	// run at once, 0 or 1 to run them one after the other.
-	PipelineDepth int     `json:"pipeline_depth,omitempty"`
-	Link          Link    `json:"link,omitempty"`
-	Keys          Keys    `json:"keys,omitempty"`
-	Quota         Quota   `json:"quota,omitempty"`
-	Rollout       Rollout `json:"rollout,omitempty"`
+	PipelineDepth int      `json:"pipeline_depth,omitempty"`
+	Link          Link     `json:"link,omitempty"`
+	Versions      Versions `json:"versions,omitempty"`
+	Keys          Keys     `json:"keys,omitempty"`
+	Quota         Quota    `json:"quota,omitempty"`
+	Rollout       Rollout  `json:"rollout,omitempty"`
 }
 
 // Link describes the network link of the instance.
@@ -82,6 +83,14 @@
 // the node.
 func (l Link) BytesPerSecond() float64 { return l.MbitPerSecond * bytesPerMbit }
 
+// Versions holds the settings of the distribution of configuration versions.
+type Versions struct {
+	// InForceWithin bounds the time from the acceptance of a version by the store to its
+	// being in force, also where no watch of the store tells of it. Zero means the default,
+	// 7 s.
+	InForceWithin jsonc.Duration `json:"in_force_within,omitempty"`
+}
+
 // Keys holds the settings of the keys of client accounts.
 type Keys struct {
 	// RevokeWithin bounds how long a withdrawn key may still be served, also by a node
@@ -366,6 +375,9 @@
 	if n.Link.MbitPerSecond < 0 {
 		c.Add("link.mbit_per_s", "must not be negative")
 	}
+	if n.Versions.InForceWithin < 0 {
+		c.Add("versions.in_force_within", "must not be negative")
+	}
 	if n.Keys.RevokeWithin < 0 {
 		c.Add("keys.revoke_within", "must not be negative")
 	}
