stage: orders of roll-outs are found where watches are silent

Cause: orders were read once and then watched, with no check behind the watch.

Fix: each check for versions yields the revision of the store. If it has changed since the orders were read, they are read again, by whichever node made the check. Without changes in the store that costs no call.

--- a/io/feed/checks.go
+++ b/io/feed/checks.go
@@ -133,7 +133,7 @@
 			f.ReadAgain()
 		}
 		if f.cfg.OnChecked != nil {
-			f.cfg.OnChecked(ctx, rev)
+			f.cfg.OnChecked(rev)
 		}
 	}
 }
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -58,8 +58,8 @@
 	// with the keys that they know.
 	RevokeWithin time.Duration
 	// OnChecked, if not nil, is called with the revision of the store as of each check of it
-	// that succeeds.
-	OnChecked func(ctx context.Context, r tanagerchute.Revision)
+	// that succeeds. It must not block.
+	OnChecked func(r tanagerchute.Revision)
 	// Mode is how versions are distributed. Only benchmarks set it.
 	Mode Mode
 }
--- a/io/node/components.go
+++ b/io/node/components.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"tanagerchute"
 	"tanagerchute/core/acct"
 	"tanagerchute/core/member"
 	"tanagerchute/core/tokens"
@@ -151,7 +152,8 @@
 	}
 	n.feed = feed.New(feed.Config{
 		Self: n.id, TrackerConfig: trackerConfig, Source: source, Fleet: n.fleet, Client: n.client,
-		Journal: n.journal, Rand: n.newRand("feed"), Mode: n.cfg.Mode, InForceWithin: s.Versions.InForceWithin.Std(), RevokeWithin: s.Keys.RevokeWithin.Std(),
+		Journal: n.journal, Rand: n.newRand("feed"), Mode: n.cfg.Mode, OnChecked: func(r tanagerchute.Revision) { n.rollouts.CheckOrders(r) },
+		InForceWithin: s.Versions.InForceWithin.Std(), RevokeWithin: s.Keys.RevokeWithin.Std(),
 	})
 }
 
--- a/io/stage/reader.go
+++ b/io/stage/reader.go
@@ -52,16 +52,10 @@
 // on after that, until runCtx ends.
 func (m *Manager) followOrders(ctx, runCtx context.Context) error {
 	prefix := m.cfg.Format.OrderPrefix()
-	kvs, rev, err := m.cfg.Store.List(ctx, prefix, tanagerchute.Latest)
+	rev, err := m.readOrders(ctx, runCtx, func(canary.Order) {}) // it may have ended long ago
 	if err != nil {
 		return err
 	}
-	present := map[string]bool{}
-	for _, kv := range kvs {
-		present[strings.TrimPrefix(kv.Key, prefix)] = true
-		m.observeOrder(runCtx, rev, kv) // it may have ended long ago
-	}
-	m.withdrawMissing(rev, present)
 	return m.cfg.Store.Watch(ctx, prefix, rev.Next(), func() {}, func(e tanagerchute.Event) {
 		if e.Deleted {
 			m.withdraw(strings.TrimPrefix(e.KV.Key, prefix))
@@ -73,6 +67,58 @@
 	})
 }
 
+// readOrders reads all orders, and calls onNew for each that is new to this node. It returns
+// the revision as of which they were read. What it begins goes on until runCtx ends.
+func (m *Manager) readOrders(ctx, runCtx context.Context, onNew func(canary.Order)) (tanagerchute.Revision, error) {
+	prefix := m.cfg.Format.OrderPrefix()
+	kvs, rev, err := m.cfg.Store.List(ctx, prefix, tanagerchute.Latest)
+	if err != nil {
+		return rev, err
+	}
+	present := map[string]bool{}
+	for _, kv := range kvs {
+		present[strings.TrimPrefix(kv.Key, prefix)] = true
+		if o, isNew := m.observeOrder(runCtx, rev, kv); isNew {
+			onNew(o)
+		}
+	}
+	m.withdrawMissing(rev, present)
+	return rev, nil
+}
+
+// CheckOrders makes the manager read the orders if the store has changed since it last did. It is
+// called with the revision of the store as of each check for configuration versions, since a watch
+// may hear nothing of an order. It does not block.
+func (m *Manager) CheckOrders(r tanagerchute.Revision) {
+	select {
+	case m.checks <- r:
+	default: // the next check comes soon
+	}
+}
+
+// runOrderChecks reads the orders when a check has shown another revision of the store, until
+// ctx ends.
+func (m *Manager) runOrderChecks(ctx context.Context) {
+	var readAt tanagerchute.Revision
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-m.checks:
+			if r == readAt {
+				continue
+			}
+			onNew := func(o canary.Order) { m.holdTargetBack(ctx, o) }
+			if readAt == (tanagerchute.Revision{}) {
+				onNew = func(canary.Order) {} // it may have ended long ago
+			}
+			if at, err := m.readOrders(ctx, ctx, onNew); err == nil {
+				readAt = at
+			}
+		}
+	}
+}
+
 // eraNumber returns the number of the era of a revision, 0 if it is unknown.
 func eraNumber(rev tanagerchute.Revision) uint64 {
 	n, err := strconv.ParseUint(rev.Era.String(), 10, 64)
--- a/io/stage/stage.go
+++ b/io/stage/stage.go
@@ -61,9 +61,10 @@
 // Manager performs the roll-outs at one node. Its methods are safe for concurrent use.
 type Manager struct {
 	cfg         Config
-	active      atomic.Bool   // there is a stage that is not the last of its order
-	wake        chan struct{} // receives a value when active may have changed
-	slots       chan struct{} // limits the messages in flight
+	active      atomic.Bool                // there is a stage that is not the last of its order
+	wake        chan struct{}              // receives a value when active may have changed
+	checks      chan tanagerchute.Revision // of the store, from CheckOrders
+	slots       chan struct{}              // limits the messages in flight
 	wg          sync.WaitGroup
 	refused     atomic.Pointer[string] // version that the gatekeeper refuses, nil for none
 	targetCalls atomic.Int64           // that TakeTarget has given to target versions
@@ -83,7 +84,7 @@
 // New returns a manager without roll-outs.
 func New(cfg Config) *Manager {
 	return &Manager{
-		cfg: cfg, wake: make(chan struct{}, 1), slots: make(chan struct{}, maxMessages),
+		cfg: cfg, wake: make(chan struct{}, 1), checks: make(chan tanagerchute.Revision, 1), slots: make(chan struct{}, maxMessages),
 		table:    canary.NewTable(),
 		counters: map[string]float64{}, tallies: map[string]*canary.Tally{}, reportedAt: map[string]time.Time{},
 		tallySince: time.Now(),
@@ -102,6 +103,7 @@
 	defer m.wg.Wait()
 	if m.cfg.Store != nil {
 		m.spawn(func() { m.runReader(ctx) })
+		m.spawn(func() { m.runOrderChecks(ctx) })
 	}
 	for {
 		select {
