peer, proxy: reading an answer of another node ends at the deadline

What callers saw: a request that is held long beyond its deadline, although a part of its answer has arrived.

Cause: when a request ends, the HTTP/2 transport first tells the other node, with a frame on their connection, and lets the read of the answer return only then. If the other node does not read (frozen, cut off, the connection silent) and the buffers are full, that write blocks until the connection fails, 10 s later.

Fix: the body of an answer is closed when the context of its request ends, which breaks the read before anything is written.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -126,13 +126,13 @@
 }
 
 // RoundTrip implements http.RoundTripper. The body of the response returns an error at
-// maxAnswerBytes.
+// maxAnswerBytes, and when the context of r ends.
 func (s *deploymentTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r.Header.Set(HeaderDeployment, s.deployment)
 	res, err := s.Transport.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
-	res.Body = http.MaxBytesReader(nil, res.Body, maxAnswerBytes)
+	res.Body = http.MaxBytesReader(nil, InTime(r.Context(), res.Body), maxAnswerBytes)
 	return res, nil
 }
--- a/io/peer/client_test.go
+++ b/io/peer/client_test.go
@@ -1,11 +1,13 @@
 package peer_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"runtime"
 	"testing"
+	"time"
 
 	"tanagerchute/io/link"
 	"tanagerchute/io/peer"
@@ -51,3 +53,38 @@
 		_ = srv.Close()
 	}
 }
+
+// TestAnswerOfNodeThatStopsReadingEndsInTime guards against a control request that outlives its timeout
+// by far, since the other node has sent a part of the answer and neither sends nor reads any more. What
+// fetches versions would wait for such nodes.
+func TestAnswerOfNodeThatStopsReadingEndsInTime(t *testing.T) {
+	l := link.NewStuck()
+	ended := make(chan struct{})
+	srv := peer.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/protobuf")
+		w.Header().Set("Content-Length", "1000")
+		_, _ = w.Write([]byte("the begin"))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(100 * time.Millisecond) // the client reads it
+		l.Stick()
+		<-ended
+	}))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = srv.Serve(ln) }() // returns when srv is closed
+	t.Cleanup(func() { _ = srv.Close() })
+	t.Cleanup(func() { close(ended) })
+	c := peer.NewClient(peer.Config{Deployment: "d", Dial: l.Dial(link.Direct)})
+	const timeout, late = 300 * time.Millisecond, 500 * time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	began := time.Now()
+	if _, err := c.To(ln.Addr().String()).Fetch(ctx, &wire.FetchRequest{}); err == nil {
+		t.Error("no error")
+	}
+	if took := time.Since(began); took > timeout+late {
+		t.Errorf("ended after %v, want %v at most", took, timeout+late)
+	}
+}
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -124,6 +124,7 @@
 		return failedReply(ctx, a)
 	}
 	a.stop()
+	res.Body = peer.InTime(ctx, res.Body)
 	defer res.Body.Close()
 	if res.Header, err = p.cfg.Memory.Header(ctx, res.Header, answerMemory(c)); err != nil {
 		p.recordMissingAnswer(ctx, addr, c, a, err)
