proxy, xfer: an answer waits for the link of its caller's node until the deadline only

What callers saw: large answers from a node with a narrow link that callers reach over that link came up to seconds after the deadline, or were cut by the write timeout.

Cause: the answer's wait for the link had no deadline, other than those of bodies and of answers between nodes, and its pace went on beyond it.

On the users' platform callers are on the node's own machine, so that this can't be what they saw.

Fix: the wait ends at the deadline, with a final reply in place of the answer, and what is left of an answer that has begun goes at once then. Answers between nodes are not held for a sender whose deadline has passed either.

--- a/io/mesh/links_test.go
+++ b/io/mesh/links_test.go
@@ -232,3 +232,40 @@
 	is.True(time.Since(began) < 200*time.Millisecond)
 	is.Equal(wait().Total().Failed, 0)
 }
+
+// TestAnswerWaitsForLinkUntilDeadline guards against requests that are held beyond their deadline by
+// the link of the node that took them, which has no room for their answers.
+func TestAnswerWaitsForLinkUntilDeadline(t *testing.T) {
+	is := is.New(t)
+	var events eventCounts
+	cfg := narrowStore(&events)
+	cfg.LinkMbit = func(s mesh.InstanceSpec) float64 {
+		if s.Service == "front" {
+			return 2
+		}
+		return 0
+	}
+	cfg.Instances = mesh.InstanceSpecs([]string{"hafnar"}, map[string]int{"front": 1, "store": 1})
+	m, ctx := start(t, cfg)
+	const (
+		deadline   = time.Second            // of the class any
+		heldWithin = 500 * time.Millisecond // after it, by which a request has its reply
+		answers    = 12                     // of 1.2 s on the link each
+	)
+	var wg sync.WaitGroup
+	for range answers {
+		wg.Go(func() {
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+frontAddrs(m)[0]+"/large?bytes=300000", nil)
+			is.NoErr(err)
+			req.Host = "front" // the own backend server of the node
+			began := time.Now()
+			res, err := http.DefaultClient.Do(req)
+			is.NoErr(err)
+			defer res.Body.Close()
+			if took := time.Since(began); took > deadline+heldWithin {
+				t.Errorf("status %d after %v, want %v at most", res.StatusCode, took, deadline+heldWithin)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/io/proxy/callerbody.go
+++ b/io/proxy/callerbody.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 
 	"tanagerchute/core/band"
 	"tanagerchute/core/call"
+	"tanagerchute/core/event"
 	"tanagerchute/io/xfer"
 )
 
@@ -70,7 +72,27 @@
 	return n, err
 }
 
-// writeToCaller writes an answer to a caller, a large one when the link admits it.
+// admitToCaller waits until the link admits the answer to a caller, if it is a large one. The
+// returned function must be called when it is written. If the link has no room by the deadline of
+// the call, the caller gets the returned reply instead.
+func (p *Proxy) admitToCaller(ctx context.Context, c call.Call, r call.Reply) (reply call.Reply, done func()) {
+	out, n := p.links.callerOut, int64(len(r.Body))
+	if r.Fate != call.Answered || !out.Bulk(n) {
+		return r, func() {}
+	}
+	enterStep(ctx, stepLink)
+	waitCtx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	d := out.Acquire(waitCtx, band.Transfer{Call: c.ID, Bytes: n, Priority: int(c.Priority), Target: c.Target, Detached: true})
+	if !d.Admitted {
+		p.recordEvent(event.TransferRefused, c, fmt.Sprintf("answer of %d bytes: no room by the deadline of the request", n))
+		return call.Refuse(call.Unknown, call.CauseDeadline, 0), func() {}
+	}
+	return r, func() { out.Done(d.ID) }
+}
+
+// writeToCaller writes an answer to a caller, a large one, which the link has admitted, at its pace.
+// What is left of it at the deadline of the call is written at once.
 func (l *links) writeToCaller(ctx context.Context, w http.ResponseWriter, c call.Call, body []byte) error {
 	n := int64(len(body))
 	if !l.callerOut.Bulk(n) {
@@ -78,11 +100,6 @@
 		_, err := w.Write(body)
 		return err
 	}
-	enterStep(ctx, stepLink)
-	d := l.callerOut.Acquire(ctx, band.Transfer{Call: c.ID, Bytes: n, Priority: int(c.Priority), Target: c.Target, Detached: true})
-	if !d.Admitted {
-		return ctx.Err()
-	}
-	defer l.callerOut.Done(d.ID)
-	return xfer.Write(ctx, w, body, xfer.NewPace(l.callerOut.Rate()), http.NewResponseController(w).Flush)
+	pace := xfer.NewPace(l.callerOut.Rate()).WithEnd(c.Deadline)
+	return xfer.Write(ctx, w, body, pace, http.NewResponseController(w).Flush)
 }
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -131,8 +131,10 @@
 		}
 		p.rememberRefusal(c, reply)
 		p.observeDuration(c, reply, in.begunAt)
+		reply, written := p.admitToCaller(ctx, c, reply)
+		defer written()
 		p.recordOverdue(c, time.Now(), at.current())
-		p.reportResult(c, reply, summary, in.arrivedAt)
+		p.reportResult(c, reply, o.summary, in.arrivedAt)
 		p.writeReply(ctx, w, c, reply)
 	})
 }
--- a/io/proxy/peers.go
+++ b/io/proxy/peers.go
@@ -197,6 +197,8 @@
 	} else {
 		r.Body = nil
 	}
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline) // after which its sender reads no more
+	defer cancel()
 	done := p.admitPeerAnswer(ctx, c, int64(len(r.Body)))
 	defer done()
 	r.Load.LinkWait, r.Load.LinkOutWait = p.links.in.WaitTime(), p.links.outWaitTime()
--- a/io/xfer/lane_test.go
+++ b/io/xfer/lane_test.go
@@ -85,3 +85,18 @@
 	}
 	is.Equal(l.State().Unfinished, 0)
 }
+
+// TestPaceEnds checks that a transfer is held back up to the end of its pace only.
+func TestPaceEnds(t *testing.T) {
+	const size, rate = 1 << 20, 100 << 10 // some 10 s at the rate
+	began := time.Now()
+	end := began.Add(200 * time.Millisecond)
+	var w bytes.Buffer
+	err := xfer.Write(t.Context(), &w, make([]byte, size), xfer.NewPace(rate).WithEnd(end), func() error { return nil })
+	if err != nil || w.Len() != size {
+		t.Fatalf("%d bytes written: %v", w.Len(), err)
+	}
+	if now := time.Now(); now.Before(end) || now.After(end.Add(500*time.Millisecond)) {
+		t.Errorf("written after %v, want shortly after %v", now.Sub(began), end.Sub(began))
+	}
+}
--- a/io/xfer/pace.go
+++ b/io/xfer/pace.go
@@ -18,6 +18,7 @@
 	rate   float64 // bytes a second, 0 for no bound
 	piece  int64
 	nextAt time.Time
+	end    time.Time // from which on nothing waits, zero for never
 }
 
 // NewPace returns a pace at the lowest of the given rates in bytes a second, of which 0 means
@@ -32,6 +33,16 @@
 	return &Pace{rate: lowest, piece: band.PieceBytes(lowest), nextAt: time.Now()}
 }
 
+// WithEnd returns the pace for a transfer that is not held back from end on.
+func (p *Pace) WithEnd(end time.Time) *Pace {
+	q := *p
+	q.end = end
+	return &q
+}
+
+// ended reports whether nothing waits any more.
+func (p *Pace) ended(now time.Time) bool { return !p.end.IsZero() && !now.Before(p.end) }
+
 // Next waits until the next piece of n remaining bytes may pass, and returns its size. It
 // returns the error of ctx if that ends before.
 func (p *Pace) Next(ctx context.Context, n int64) (int64, error) {
@@ -39,10 +50,17 @@
 		return n, ctx.Err()
 	}
 	now := time.Now()
+	if p.ended(now) {
+		return n, ctx.Err()
+	}
 	if earliest := now.Add(-band.Time(maxCatchUpPieces*p.piece, p.rate)); p.nextAt.Before(earliest) {
 		p.nextAt = earliest
 	}
-	if wait := p.nextAt.Sub(now); wait > 0 && !timer.Sleep(ctx, wait) {
+	at := p.nextAt
+	if p.ended(at) {
+		at = p.end
+	}
+	if wait := at.Sub(now); wait > 0 && !timer.Sleep(ctx, wait) {
 		return 0, ctx.Err()
 	}
 	n = min(n, p.piece)
