proxy: a rejection doesn't wait for an unread body beyond the deadline

What callers saw: a request that is rejected, for example since it has no route, and whose body stops arriving, got its answer 0.5 s later, whatever its deadline.

Cause: the server reads the rest of a body before it sends the answer, to keep the connection, and was given 0.5 s for that at any time.

Evidence: TestNoWaitOutlivesDeadline, "unread body of a request without a route", with a deadline of 100 ms: answered after 500.5 ms on the code before, 350 ms allowed.

Fix: the rest is read until the deadline of the request at most.

--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -143,10 +143,15 @@
 // reads some of it before it sends the answer, to keep the connection.
 const unreadBodyTimeout = 500 * time.Millisecond
 
+// unreadUntil returns until when the rest of the body of c is waited for, which nobody needs.
+func unreadUntil(c call.Call) time.Time {
+	return earlier(earlier(time.Now().Add(unreadBodyTimeout), c.Deadline), c.CallerDeadline)
+}
+
 // reject records a rejection and writes it to the caller.
 func (p *Proxy) reject(w http.ResponseWriter, r *http.Request, c call.Call, rej *rejection) {
 	if r.ContentLength != 0 {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // fails only if there is no body
+		_ = http.NewResponseController(w).SetReadDeadline(unreadUntil(c)) // fails only if there is no body
 	}
 	if rej.status == http.StatusRequestTimeout {
 		w.Header().Set("Connection", "close")
--- a/io/proxy/linkrefuse.go
+++ b/io/proxy/linkrefuse.go
@@ -98,7 +98,7 @@
 	closes := p.links.callerIn != nil && r.ContentLength != 0 && r.ProtoMajor == 1
 	if !closes {
 		if r.ContentLength != 0 {
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+			_ = http.NewResponseController(w).SetReadDeadline(unreadUntil(c))
 		}
 		p.writeReply(r.Context(), w, c, reply)
 		return
--- a/io/proxy/read.go
+++ b/io/proxy/read.go
@@ -64,6 +64,9 @@
 	if c.ID == "" {
 		c.ID, c.Issued = newID()
 	}
+	if info.TimeLeft > 0 {
+		c.CallerDeadline = in.arrivedAt.Add(info.TimeLeft)
+	}
 	if info.Depth >= maxCallDepth {
 		return c, newRejection(http.StatusLoopDetected, "calls are nested more than 16 deep")
 	}
--- a/io/proxy/waited.go
+++ b/io/proxy/waited.go
@@ -14,7 +14,6 @@
 // are limited to the deadline.
 func (p *Proxy) limitDeadline(c *call.Call, info tanagerchute.RequestInfo, in ingressRequest) *rejection {
 	if info.TimeLeft > 0 {
-		c.CallerDeadline = in.arrivedAt.Add(info.TimeLeft)
 		*c = c.WithDeadlineBy(c.CallerDeadline, call.CallerLimit)
 	}
 	if c.Deadline.IsZero() {
