proxy: a request has a reply at its deadline, whatever it waits for

Cause: each wait on the way of a request had its own bound, if it had one.

Evidence: TestWaitWithoutBoundEndsInTime, where claims of keys never answer: no reply within 12 s on the code before, with a deadline of 0.3 s.

Fix: the work on a request runs beside its handler, which sends the final reply 0.1 s after the deadline if the work has not ended. The waits end by themselves at the deadline as before, and say then what is known of the fate. A panic still ends the connection and not the process (TestPanicOfWorkReachesTheServer). request_overdue says what the work was waiting for.

--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -120,10 +120,11 @@
 		if span.IsRecording() {
 			span.SetAttributes(attribute.String("service", c.Service), attribute.String("class", c.Class))
 		}
-		reply, summary, rej := p.handleWithinQuota(ctx, c, in.begunAt)
-		endNested(rej != nil || !reply.Succeeded())
-		if rej != nil {
-			p.reject(w, r, c, rej)
+		o := p.handleInTime(ctx, c, in.begunAt)
+		reply := o.reply
+		endNested(o.rej != nil || !reply.Succeeded())
+		if o.rej != nil {
+			p.reject(w, r, c, o.rej)
 			return
 		}
 		if reply.Fate != call.Answered {
