--- a/io/feed/checks.go
+++ b/io/feed/checks.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -10,7 +9,6 @@
 	"tanagerchute"
 	"tanagerchute/core/event"
 	"tanagerchute/core/proof"
-	"tanagerchute/core/vers"
 	"tanagerchute/io/clock"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/wire"
@@ -62,53 +60,75 @@
 // renewProof asks for a newer proof, or reads the store, if that is due for a node of the given
 // rank among the checkers.
 func (f *Feed) renewProof(ctx context.Context, rank int, hasAccounts bool) {
+	keysBounded := f.proofs.keys != nil && hasAccounts
+	step, age := f.nextStep(rank, keysBounded)
+	if rank >= 0 {
+		f.recordUnproved(age)
+	}
+	if keysBounded {
+		f.recordSuspension(age)
+	}
+	if step.Ask {
+		f.startAsk(ctx)
+	}
+	if step.Read && f.cfg.Source != nil {
+		f.startCheck(ctx)
+	}
+}
+
+// nextStep returns what is due, and the age of the newest proof.
+func (f *Feed) nextStep(rank int, keysBounded bool) (proof.Step, proofAge) {
 	f.mu.Lock()
 	random := f.cfg.Rand.Float64()
 	f.mu.Unlock()
 	p := f.proofs
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	now := clock.Now()
 	var step proof.Step
 	if rank >= 0 {
 		step = p.versions.Next(now, p.keeper, rank, random)
 	}
-	if p.keys != nil && hasAccounts {
+	if keysBounded {
 		step = step.Or(p.keys.Next(now, p.keeper, int(f.rank.Load()), random))
 	}
 	age, proved := p.keeper.Age(now)
-	left := p.keeper.Until().Sub(now)
-	p.mu.Unlock()
-	if rank >= 0 {
-		f.recordUnproved(!proved || age > f.cfg.InForceWithin, age, proved)
-	}
-	if p.keys != nil && hasAccounts {
-		f.recordSuspension(left <= 0, age, proved)
-	}
-	if step.Ask && p.asking.CompareAndSwap(false, true) {
-		go func() {
-			defer p.asking.Store(false)
-			f.askForProof(ctx)
-		}()
+	return step, proofAge{age, proved, p.keeper.Until().Sub(now)}
+}
+
+// startAsk asks another node for its newest proof in the background, unless that is in progress.
+func (f *Feed) startAsk(ctx context.Context) {
+	if !f.proofs.asking.CompareAndSwap(false, true) {
+		return
 	}
-	if step.Read && f.cfg.Source != nil && p.checking.Add(1) <= maxChecks {
-		go func() {
-			defer p.checking.Add(-1)
-			f.check(ctx)
-		}()
-	} else if step.Read && f.cfg.Source != nil {
-		p.checking.Add(-1)
+	go func() {
+		defer f.proofs.asking.Store(false)
+		f.askForProof(ctx)
+	}()
+}
+
+// startCheck reads the store in the background, unless maxChecks reads are in progress.
+func (f *Feed) startCheck(ctx context.Context) {
+	if f.proofs.checking.Add(1) > maxChecks {
+		f.proofs.checking.Add(-1)
+		return
 	}
+	go func() {
+		defer f.proofs.checking.Add(-1)
+		f.check(ctx)
+	}()
 }
 
 // recordUnproved journals when the version in force begins or ceases to be one of which this
-// node can't tell whether it is the newest.
-func (f *Feed) recordUnproved(unproved bool, age time.Duration, proved bool) {
+// node can't tell in time whether it is the newest.
+func (f *Feed) recordUnproved(a proofAge) {
+	unproved := !a.proved || a.age > f.cfg.InForceWithin
 	if f.proofs.unproved.Swap(unproved) == unproved {
 		return
 	}
-	k, cause := event.VersionProved, fmt.Sprintf("proved to be the newest version %v ago", age.Round(time.Millisecond))
+	k, cause := event.VersionProved, a.String()
 	if unproved {
-		k, cause = event.VersionUnproved, describeProof(age, proved)+", versions must be in force within "+f.cfg.InForceWithin.String()
+		k, cause = event.VersionUnproved, a.String()+", versions must be in force within "+f.cfg.InForceWithin.String()
 	}
 	f.recordVersionEvent(k, f.Stamp().Number, cause)
 }
@@ -252,51 +272,3 @@
 	defer f.proofs.mu.Unlock()
 	return f.proofs.keeper.At()
 }
-
-// describeProof says how old the newest proof is.
-func describeProof(age time.Duration, proved bool) string {
-	if !proved {
-		return "not proved to be the newest version yet"
-	}
-	return fmt.Sprintf("proved to be the newest version %v ago", age.Round(time.Millisecond))
-}
-
-// recordHead records a head that was read from the store. began is when the read began.
-// It proves the version of the head, or the last valid one before it if it is not valid:
-// an invalid version withdraws no key.
-func (f *Feed) recordHead(head tanagerchute.Head, began time.Time) {
-	head.Version = head.Version.WithoutContent()
-	stamp := head.Version.Stamp()
-	f.proofs.headMu.Lock()
-	f.proofs.head = head
-	if valid, ok := f.proofs.validBefore[stamp]; ok {
-		stamp = valid
-	}
-	f.proofs.headMu.Unlock()
-	f.addProof(proof.Proof{Stamp: stamp, At: began})
-}
-
-// recordWatched records the next version that a watch has reported, or the error of one
-// that can't be read. lastValid is the last valid version before it, zero if it is not
-// known. recordWatched returns the last valid version after it.
-func (f *Feed) recordWatched(lastValid vers.Stamp, v vers.Version, err error) vers.Stamp {
-	if err != nil {
-		return vers.Stamp{}
-	}
-	s := v.Stamp()
-	f.mu.Lock()
-	invalid := f.tracker.IsInvalid(s)
-	f.mu.Unlock()
-	if !invalid {
-		return s
-	}
-	if lastValid.Number > 0 {
-		f.proofs.headMu.Lock()
-		if len(f.proofs.validBefore) >= maxInvalid {
-			clear(f.proofs.validBefore)
-		}
-		f.proofs.validBefore[s] = lastValid
-		f.proofs.headMu.Unlock()
-	}
-	return lastValid
-}
--- a/io/feed/proofs.go
+++ b/io/feed/proofs.go
@@ -140,24 +140,41 @@
 	return &wire.ProofReply{Version: peer.ToStamp(s), Age: int64(age)}, nil
 }
 
+// proofAge is the age of the newest proof.
+type proofAge struct {
+	age    time.Duration
+	proved bool // there is a proof
+	// keysLeft is the time for which requests with keys may be served, if that is bounded.
+	keysLeft time.Duration
+}
+
+// String says how old the proof is.
+func (a proofAge) String() string {
+	if !a.proved {
+		return "not proved to be the newest version yet"
+	}
+	return fmt.Sprintf("proved to be the newest version %v ago", a.age.Round(time.Millisecond))
+}
+
 // recordSuspension journals when requests with keys begin or cease to be refused.
-func (f *Feed) recordSuspension(suspended bool, age time.Duration, proved bool) {
+func (f *Feed) recordSuspension(a proofAge) {
+	suspended := a.keysLeft <= 0
 	if f.proofs.suspended.Swap(suspended) == suspended {
 		return
 	}
-	if !suspended {
-		f.recordVersionEvent(event.KeysResumed, f.Stamp().Number, fmt.Sprintf("proved to be the newest version %v ago", age.Round(time.Millisecond)))
-		return
+	k, cause := event.KeysResumed, a.String()
+	if suspended {
+		k, cause = event.KeysSuspended, f.describeForKeys(a)
 	}
-	f.recordVersionEvent(event.KeysSuspended, f.Stamp().Number, f.describeKeyProof(age, proved))
+	f.recordVersionEvent(k, f.Stamp().Number, cause)
 }
 
-// describeKeyProof says how old the newest proof is, and how old it may be.
-func (f *Feed) describeKeyProof(age time.Duration, proved bool) string {
-	if !proved {
-		return describeProof(age, proved)
+// describeForKeys says how old the newest proof is, and how old it may be.
+func (f *Feed) describeForKeys(a proofAge) string {
+	if !a.proved {
+		return a.String()
 	}
-	return describeProof(age, proved) + ", withdrawn keys must end within " + f.cfg.RevokeWithin.String()
+	return a.String() + ", withdrawn keys must end within " + f.cfg.RevokeWithin.String()
 }
 
 // ProofAge says how old the newest proof is, for the log.
@@ -165,5 +182,5 @@
 	f.proofs.mu.Lock()
 	age, proved := f.proofs.keeper.Age(clock.Now())
 	f.proofs.mu.Unlock()
-	return f.describeKeyProof(age, proved)
+	return f.describeForKeys(proofAge{age: age, proved: proved})
 }
