--- a/core/call/call.go
+++ b/core/call/call.go
@@ -51,7 +51,7 @@
 	MaxUpstreams     int       // number of upstreams that may receive the call, 0 for the default
 	Target           time.Time // time by which it should be answered, zero if only the deadline counts
 	Deadline         time.Time
-	Limit            Limit     // what sets Deadline
+	DeadlineBy       DeadlineSource
 	WaitUntil        time.Time // end of the time that it may spend in a queue
 	CallerDeadline   time.Time // up to which its caller waits, zero if not known
 	AskedAt          time.Time // when its caller first asked, as far as that is known
@@ -69,20 +69,20 @@
 	Notice           ServerNotice // what the sender has heard from the backend server of the node it is sent to
 }
 
-// Limit names what sets the deadline of a call.
-type Limit string
+// DeadlineSource is what sets the deadline of a call.
+type DeadlineSource string
 
-// Limits.
+// Sources of deadlines.
 const (
-	RouteLimit     Limit = "route"          // the timeout of its route, by the version of the call
-	CallerLimit    Limit = "caller"         // the time for which its caller waits
-	EnclosingLimit Limit = "enclosing_call" // the deadline of the call that it is nested in
+	ByRoute         DeadlineSource = "route"          // the timeout of its route, by the version of the call
+	ByCaller        DeadlineSource = "caller"         // the time for which its caller waits
+	ByEnclosingCall DeadlineSource = "enclosing_call" // the deadline of the call that it is nested in
 )
 
-// WithDeadlineBy returns c with the deadline at if that is earlier than the present one.
-func (c Call) WithDeadlineBy(at time.Time, l Limit) Call {
+// WithDeadline returns c with the deadline at, set by s, if that is earlier than the present one.
+func (c Call) WithDeadline(at time.Time, s DeadlineSource) Call {
 	if c.Deadline.IsZero() || at.Before(c.Deadline) {
-		c.Deadline, c.Limit = at, l
+		c.Deadline, c.DeadlineBy = at, s
 	}
 	return c
 }
@@ -104,7 +104,7 @@
 	c.LargeResponse = r.LargeResponse
 	c.MaxUpstreams = r.MaxUpstreams
 	if r.Timeout > 0 {
-		c.Deadline, c.Limit = arrived.Add(r.Timeout), RouteLimit
+		c.Deadline, c.DeadlineBy = arrived.Add(r.Timeout), ByRoute
 	}
 	if r.TargetLatency > 0 && r.TargetLatency != r.Timeout {
 		c.Target = arrived.Add(r.TargetLatency)
--- a/io/logs/request.go
+++ b/io/logs/request.go
@@ -19,23 +19,23 @@
 // RequestEnd describes a request that has ended. It is logged by the ingress, the
 // node that received the request from the caller.
 type RequestEnd struct {
-	ID        string
-	Trace     string
-	Route     string
-	Service   string
-	Version   uint64 // of the configuration that routed it
-	SentTo    string // node of the last attempt
-	RepliedBy string // node of the last reply
-	Fate      string // outcome, the name of a call.Fate
-	Status    int    // HTTP status of the backend server's answer
-	Cause     string // why it was refused or failed
-	Attempts  int    // number of times that it was sent to a node
-	Arrived   int    // attempts that may have reached a backend server
-	Took      time.Duration
-	TimeLeft  time.Duration // until its deadline, when it ended
-	Timeout   time.Duration // from its arrival to its deadline
-	Limit     string        // what set its deadline, the name of a call.Limit
-	Succeeded bool
+	ID         string
+	Trace      string
+	Route      string
+	Service    string
+	Version    uint64 // of the configuration that routed it
+	SentTo     string // node of the last attempt
+	RepliedBy  string // node of the last reply
+	Fate       string // outcome, the name of a call.Fate
+	Status     int    // HTTP status of the backend server's answer
+	Cause      string // why it was refused or failed
+	Attempts   int    // number of times that it was sent to a node
+	Arrived    int    // attempts that may have reached a backend server
+	Took       time.Duration
+	TimeLeft   time.Duration // until its deadline, when it ended
+	Timeout    time.Duration // from its arrival to its deadline
+	DeadlineBy string        // what set its deadline, a call.DeadlineSource
+	Succeeded  bool
 }
 
 // RequestLogger logs a line for the end of each request, up to a number of lines
@@ -72,7 +72,7 @@
 		zap.Uint64("version", end.Version), zap.String("fate", end.Fate), zap.Int("status", end.Status),
 		zap.String("sent_to", end.SentTo), zap.String("replied_by", end.RepliedBy), zap.Int("attempts", end.Attempts), zap.Int("arrived", end.Arrived),
 		zap.Duration("took", end.Took), zap.Duration("left", end.TimeLeft),
-		zap.Duration("timeout", end.Timeout), zap.String("timeout_of", end.Limit),
+		zap.Duration("timeout", end.Timeout), zap.String("timeout_of", end.DeadlineBy),
 	}
 	if end.Cause != "" {
 		fields = append(fields, zap.String("cause", end.Cause))
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -173,7 +173,7 @@
 	n.requests.Log(logs.RequestEnd{
 		ID: res.ID, Trace: res.Trace, Route: res.Class, Service: res.Service, Version: res.Version, SentTo: res.SentTo, RepliedBy: r.Node,
 		Fate: r.Fate.String(), Status: r.Status, Cause: r.Cause, Attempts: res.Attempts, Arrived: res.Arrived,
-		Took: res.Took, TimeLeft: res.Timeout - res.Took, Timeout: res.Timeout, Limit: string(res.Limit), Succeeded: r.Succeeded(),
+		Took: res.Took, TimeLeft: res.Timeout - res.Took, Timeout: res.Timeout, DeadlineBy: string(res.DeadlineBy), Succeeded: r.Succeeded(),
 	})
 	if n.cfg.OnCall != nil {
 		n.cfg.OnCall(res)
--- a/io/proxy/ingress.go
+++ b/io/proxy/ingress.go
@@ -184,7 +184,7 @@
 	}
 	p.cfg.OnCall(CallResult{
 		ID: c.ID, Trace: c.Trace, Service: c.Service, Class: c.Class, Version: c.Version,
-		Took: time.Since(arrivedAt), Timeout: c.Deadline.Sub(arrivedAt), Limit: c.Limit, Reply: r, AttemptSummary: summary,
+		Took: time.Since(arrivedAt), Timeout: c.Deadline.Sub(arrivedAt), DeadlineBy: c.DeadlineBy, Reply: r, AttemptSummary: summary,
 	})
 }
 
--- a/io/proxy/progress.go
+++ b/io/proxy/progress.go
@@ -46,8 +46,7 @@
 	return "ingress"
 }
 
-// progress tells what a request waits for. A nil progress records nothing, as for the calls of
-// other nodes. It is safe for concurrent use.
+// progress tells what a request of a caller waits for. It is safe for concurrent use.
 type progress struct{ step atomic.Int32 }
 
 // progressKey is the context key of the progress of a request.
@@ -59,7 +58,8 @@
 	return context.WithValue(ctx, progressKey{}, p), p
 }
 
-// enterStep records what the request with the given context waits for from now on.
+// enterStep records what the request with the given context waits for from now on. For calls of
+// other nodes it records nothing.
 func enterStep(ctx context.Context, s step) {
 	if p, ok := ctx.Value(progressKey{}).(*progress); ok {
 		p.step.Store(int32(s))
@@ -78,6 +78,6 @@
 func (p *Proxy) recordOverdue(c call.Call, now time.Time, waitsFor step) {
 	if late := now.Sub(c.Deadline); late > overdueAfter {
 		p.recordEvent(event.RequestOverdue, c, fmt.Sprintf("%v after the deadline of its %s, by version %d, last waited for: %v",
-			late.Round(time.Millisecond), c.Limit, c.Version, waitsFor))
+			late.Round(time.Millisecond), c.DeadlineBy, c.Version, waitsFor))
 	}
 }
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -84,8 +84,9 @@
 	Version uint64        // configuration version that it was routed by
 	Took    time.Duration // from its arrival to its reply
 	Timeout time.Duration // from its arrival to its deadline
-	Limit   call.Limit    // what set its deadline
-	Reply   call.Reply
+	// DeadlineBy is what set its deadline.
+	DeadlineBy call.DeadlineSource
+	Reply      call.Reply
 	AttemptSummary
 }
 
--- a/io/proxy/waited.go
+++ b/io/proxy/waited.go
@@ -14,14 +14,14 @@
 // are limited to the deadline.
 func (p *Proxy) limitDeadline(c *call.Call, info tanagerchute.RequestInfo, in ingressRequest) *rejection {
 	if info.TimeLeft > 0 {
-		*c = c.WithDeadlineBy(c.CallerDeadline, call.CallerLimit)
+		*c = c.WithDeadline(c.CallerDeadline, call.ByCaller)
 	}
 	if c.Deadline.IsZero() {
 		return newRejection(http.StatusBadRequest, "neither the request nor its route has a deadline")
 	}
 	if in.origin.Backend {
 		if parentDeadline, ok := p.cfg.Gate.Deadline(in.trace); ok {
-			*c = c.WithDeadlineBy(parentDeadline, call.EnclosingLimit)
+			*c = c.WithDeadline(parentDeadline, call.ByEnclosingCall)
 		}
 	}
 	c.AskedAt = in.arrivedAt.Add(-p.waitedBefore(c, info, in.arrivedAt))
