stage: an order given before the first check is held back

Cause, a fault of: the first reading of the orders by a check took all of them for old ones, also if the node had read the orders at its start, and one was given between the two.

Evidence: TestOrderBeforeFirstCheckHoldsTargetBack failed on the code before.

Fix: both ways of reading share what has been read, under one lock. An order that was not there when the node read them before was given since, however it is found.

--- a/io/stage/reader.go
+++ b/io/stage/reader.go
@@ -51,11 +51,11 @@
 // followOrders reads all orders and then watches for changes until that fails. Roll-outs go
 // on after that, until runCtx ends.
 func (m *Manager) followOrders(ctx, runCtx context.Context) error {
-	prefix := m.cfg.Format.OrderPrefix()
-	rev, err := m.readOrders(ctx, runCtx, func(canary.Order) {}) // it may have ended long ago
+	rev, err := m.readOrders(ctx, runCtx)
 	if err != nil {
 		return err
 	}
+	prefix := m.cfg.Format.OrderPrefix()
 	return m.cfg.Store.Watch(ctx, prefix, rev.Next(), func() {}, func(e tanagerchute.Event) {
 		if e.Deleted {
 			m.withdraw(strings.TrimPrefix(e.KV.Key, prefix))
@@ -67,9 +67,12 @@
 	})
 }
 
-// readOrders reads all orders, and calls onNew for each that is new to this node. It returns
-// the revision as of which they were read. What it begins goes on until runCtx ends.
-func (m *Manager) readOrders(ctx, runCtx context.Context, onNew func(canary.Order)) (tanagerchute.Revision, error) {
+// readOrders reads all orders. Those that were not there when this node read them before were
+// given since. It returns the revision as of which it has read them. What it begins goes on
+// until runCtx ends.
+func (m *Manager) readOrders(ctx, runCtx context.Context) (tanagerchute.Revision, error) {
+	m.readMu.Lock()
+	defer m.readMu.Unlock()
 	prefix := m.cfg.Format.OrderPrefix()
 	kvs, rev, err := m.cfg.Store.List(ctx, prefix, tanagerchute.Latest)
 	if err != nil {
@@ -78,10 +81,12 @@
 	present := map[string]bool{}
 	for _, kv := range kvs {
 		present[strings.TrimPrefix(kv.Key, prefix)] = true
-		if o, isNew := m.observeOrder(runCtx, rev, kv); isNew {
-			onNew(o)
+		o, isNew := m.observeOrder(runCtx, rev, kv)
+		if isNew && m.hasRead {
+			m.holdTargetBack(runCtx, o)
 		}
 	}
+	m.hasRead = true // of the orders that were there at the first time, some may have ended long ago
 	m.withdrawMissing(rev, present)
 	return rev, nil
 }
@@ -108,11 +113,7 @@
 			if r == readAt {
 				continue
 			}
-			onNew := func(o canary.Order) { m.holdTargetBack(ctx, o) }
-			if readAt == (tanagerchute.Revision{}) {
-				onNew = func(canary.Order) {} // it may have ended long ago
-			}
-			if at, err := m.readOrders(ctx, ctx, onNew); err == nil {
+			if at, err := m.readOrders(ctx, ctx); err == nil {
 				readAt = at
 			}
 		}
--- a/io/stage/stage.go
+++ b/io/stage/stage.go
@@ -69,6 +69,9 @@
 	refused     atomic.Pointer[string] // version that the gatekeeper refuses, nil for none
 	targetCalls atomic.Int64           // that TakeTarget has given to target versions
 
+	readMu  sync.Mutex // held while the orders are read
+	hasRead bool       // the orders have been read before, guarded by readMu
+
 	mu         sync.Mutex // guards the fields below
 	table      *canary.Table
 	counters   map[string]float64       // part of a call that is due to the target version, by service
