feed: an invalid version causes no storm of reads of the store

While the newest version in the store is not valid, no read proves the one in force to be the newest, so that all five checkers of each data centre read the store as often as the pause after a read allows, for as long as the operator leaves it.

Cause: what a node knows was taken for what is proved. A read that finds an invalid version proves nothing about the one in force, but it misses nothing either. A record that can't be read counted as a read that failed, so that the watch was begun anew as well, and the head was not kept.

Fix: checks for versions go by the time of the last check that succeeded, proofs for withdrawn keys as before. A record that is no version is a head without one (ErrUnreadable), journaled once. A store that can be read again makes a reader retry its watch once, not at each check.

--- a/core/proof/planner.go
+++ b/core/proof/planner.go
@@ -60,11 +60,12 @@
 // Or returns what s and o ask for together.
 func (s Step) Or(o Step) Step { return Step{s.Ask || o.Ask, s.Read || o.Read} }
 
-// Next returns what to do at now. rank is the rank of the node among the readers of its
-// data centre, negative if it is none. random is between 0 and 1.
-func (p *Planner) Next(now time.Time, k *Keeper, rank int, random float64) Step {
-	age, ok := k.Age(now)
-	if !ok {
+// Next returns what to do at now, if the newest proof is of the time at, zero if there is none.
+// rank is the rank of the node among the readers of its data centre, negative if it is none.
+// random is between 0 and 1.
+func (p *Planner) Next(now, at time.Time, rank int, random float64) Step {
+	age := now.Sub(at)
+	if at.IsZero() {
 		age = p.cfg.Bound
 		p.delayFirstRead(now, rank)
 	}
--- a/core/proof/proof_test.go
+++ b/core/proof/proof_test.go
@@ -260,7 +260,7 @@
 	if f.checkers == 0 && rank > 1 {
 		rank = -1
 	}
-	step := n.Next(now, n.Keeper, rank, r.Float64())
+	step := n.Next(now, n.At(), rank, r.Float64())
 	if step.Ask {
 		f.asks++
 		first := i - i%f.perZone
--- a/io/feed/checks.go
+++ b/io/feed/checks.go
@@ -61,12 +61,12 @@
 // rank among the checkers.
 func (f *Feed) renewProof(ctx context.Context, rank int, hasAccounts bool) {
 	keysBounded := f.proofs.keys != nil && hasAccounts
-	step, age := f.nextStep(rank, keysBounded)
+	step, a := f.nextStep(rank, keysBounded)
 	if rank >= 0 {
-		f.recordUnproved(age)
+		f.recordUnproved(a.known)
 	}
 	if keysBounded {
-		f.recordSuspension(age)
+		f.recordSuspension(a)
 	}
 	if step.Ask {
 		f.startAsk(ctx)
@@ -76,8 +76,8 @@
 	}
 }
 
-// nextStep returns what is due, and the age of the newest proof.
-func (f *Feed) nextStep(rank int, keysBounded bool) (proof.Step, proofAge) {
+// nextStep returns what is due, and how old the knowledge of this node is.
+func (f *Feed) nextStep(rank int, keysBounded bool) (proof.Step, ages) {
 	f.mu.Lock()
 	random := f.cfg.Rand.Float64()
 	f.mu.Unlock()
@@ -87,13 +87,12 @@
 	now := clock.Now()
 	var step proof.Step
 	if rank >= 0 {
-		step = p.versions.Next(now, p.keeper, rank, random)
+		step = p.versions.Next(now, p.knownAt(), rank, random)
 	}
 	if keysBounded {
-		step = step.Or(p.keys.Next(now, p.keeper, int(f.rank.Load()), random))
+		step = step.Or(p.keys.Next(now, p.keeper.At(), int(f.rank.Load()), random))
 	}
-	age, proved := p.keeper.Age(now)
-	return step, proofAge{age, proved, p.keeper.Until().Sub(now)}
+	return step, ages{known: ageOf(now, p.knownAt()), proof: ageOf(now, p.keeper.At()), keysLeft: p.keeper.Until().Sub(now)}
 }
 
 // startAsk asks another node for its newest proof in the background, unless that is in progress.
@@ -137,19 +136,21 @@
 func (f *Feed) check(ctx context.Context) {
 	p := f.proofs
 	p.reads.Add(1)
+	began := clock.Now()
 	rev, err := f.confirmHead(ctx)
 	if err != nil {
 		p.failedReads.Add(1)
 	}
 	p.mu.Lock()
-	p.readEnded(err == nil)
+	p.readEnded(began, err == nil)
 	p.mu.Unlock()
+	failedBefore := p.lastFailed.Swap(err != nil)
 	switch {
 	case ctx.Err() != nil:
 	case err != nil:
 		f.reportFailedCheck(err)
 	default:
-		if f.storeLost.Load() {
+		if failedBefore && f.storeLost.Load() {
 			f.ReadAgain()
 		}
 		if f.cfg.OnChecked != nil {
--- a/io/feed/heads.go
+++ b/io/feed/heads.go
@@ -12,10 +12,9 @@
 // It proves the version of the head, or the last valid one before it if it is not valid:
 // an invalid version withdraws no key.
 func (f *Feed) recordHead(head tanagerchute.Head, began time.Time) {
-	head.Version = head.Version.WithoutContent()
 	stamp := head.Version.Stamp()
+	f.replaceHead(head)
 	f.proofs.headMu.Lock()
-	f.proofs.head = head
 	if valid, ok := f.proofs.validBefore[stamp]; ok {
 		stamp = valid
 	}
@@ -23,6 +22,15 @@
 	f.addProof(proof.Proof{Stamp: stamp, At: began})
 }
 
+// replaceHead records the head that was read last, and returns the one before it.
+func (f *Feed) replaceHead(head tanagerchute.Head) (before tanagerchute.Head) {
+	head.Version = head.Version.WithoutContent()
+	f.proofs.headMu.Lock()
+	defer f.proofs.headMu.Unlock()
+	before, f.proofs.head = f.proofs.head, head
+	return before
+}
+
 // recordWatched records the next version that a watch has reported, or the error of one
 // that can't be read. lastValid is the last valid version before it, zero if it is not
 // known. recordWatched returns the last valid version after it.
--- a/io/feed/proofs.go
+++ b/io/feed/proofs.go
@@ -27,6 +27,9 @@
 	keeper   *proof.Keeper
 	versions *proof.Planner // in time for Config.InForceWithin
 	keys     *proof.Planner // in time for Config.RevokeWithin, nil without it
+	// checkedAt is when the last check of the store by this node that succeeded began. If the
+	// newest version there is not valid, the check proves nothing, but it has missed nothing.
+	checkedAt time.Time
 
 	headMu sync.Mutex
 	head   tanagerchute.Head // last one that was read, without content
@@ -34,11 +37,12 @@
 	// watch has reported in order.
 	validBefore map[vers.Stamp]vers.Stamp
 
-	unproved  atomic.Bool // there is no proof, or the newest one is older than Config.InForceWithin
-	suspended atomic.Bool // requests with keys are refused
-	asking    atomic.Bool
-	checking  atomic.Int32 // checks of the store in progress
-	asks      int          // asks in a row without a newer proof, accessed by askForProof only
+	lastFailed atomic.Bool // the check that ended last
+	unproved   atomic.Bool // there is no proof, or the newest one is older than Config.InForceWithin
+	suspended  atomic.Bool // requests with keys are refused
+	asking     atomic.Bool
+	checking   atomic.Int32 // checks of the store in progress
+	asks       int          // asks in a row without a newer proof, accessed by askForProof only
 
 	reads, failedReads, asked, answered atomic.Int64
 }
@@ -66,8 +70,20 @@
 	return r.Float64()
 }
 
-// readEnded records the outcome of a check of the store. The caller holds mu.
-func (p *proofs) readEnded(ok bool) {
+// knownAt returns the time for which this node knows the newest version, zero if it does not. The
+// caller holds mu.
+func (p *proofs) knownAt() time.Time {
+	if at := p.keeper.At(); at.After(p.checkedAt) {
+		return at
+	}
+	return p.checkedAt
+}
+
+// readEnded records the outcome of a check of the store that began at began. The caller holds mu.
+func (p *proofs) readEnded(began time.Time, ok bool) {
+	if ok && began.After(p.checkedAt) {
+		p.checkedAt = began
+	}
 	p.versions.ReadEnded(ok)
 	if p.keys != nil {
 		p.keys.ReadEnded(ok)
@@ -140,14 +156,23 @@
 	return &wire.ProofReply{Version: peer.ToStamp(s), Age: int64(age)}, nil
 }
 
-// proofAge is the age of the newest proof.
+// ages are how old the knowledge of a node about the newest version is.
+type ages struct {
+	known proofAge // that no valid version has been missed
+	proof proofAge // that the version in force is the newest
+	// keysLeft is the time for which requests with keys may be served, if that is bounded.
+	keysLeft time.Duration
+}
+
+// proofAge is the age of a proof.
 type proofAge struct {
 	age    time.Duration
 	proved bool // there is a proof
-	// keysLeft is the time for which requests with keys may be served, if that is bounded.
-	keysLeft time.Duration
 }
 
+// ageOf returns the age of a proof of the time at, zero if there is none.
+func ageOf(now, at time.Time) proofAge { return proofAge{now.Sub(at), !at.IsZero()} }
+
 // String says how old the proof is.
 func (a proofAge) String() string {
 	if !a.proved {
@@ -157,14 +182,14 @@
 }
 
 // recordSuspension journals when requests with keys begin or cease to be refused.
-func (f *Feed) recordSuspension(a proofAge) {
+func (f *Feed) recordSuspension(a ages) {
 	suspended := a.keysLeft <= 0
 	if f.proofs.suspended.Swap(suspended) == suspended {
 		return
 	}
-	k, cause := event.KeysResumed, a.String()
+	k, cause := event.KeysResumed, a.proof.String()
 	if suspended {
-		k, cause = event.KeysSuspended, f.describeForKeys(a)
+		k, cause = event.KeysSuspended, f.describeForKeys(a.proof)
 	}
 	f.recordVersionEvent(k, f.Stamp().Number, cause)
 }
@@ -180,7 +205,6 @@
 // ProofAge says how old the newest proof is, for the log.
 func (f *Feed) ProofAge() string {
 	f.proofs.mu.Lock()
-	age, proved := f.proofs.keeper.Age(clock.Now())
-	f.proofs.mu.Unlock()
-	return f.describeForKeys(proofAge{age: age, proved: proved})
+	defer f.proofs.mu.Unlock()
+	return f.describeForKeys(ageOf(clock.Now(), f.proofs.keeper.At()))
 }
--- a/io/feed/reader.go
+++ b/io/feed/reader.go
@@ -236,6 +236,10 @@
 func (f *Feed) syncWithStore(ctx context.Context) (tanagerchute.Head, error) {
 	began := clock.Now()
 	head, err := f.cfg.Source.Head(ctx, f.VersionByDigest)
+	if errors.Is(err, tanagerchute.ErrUnreadable) {
+		f.refuseUnreadable(head, err)
+		return head, nil
+	}
 	if err != nil {
 		return head, err
 	}
@@ -258,6 +262,14 @@
 	return head, nil
 }
 
+// refuseUnreadable handles a head that is not a version. It is recorded, so that the checks notice
+// the next change, and journaled once.
+func (f *Feed) refuseUnreadable(head tanagerchute.Head, err error) {
+	if f.replaceHead(head).ModRevision != head.ModRevision {
+		f.recordReaderEvent(event.VersionRefused, "record in the store: "+err.Error())
+	}
+}
+
 // restoreStore writes v back to the store, whose newest version is head.
 func (f *Feed) restoreStore(ctx context.Context, head tanagerchute.Head, v vers.Version) error {
 	ok, err := f.cfg.Source.Restore(ctx, v, head)
--- a/io/source/source.go
+++ b/io/source/source.go
@@ -69,7 +69,7 @@
 func (s *Source) parse(content []byte) (vers.Version, error) {
 	n, err := s.cfg.ParseNumber(content)
 	if err != nil {
-		return vers.Version{}, errors.Wrapf(err, "document at %s", s.cfg.Key)
+		return vers.Version{}, errors.Wrapf(tanagerchute.ErrUnreadable, "document at %s: %v", s.cfg.Key, err)
 	}
 	return vers.NewExternal(n, time.Time{}, content), nil
 }
--- a/source.go
+++ b/source.go
@@ -29,7 +29,8 @@
 // wrapped.
 type Source interface {
 	// Head reads the newest version. lookup finds the version that a stored
-	// delta is based on.
+	// delta is based on. With ErrUnreadable, it returns a head with its revisions
+	// and without a version.
 	Head(ctx context.Context, lookup VersionLookup) (Head, error)
 	// Unchanged reports, by a linearizable call, whether head is still the newest
 	// version. If it is, the call returns head with the current store revision.
--- a/store.go
+++ b/store.go
@@ -27,6 +27,9 @@
 	// ErrLeaseExpired means that a lease has expired or was revoked, or that the
 	// store has lost it.
 	ErrLeaseExpired = errors.New("store lease expired")
+	// ErrUnreadable means that the store has a record that can't be read as a
+	// version. It is wrapped by the methods of a Source.
+	ErrUnreadable = errors.New("record is not a version")
 	// ErrEraChanged means that the store has restarted from an older copy, so that
 	// the revisions of the call mean nothing any more. The call was not executed.
 	ErrEraChanged = errors.New("store has restarted from an older copy")
