--- a/review/standin-3/rig/upstream.go
+++ b/review/standin-3/rig/upstream.go
@@ -17,10 +17,11 @@
 
 // UpstreamConfig configures an Upstream.
 type UpstreamConfig struct {
-	ID    string
-	Born  time.Time     // its start, by the clock of its machine
-	Work  time.Duration // of a request
-	Slots int
+	ID      string
+	Service string        // that of the machine if it is empty
+	Born    time.Time     // its start, by the clock of its machine
+	Work    time.Duration // of a request
+	Slots   int
 	// Handle answers a request in place of the usual answer, if it returns true.
 	Handle func(w http.ResponseWriter, r *http.Request, id string, body []byte) bool
 }
@@ -56,6 +57,9 @@
 	if cfg.Slots == 0 {
 		cfg.Slots = 12
 	}
+	if cfg.Service == "" {
+		cfg.Service = m.Service
+	}
 	if cfg.Born.IsZero() {
 		cfg.Born = time.Now()
 	}
@@ -68,7 +72,7 @@
 	u.server = &http.Server{Handler: u, ConnState: u.track, IdleTimeout: 10 * time.Second}
 	go func() { _ = u.server.Serve(ln) }() // returns when the server is closed
 	go u.beat(ctx)
-	m.rig.cfg.Record.Add("upstream %s starts at %s, born %d", cfg.ID, m.AppAddr, cfg.Born.UnixMilli())
+	m.rig.cfg.Record.Add("upstream %s of %s starts at %s, born %d", cfg.ID, cfg.Service, m.AppAddr, cfg.Born.UnixMilli())
 	return u, nil
 }
 
@@ -134,7 +138,7 @@
 	}
 	m := u.machine
 	body, _ := json.Marshal(map[string]any{
-		"Service": m.Service, "Addr": m.AppAddr, "Zone": m.Zone, "Version": "v1", "Slots": u.cfg.Slots, "State": state,
+		"Service": u.cfg.Service, "Addr": m.AppAddr, "Zone": m.Zone, "Version": "v1", "Slots": u.cfg.Slots, "State": state,
 		"WarmupLeftMs": 0, "Sequence": seq, "born": u.cfg.Born.UnixMilli(),
 	}) // only plain values
 	return u.tell(ctx, http.MethodPut, body, state)
