gate, node, platform: logs tell who named the backend server, and whose heartbeat was refused

upstream_ready said "announced" of a server that had sent a heartbeat and of one that had only answered a health check, and a heartbeat of another service was logged as malformed and not counted. No decision changes.

--- a/core/beat/tracker.go
+++ b/core/beat/tracker.go
@@ -38,10 +38,11 @@
 	Fresh     Verdict = iota // newer than the last accepted heartbeat, which it replaces
 	Duplicate                // same incarnation, state and sequence number
 	Stale                    // older than the last accepted heartbeat
+	Foreign                  // of a server of another service than the node's
 )
 
 // String returns the name of the verdict.
-func (v Verdict) String() string { return [...]string{"news", "repeat", "stale"}[v] }
+func (v Verdict) String() string { return [...]string{"news", "repeat", "stale", "foreign"}[v] }
 
 // Tracker tracks the heartbeats of the backend server at one address. The zero
 // Tracker has accepted none. It is not safe for concurrent use.
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -69,6 +69,7 @@
 	StatementMalformed Kind = "upstream_statement_malformed"
 	HeartbeatStale     Kind = "heartbeat_stale" // it is older than the last one and ignored
 	HeartbeatMalformed Kind = "heartbeat_malformed"
+	HeartbeatForeign   Kind = "heartbeat_foreign" // a server of another service says that it has the address of the own backend server
 	UpstreamFailing    Kind = "upstream_failing"
 	UpstreamBack       Kind = "upstream_back"
 	UpstreamEnded      Kind = "upstream_ended"       // the own backend server ended while calls were running there
--- a/io/gate/announce.go
+++ b/io/gate/announce.go
@@ -44,11 +44,11 @@
 func (g *Gate) Announce(b Backend) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.setBackend(b)
+	g.setBackend(b, "announced")
 }
 
-// setBackend handles an announcement. The caller holds mu.
-func (g *Gate) setBackend(b Backend) {
+// setBackend handles an announcement. cause says how it came about. The caller holds mu.
+func (g *Gate) setBackend(b Backend, cause string) {
 	g.announcedAt = time.Now()
 	b.Slots = min(b.Slots, g.client.maxConns()) // each call needs a connection
 	if b.isOther(g.backend) || g.backendLeaving {
@@ -62,7 +62,7 @@
 		g.leavingHeardAt = time.Time{}
 		g.client.closeIdle()
 		g.recordHeld(g.statements.Flush(time.Now())) // they are about the previous one
-		g.recordEvent(event.UpstreamReady, b.logName(), "announced")
+		g.recordEvent(event.UpstreamReady, b.logName(), cause)
 	}
 	g.backendLeaving = false
 	if b.Slots != g.backend.Slots {
@@ -95,7 +95,8 @@
 	case h.State != beat.Ready:
 		g.markLeaving(h.ID, h.State.String())
 	default:
-		g.setBackend(Backend{Address: h.Address, Slots: h.Slots, ID: h.ID, StartMs: h.StartMs, WarmupEnd: h.WarmupEnd, Version: h.Version})
+		g.setBackend(Backend{Address: h.Address, Slots: h.Slots, ID: h.ID, StartMs: h.StartMs, WarmupEnd: h.WarmupEnd, Version: h.Version},
+			fmt.Sprintf("announced by heartbeat %d of the process started at %d", h.Sequence, h.StartMs))
 	}
 	return v
 }
--- a/io/gate/discover.go
+++ b/io/gate/discover.go
@@ -19,7 +19,7 @@
 		return
 	}
 	b.ID = id
-	g.setBackend(b)
+	g.setBackend(b, "answered a health check at "+b.Address)
 	if statement.Limited { // without a limit, the answer to a health check says nothing
 		g.observeLimit(began, "a health check", statement)
 	}
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -67,6 +67,8 @@
 	event.MemoryWaited:        loadLimit,
 	event.MemoryRefused:       loadLimit,
 	event.HeartbeatStale:      loadLimit,
+	event.HeartbeatForeign:    loadLimit,
+	event.HeartbeatMalformed:  loadLimit,
 	event.DataCentreChanged:   loadLimit,
 	event.PeerChanged:         loadLimit,
 	event.CallerEnded:         loadLimit,
--- a/io/node/leave.go
+++ b/io/node/leave.go
@@ -30,6 +30,10 @@
 // ObserveHeartbeat handles a heartbeat of the backend server, see
 // gate.Gate.ObserveHeartbeat. It returns when the heartbeat may be acknowledged.
 func (n *Node) ObserveHeartbeat(ctx context.Context, h beat.Heartbeat) beat.Verdict {
+	if h.Service != n.cfg.Settings.Service {
+		n.recordForeignHeartbeat(h)
+		return beat.Foreign
+	}
 	if h.State == beat.Ready {
 		if n.leaves.Hold(h) {
 			return beat.Fresh
@@ -41,6 +45,18 @@
 	return v
 }
 
+// recordForeignHeartbeat records a heartbeat of another service.
+func (n *Node) recordForeignHeartbeat(h beat.Heartbeat) {
+	n.journal.Add(event.Event{At: time.Now(), Kind: event.HeartbeatForeign, Subject: h.ID, Cause: fmt.Sprintf(
+		"sequence %d with start time %d is of service %s at %s", h.Sequence, h.StartMs, h.Service, h.Address)})
+}
+
+// ObserveMalformedHeartbeat records a heartbeat, or a report that a server has stopped, which
+// can't be read. id is the one that it came under.
+func (n *Node) ObserveMalformedHeartbeat(id string, err error) {
+	n.journal.Add(event.Event{At: time.Now(), Kind: event.HeartbeatMalformed, Subject: id, Cause: err.Error()})
+}
+
 // useHeartbeat handles a heartbeat that says that the backend server is ready.
 func (n *Node) useHeartbeat(ctx context.Context, h beat.Heartbeat) beat.Verdict {
 	if n.leaves.MustConfirm() && !n.isConfirmed(ctx, h) {
