owner, gate, node: a started node uses only a server that was heard at its address

The server had the address of one that had crashed, and the node beside the address had been stopped and started.

Cause: a started node sent a health check to the address in its settings and took whoever answered for its own backend server. A health check tells an id and no service. Its calls then named that id, so that Mesh-Expect-Instance agreed. The heartbeats of that server, which name its service, were refused and changed nothing. Class: who answers at an address is taken for the one who is expected there.

Fix: only heartbeats name a service, so a node that has heard its server hands that on (id, start, when it was first heard) in its record of the member table and in the store, and a started node uses the server that answers its health check only if such a claim names it. A claim that is out of date names a server that does not answer any more. Where neither the other nodes nor the store know, the node waits for the next heartbeat, as it does without a health check. A server costs one write and the start of a node one stale read; at the first start of a deployment the writes are spread over 5 s. The decision is package core/owner, with its orders of events as data.

TestStartedNodeServesBesideItsUpstream passes before and after: a node beside its living server still serves before the next heartbeat, also if it is the only node, all are started again, or the store is away.

--- a/core/beat/tracker.go
+++ b/core/beat/tracker.go
@@ -55,9 +55,8 @@
 	unidentifiedLeaveAt time.Time // arrival of a leave request without an incarnation, before any heartbeat
 }
 
-// maxHeartbeatDelay is the longest delay with which a heartbeat is expected to
-// arrive.
-const maxHeartbeatDelay = 15 * time.Second
+// MaxDelay is the longest delay with which a heartbeat is expected to arrive.
+const MaxDelay = 15 * time.Second
 
 // Last returns the last accepted heartbeat. ok is false if there is none.
 func (t *Tracker) Last() (h Heartbeat, ok bool) { return t.last, t.hasLast }
@@ -83,12 +82,12 @@
 // leave request without an incarnation, so that h is a late heartbeat of the
 // process that left. The times are comparable, since the node and its backend
 // server share a clock. If the clock was set back, a new incarnation is accepted
-// after maxHeartbeatDelay.
+// after MaxDelay.
 func (t *Tracker) startedBeforeLeave(now time.Time, h Heartbeat) bool {
 	if t.unidentifiedLeaveAt.IsZero() || h.ID != t.last.ID {
 		return false
 	}
-	return h.StartMs <= t.unidentifiedLeaveAt.UnixMilli() && now.Sub(t.unidentifiedLeaveAt) < maxHeartbeatDelay
+	return h.StartMs <= t.unidentifiedLeaveAt.UnixMilli() && now.Sub(t.unidentifiedLeaveAt) < MaxDelay
 }
 
 // observeSameIncarnation classifies a heartbeat of the last accepted incarnation.
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -56,11 +56,16 @@
 	DataCentreChanged  Kind = "data_centre_changed" // its summary has changed
 	UpstreamReady      Kind = "upstream_ready"
 	UpstreamLeaving    Kind = "upstream_leaving"
+	UpstreamUnproved   Kind = "upstream_unproved"  // the server that answers at the address of the backend server is not used
+	UpstreamReplaced   Kind = "upstream_replaced"  // a server of another service has the address of the own backend server
+	OwnerSaved         Kind = "owner_saved"        // the store holds who was heard at the address of the backend server
+	OwnerLearned       Kind = "owner_learned"      // what an earlier process had heard there was read from the store
+	OwnerUnknown       Kind = "owner_unknown"      // the store did not answer a starting node in time
 	LeaveSaved         Kind = "leave_saved"        // the leave of the own backend server is in the store
 	LeaveUnsaved       Kind = "leave_unsaved"      // it was acknowledged before
 	LeaveLearned       Kind = "leave_learned"      // a leave that was announced to an earlier process was read from the store
 	LeaveUnknown       Kind = "leave_unknown"      // the store did not answer a starting node in time
-	HeartbeatDoubted   Kind = "heartbeat_doubted"  // a heartbeat that the server itself contradicts is not used
+	HeartbeatDoubted   Kind = "heartbeat_doubted"  // a heartbeat that the server at its address contradicts is not used
 	UpstreamLimited    Kind = "upstream_limited"   // it named a rate limit, or another one than before
 	UpstreamUnlimited  Kind = "upstream_unlimited" // it names no rate limit any more
 	QuotaExceeded      Kind = "quota_exceeded"     // requests of a client account are refused, see package tokens
--- a/core/leave/leave.go
+++ b/core/leave/leave.go
@@ -15,7 +15,7 @@
 	learnTimeout = 1500 * time.Millisecond
 	// confirmTimeout is how long after the start of a node the first heartbeat of its server
 	// may be from before a leave. Later ones are believed.
-	confirmTimeout = 15 * time.Second
+	confirmTimeout = beat.MaxDelay
 	// maxAge is how old a record may be that still counts. A heartbeat is not expected to be
 	// late by more than seconds, and a server may start again under its id.
 	maxAge = 5 * time.Minute
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"tanagerchute/core/owner"
 )
 
 // State is the state of a member as recorded in a table.
@@ -51,6 +53,10 @@
 	// LeftServer is its backend server if that has announced its stop, else zero. A
 	// node that restarts learns it from the record of the process before.
 	LeftServer ServerID `json:"left_server,omitzero"`
+	// Owner is the server that was last heard at the address of its backend server, zero if
+	// the member knows of none. A node that restarts learns it from the record of the process
+	// before.
+	Owner owner.Claim `json:"owner,omitzero"`
 	// LinkRate is what the link of the instance carries in each direction, in bytes a
 	// second, 0 if it is not known to be bounded.
 	LinkRate float64 `json:"link_rate,omitempty"`
@@ -87,6 +93,7 @@
 	WarmupEnd time.Time
 	Left      ServerID // the server if it has announced its stop, else zero
 	Version   string   // of its software, empty if unknown
+	Owner     owner.Claim
 }
 
 // warmupTolerance is how much later WarmupEnd has to become for the change to
@@ -96,7 +103,7 @@
 // Differs reports whether u differs enough from o, the state announced last, to
 // be announced.
 func (u Upstream) Differs(o Upstream) bool {
-	return u.Ready != o.Ready || u.Slots != o.Slots || u.Left != o.Left || u.Version != o.Version || u.WarmupEnd.Sub(o.WarmupEnd) > warmupTolerance
+	return u.Ready != o.Ready || u.Slots != o.Slots || u.Left != o.Left || u.Version != o.Version || u.Owner != o.Owner || u.WarmupEnd.Sub(o.WarmupEnd) > warmupTolerance
 }
 
 // WithUpstream returns a copy of r with u as the state of the backend server.
@@ -106,12 +113,13 @@
 	r.WarmupEnd = u.WarmupEnd
 	r.LeftServer = u.Left
 	r.ServerVersion = u.Version
+	r.Owner = u.Owner
 	return r
 }
 
 // Upstream returns the state of the member's backend server.
 func (r Record) Upstream() Upstream {
-	return Upstream{r.Ready, r.Slots, r.WarmupEnd, r.LeftServer, r.ServerVersion}
+	return Upstream{r.Ready, r.Slots, r.WarmupEnd, r.LeftServer, r.ServerVersion, r.Owner}
 }
 
 // Group returns the name of the membership group that the member belongs to.
@@ -178,7 +186,7 @@
 	switch {
 	case r.ID == "" || len(r.ID) > maxFieldBytes:
 		return fmt.Errorf("member id has an invalid length of %d bytes", len(r.ID))
-	case len(r.Addr) > maxFieldBytes || len(r.Service) > maxFieldBytes || len(r.DataCentre) > maxFieldBytes || len(r.Region) > maxFieldBytes || len(r.LeftServer.ID) > maxFieldBytes || len(r.ServerVersion) > maxFieldBytes:
+	case len(r.Addr) > maxFieldBytes || len(r.Service) > maxFieldBytes || len(r.DataCentre) > maxFieldBytes || len(r.Region) > maxFieldBytes || len(r.LeftServer.ID) > maxFieldBytes || len(r.ServerVersion) > maxFieldBytes || len(r.Owner.ID) > maxFieldBytes:
 		return fmt.Errorf("record of member %q has an oversized field", r.ID)
 	case r.State < Alive || r.State > Dead:
 		return fmt.Errorf("member %q has unknown state %d", r.ID, r.State)
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"tanagerchute/core/owner"
 	"tanagerchute/core/rank"
 )
 
@@ -236,6 +237,20 @@
 	return last.LeftServer
 }
 
+// FormerOwner returns the server that the earlier processes at the address of this node, of its
+// service, have heard last at the address of its backend server. It is zero if they have heard
+// none.
+func (t *Table) FormerOwner() owner.Claim {
+	var last owner.Claim
+	for _, e := range t.byAddr[t.self.Addr] {
+		r := e.rec
+		if r.ID != t.self.ID && r.Service == t.self.Service && r.Owner.HeardMs > last.HeardMs {
+			last = r.Owner
+		}
+	}
+	return last
+}
+
 // BecomeCandidate makes this node eligible as the home of idempotency keys, and
 // announces it.
 func (t *Table) BecomeCandidate(now time.Time) []Action {
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"tanagerchute/core/member"
+	"tanagerchute/core/owner"
 	_ "tanagerchute/internal/seed"
 )
 
@@ -288,6 +289,30 @@
 	}
 }
 
+// TestFormerOwner guards against a started node that takes what processes of another service have
+// heard at its address, or an earlier one of its own, for the latest.
+func TestFormerOwner(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_800_000_000_000)
+	process := func(i int64, service string, c owner.Claim) member.Record {
+		return member.Record{
+			ID: fmt.Sprint("a.", i), Addr: "a:1", DataCentre: "dc", Service: service, Incarnation: 1, StartMs: now.UnixMilli() + i, Owner: c,
+		}
+	}
+	cfg := member.DefaultConfig()
+	cfg.Self = process(9, "a", owner.Claim{})
+	table := member.NewTable(cfg)
+	is.Equal(table.FormerOwner(), owner.Claim{})
+	last := owner.Claim{ID: "i-2", StartMs: 5, HeardMs: 20}
+	table.Merge(now, []member.Record{
+		process(1, "a", last),
+		process(2, "a", owner.Claim{ID: "i-1", HeardMs: 10}), // the clock was set back before it started
+		process(3, "a", owner.Claim{}),
+		process(4, "b", owner.Claim{ID: "i-3", HeardMs: 30}),
+	})
+	is.Equal(table.FormerOwner(), last)
+}
+
 // TestRestartsDontFillTable guards against a process that is restarted each second and fills
 // the table with the records of its earlier ones, so that no new member is added.
 func TestRestartsDontFillTable(t *testing.T) {
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"tanagerchute/core/event"
 	"tanagerchute/core/homes"
 	"tanagerchute/core/member"
+	"tanagerchute/core/owner"
 	"tanagerchute/core/remote"
 	"tanagerchute/core/vers"
 	"tanagerchute/io/peer"
@@ -311,6 +312,16 @@
 	return s
 }
 
+// FormerOwner returns the server that the earlier processes of this node have heard last at the
+// address of its backend server, see member.Table.FormerOwner.
+func (f *Fleet) FormerOwner(ctx context.Context) owner.Claim {
+	var c owner.Claim
+	if !f.do(ctx, func(time.Time) { c = f.table.FormerOwner() }) {
+		return owner.Claim{}
+	}
+	return c
+}
+
 // BecomeHomeCandidate publishes that this node can be the home of a key. Its tenure
 // restarts, see package homes.
 func (f *Fleet) BecomeHomeCandidate(ctx context.Context) {
--- a/io/gate/backend.go
+++ b/io/gate/backend.go
@@ -13,6 +13,7 @@
 	"tanagerchute"
 	"tanagerchute/core/author"
 	"tanagerchute/core/call"
+	"tanagerchute/core/owner"
 	"tanagerchute/io/upconn"
 )
 
@@ -85,26 +86,21 @@
 	return c.Close()
 }
 
-// healthCheck sends a health check to the server at addr and returns the server's id
-// and what it says about itself. A server that is full rejects a health check like any other
-// request, so that its health is unknown.
-func (cl *client) healthCheck(ctx context.Context, addr, path string) (id string, s tanagerchute.ServerStatement, h Health) {
+// healthCheck sends a health check to the server at addr and returns what it answers, and
+// what it says about itself. A server that is full rejects a health check like any other
+// request, so that its answer is not known.
+func (cl *client) healthCheck(ctx context.Context, addr, path string) (owner.Answer, tanagerchute.ServerStatement) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	a, err := cl.pool.Do(ctx, addr, upconn.Request{Method: http.MethodGet, Path: path, Host: addr, Header: http.Header{}})
 	if err != nil || a.Verdict != author.Answered {
-		return "", s, HealthUnknown // the next heartbeat will name the server
+		return owner.Answer{}, tanagerchute.ServerStatement{} // the next heartbeat will name the server
 	}
-	id, ok := cl.dialect.ParseHealthCheck(a.Response)
-	switch {
-	case id == "":
-		return "", s, HealthUnknown
-	case ok:
-		h = HealthGood
-	default:
-		h = HealthRefusing
+	id, ready := cl.dialect.ParseHealthCheck(a.Response)
+	if id == "" {
+		return owner.Answer{}, tanagerchute.ServerStatement{}
 	}
-	return id, cl.dialect.ParseResponse(a.Response).Server, h
+	return owner.Answer{ID: id, Ready: ready}, cl.dialect.ParseResponse(a.Response).Server
 }
 
 // do sends a call to the server and reads the whole answer. allowResend is called
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -13,6 +13,7 @@
 	"tanagerchute/core/health"
 	"tanagerchute/core/member"
 	"tanagerchute/core/nested"
+	"tanagerchute/core/owner"
 	"tanagerchute/core/stop"
 	"tanagerchute/io/memory"
 	"tanagerchute/io/runner"
@@ -68,14 +69,15 @@
 	mu             sync.Mutex
 	backend        Backend
 	heartbeats     beat.Tracker
-	announcedAt    time.Time    // time of the last announcement
-	lastSuccess    time.Time    // time of the last successful call
-	refusedDials   int          // in a row
-	backendLeaving bool         // the server accepts no new calls
-	statements     *event.Pacer // events about what the server says of itself
-	leavingHeardAt time.Time    // when the server said in an answer that it leaves, zero if it did not
-	draining       bool         // the gate accepts no new calls
-	stopPlan       stop.Plan    // of a planned stop of the node, zero before
+	owner          owner.Tracker // of the address of the backend server
+	announcedAt    time.Time     // time of the last announcement
+	lastSuccess    time.Time     // time of the last successful call
+	refusedDials   int           // in a row
+	backendLeaving bool          // the server accepts no new calls
+	statements     *event.Pacer  // events about what the server says of itself
+	leavingHeardAt time.Time     // when the server said in an answer that it leaves, zero if it did not
+	draining       bool          // the gate accepts no new calls
+	stopPlan       stop.Plan     // of a planned stop of the node, zero before
 	durations      stop.Durations
 	inFlight       int                    // calls in flight, including those at a previous backend server
 	running        map[string]runningCall // calls that the backend server works on, by attempt id
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -16,6 +16,7 @@
 	"tanagerchute/core/dedup"
 	"tanagerchute/core/event"
 	"tanagerchute/core/member"
+	"tanagerchute/core/owner"
 	"tanagerchute/io/gate"
 	"tanagerchute/io/native"
 )
@@ -110,6 +111,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go g.Run(ctx)
+	g.LearnOwner(owner.Claim{ID: "i-1", HeardMs: 1}, owner.FromMembers)
 	g.DiscoverBackend(ctx, "/health", gate.Backend{Address: strings.TrimPrefix(srv.URL, "http://"), Slots: 8})
 	now := time.Now()
 	for range 8 {
--- a/io/gate/tick.go
+++ b/io/gate/tick.go
@@ -57,7 +57,9 @@
 		g.notifyWaiters(g.admission.Tick(now))
 	}
 	g.recordHeld(g.statements.Due(now))
-	upstream := member.Upstream{Ready: g.backendReady(now), Slots: g.backend.Slots, Left: g.leftServer(), Version: g.backend.Version}
+	upstream := member.Upstream{
+		Ready: g.backendReady(now), Slots: g.backend.Slots, Left: g.leftServer(), Version: g.backend.Version, Owner: g.owner.Claim(),
+	}
 	if g.backend.WarmupEnd.After(now) {
 		upstream.WarmupEnd = g.backend.WarmupEnd
 	}
--- a/io/node/boot.go
+++ b/io/node/boot.go
@@ -9,7 +9,6 @@
 
 	"tanagerchute/core/event"
 	"tanagerchute/core/member"
-	"tanagerchute/io/gate"
 	"tanagerchute/io/timer"
 )
 
@@ -44,6 +43,7 @@
 	if n.quotas != nil {
 		n.quotas.Join()
 	}
+	n.booted.Store(true)
 	n.discoverBackend(ctx)
 	n.leaves.Ready()
 }
@@ -52,37 +52,6 @@
 // found by a health check, until it announces its own.
 const defaultBackendSlots = 8
 
-// discoverBackend looks for a backend server that has kept running while its node
-// was restarted.
-func (n *Node) discoverBackend(ctx context.Context) {
-	path := n.healthPath()
-	if s := n.cfg.Settings; s.Backend == "" || s.FirstStart || path == "" {
-		return
-	}
-	n.gate.DiscoverBackend(ctx, path, n.previousBackend(ctx))
-}
-
-// healthPath returns the path of the health checks of the backend server, empty if the version
-// in force sets none.
-func (n *Node) healthPath() string {
-	snapshot := n.feed.Snapshot()
-	if snapshot == nil {
-		return ""
-	}
-	service, _ := snapshot.Table.Service(n.cfg.Settings.Service)
-	return service.HealthPath
-}
-
-// previousBackend returns the backend server as the previous node process at this address
-// published it.
-func (n *Node) previousBackend(ctx context.Context) gate.Backend {
-	b := gate.Backend{Address: n.cfg.Settings.Backend, Slots: defaultBackendSlots}
-	if m, ok := n.fleet.Predecessor(ctx); ok && m.Slots > 0 {
-		b.Slots, b.Version = m.Slots, m.ServerVersion
-	}
-	return b
-}
-
 // join exchanges member tables with the seeds from the settings, and with those
 // from the store if none of them answers. If the store has none either, it
 // registers this node there. It stops searching when another node is known, which
--- a/io/node/leave.go
+++ b/io/node/leave.go
@@ -9,7 +9,6 @@
 	"tanagerchute/core/event"
 	"tanagerchute/core/leave"
 	"tanagerchute/core/member"
-	"tanagerchute/io/gate"
 	"tanagerchute/io/leaves"
 	"tanagerchute/io/ledger"
 	"tanagerchute/io/timer"
@@ -31,7 +30,7 @@
 // gate.Gate.ObserveHeartbeat. It returns when the heartbeat may be acknowledged.
 func (n *Node) ObserveHeartbeat(ctx context.Context, h beat.Heartbeat) beat.Verdict {
 	if h.Service != n.cfg.Settings.Service {
-		n.recordForeignHeartbeat(h)
+		n.observeForeignHeartbeat(h)
 		return beat.Foreign
 	}
 	if h.State == beat.Ready {
@@ -45,21 +44,9 @@
 	return v
 }
 
-// recordForeignHeartbeat records a heartbeat of another service.
-func (n *Node) recordForeignHeartbeat(h beat.Heartbeat) {
-	n.journal.Add(event.Event{At: time.Now(), Kind: event.HeartbeatForeign, Subject: h.ID, Cause: fmt.Sprintf(
-		"sequence %d with start time %d is of service %s at %s", h.Sequence, h.StartMs, h.Service, h.Address)})
-}
-
-// ObserveMalformedHeartbeat records a heartbeat, or a report that a server has stopped, which
-// can't be read. id is the one that it came under.
-func (n *Node) ObserveMalformedHeartbeat(id string, err error) {
-	n.journal.Add(event.Event{At: time.Now(), Kind: event.HeartbeatMalformed, Subject: id, Cause: err.Error()})
-}
-
 // useHeartbeat handles a heartbeat that says that the backend server is ready.
 func (n *Node) useHeartbeat(ctx context.Context, h beat.Heartbeat) beat.Verdict {
-	if n.leaves.MustConfirm() && !n.isConfirmed(ctx, h) {
+	if !n.isBelieved(ctx, h) {
 		return beat.Stale
 	}
 	v := n.gate.ObserveHeartbeat(h)
@@ -69,16 +56,15 @@
 	return v
 }
 
-// isConfirmed reports whether the first heartbeat since the start, which says that the backend
+// isBelieved reports whether the first heartbeat since the start, which says that the backend
 // server is ready, may be used. It may be from before a leave. Then the server itself says that
 // it takes no requests.
-func (n *Node) isConfirmed(ctx context.Context, h beat.Heartbeat) bool {
-	path := n.healthPath()
-	if path == "" || n.gate.Uses(h.ID) {
+func (n *Node) isBelieved(ctx context.Context, h beat.Heartbeat) bool {
+	if !n.leaves.MustConfirm() || n.gate.Uses(h.ID) {
 		return true
 	}
-	id, health := n.gate.CheckHealth(ctx, h.Address, path)
-	if health != gate.HealthRefusing || id != h.ID {
+	a := n.askServer(ctx)
+	if a.ID != h.ID || a.Ready {
 		return true
 	}
 	n.journal.Add(event.Event{At: time.Now(), Kind: event.HeartbeatDoubted, Subject: h.ID, Cause: fmt.Sprintf(
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -26,6 +26,7 @@
 	"tanagerchute/io/memory"
 	"tanagerchute/io/metric"
 	"tanagerchute/io/native"
+	"tanagerchute/io/owners"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/proxy"
 	"tanagerchute/io/quotas"
@@ -84,6 +85,8 @@
 	memory           *memory.Room
 	taken            takenMemory
 	leaves           *leaves.Keeper
+	owners           *owners.Keeper
+	booted           atomic.Bool // what the other nodes knew at the start is known, and a version is in force
 	vars             *expvar.Map
 	attached         []attachedHandler
 	settings         atomic.Pointer[settingsState]
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -10,6 +10,7 @@
 	"tanagerchute/core/delta"
 	"tanagerchute/core/event"
 	"tanagerchute/core/member"
+	"tanagerchute/core/owner"
 	"tanagerchute/core/remote"
 	"tanagerchute/core/vers"
 	"tanagerchute/io/wire"
@@ -36,11 +37,24 @@
 			Incarnation: r.Incarnation, State: int32(r.State), Ready: r.Ready,
 			Slots: int32(r.Slots), Since: r.StartMs, Accuser: r.Accuser, Left: r.Left, Keeper: r.CanBeHome, HomeUntil: toNanos(r.HomeUntil),
 			Region: r.Region, WarmLeft: warmupLeft(r), LeftServer: r.LeftServer.ID, LeftServerStart: r.LeftServer.StartMs,
-			LinkRate: r.LinkRate, ServerVersion: r.ServerVersion,
+			LinkRate: r.LinkRate, ServerVersion: r.ServerVersion, Owner: toOwner(r.Owner),
 		}
 	})
 }
 
+// toOwner converts a claim to its wire format. It returns nil for the zero claim.
+func toOwner(c owner.Claim) *wire.Owner {
+	if !c.Known() {
+		return nil
+	}
+	return &wire.Owner{Id: c.ID, Start: c.StartMs, Foreign: c.Foreign, Heard: c.HeardMs}
+}
+
+// fromOwner converts a claim from its wire format. It returns the zero claim for nil.
+func fromOwner(o *wire.Owner) owner.Claim {
+	return owner.Claim{ID: o.GetId(), StartMs: o.GetStart(), Foreign: o.GetForeign(), HeardMs: o.GetHeard()}
+}
+
 // warmupLeft returns the remaining warm-up period of a backend server, in
 // nanoseconds. A message carries it in place of the end of the period, since the
 // clocks of two nodes may differ.
@@ -82,7 +96,7 @@
 			Slots: int(m.GetSlots()), StartMs: m.GetSince(), Accuser: m.GetAccuser(), Left: m.GetLeft(), CanBeHome: m.GetKeeper(), HomeUntil: fromNanos(m.GetHomeUntil()),
 			Region: m.GetRegion(), WarmupEnd: warmupEnd(m.GetWarmLeft()),
 			LeftServer: member.ServerID{ID: m.GetLeftServer(), StartMs: m.GetLeftServerStart()},
-			LinkRate:   m.GetLinkRate(), ServerVersion: m.GetServerVersion(),
+			LinkRate:   m.GetLinkRate(), ServerVersion: m.GetServerVersion(), Owner: fromOwner(m.GetOwner()),
 		}
 	})
 }
