owner, gate, node: the use of a server ends when one of another service is heard at its address

What callers saw: a node went on to send requests to an address at which heartbeats of another service said for seconds that they have it. They got 421 there and were sent elsewhere (a second upstream of their budget), until nothing had succeeded for 10 s. After a restart, a late heartbeat of the former server was believed beside the other one that answered there.

Cause: a heartbeat of another service was refused and concluded nothing from. It is news about the address.

Evidence: TestAddressUsedByAnotherServiceWithoutRestart: the others used the upstream for some 10 s more, and again after a late heartbeat.

Fix: the node asks the server at the address for its id and ends the use of its own server if another one answers; without an answer, if the other one started later. A heartbeat that is false or late ends nothing, since the server itself contradicts it, and one that names a service which no configuration has is malformed (TestForgedServiceEndsNothing, passes before too).

--- a/io/gate/discover.go
+++ b/io/gate/discover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagerchute"
+	"tanagerchute/core/beat"
 	"tanagerchute/core/event"
 	"tanagerchute/core/owner"
 )
@@ -75,6 +76,56 @@
 	return a, statement
 }
 
+// Contradicts reports whether a heartbeat of another service names a server that is not known
+// to be at the address of the backend server.
+func (g *Gate) Contradicts(h beat.Heartbeat) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.owner.Contradicts(h.ID, h.StartMs)
+}
+
+// ObserveForeign handles a heartbeat of another service that names the address of the backend
+// server, where the server has answered a. If the sender is at the address, the backend server
+// gets no more calls.
+func (g *Gate) ObserveForeign(h beat.Heartbeat, a owner.Answer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	before := g.describeOwner(now)
+	if !g.owner.HeardForeign(now, h.ID, h.StartMs, a) || g.backend.Address == "" {
+		return
+	}
+	cause := fmt.Sprintf("%s of service %s has its address, %q answered a health check%s", h.ID, h.Service, a.ID, before)
+	g.recordEvent(event.UpstreamReplaced, g.backend.logName(), cause)
+	g.watchReplacement(now, cause)
+	g.notifyWaiters(g.admission.Drain())
+	g.client.closeIdle()
+	g.backend = Backend{}
+	g.requestTick()
+}
+
+// MustAskServer reports whether a heartbeat that says that the backend server is ready may be
+// from before another server took its address.
+func (g *Gate) MustAskServer(h beat.Heartbeat) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.owner.MustAsk(time.Now(), h.StartMs)
+}
+
+// Believes reports whether a heartbeat that says that the backend server is ready agrees with
+// what the server at its address has answered.
+func (g *Gate) Believes(h beat.Heartbeat, a owner.Answer) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if g.owner.Believes(now, h.ID, h.StartMs, a) {
+		return true
+	}
+	g.recordEvent(event.HeartbeatDoubted, h.ID, fmt.Sprintf("sequence %d with start time %d says ready, %q answered a health check, ready %v%s",
+		h.Sequence, h.StartMs, a.ID, a.Ready, g.describeOwner(now)))
+	return false
+}
+
 // Uses reports whether the backend server with the given id is in use.
 func (g *Gate) Uses(id string) bool {
 	g.mu.Lock()
--- a/io/node/leave.go
+++ b/io/node/leave.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"tanagerchute/core/beat"
-	"tanagerchute/core/event"
 	"tanagerchute/core/leave"
 	"tanagerchute/core/member"
 	"tanagerchute/io/leaves"
@@ -30,7 +28,7 @@
 // gate.Gate.ObserveHeartbeat. It returns when the heartbeat may be acknowledged.
 func (n *Node) ObserveHeartbeat(ctx context.Context, h beat.Heartbeat) beat.Verdict {
 	if h.Service != n.cfg.Settings.Service {
-		n.observeForeignHeartbeat(h)
+		n.observeForeignHeartbeat(ctx, h)
 		return beat.Foreign
 	}
 	if h.State == beat.Ready {
@@ -56,20 +54,15 @@
 	return v
 }
 
-// isBelieved reports whether the first heartbeat since the start, which says that the backend
-// server is ready, may be used. It may be from before a leave. Then the server itself says that
-// it takes no requests.
+// isBelieved reports whether a heartbeat which says that the backend server is ready may be used.
+// The first one since the start may be from before a leave, and any may be from before another
+// server took the address. Then the server there says who it is, and whether it takes requests.
 func (n *Node) isBelieved(ctx context.Context, h beat.Heartbeat) bool {
-	if !n.leaves.MustConfirm() || n.gate.Uses(h.ID) {
+	first := n.leaves.MustConfirm() && !n.gate.Uses(h.ID)
+	if !first && !n.gate.MustAskServer(h) {
 		return true
 	}
-	a := n.askServer(ctx)
-	if a.ID != h.ID || a.Ready {
-		return true
-	}
-	n.journal.Add(event.Event{At: time.Now(), Kind: event.HeartbeatDoubted, Subject: h.ID, Cause: fmt.Sprintf(
-		"sequence %d says ready, the health check does not; it is the first heartbeat since the start of the node", h.Sequence)})
-	return false
+	return n.gate.Believes(h, n.askServer(ctx))
 }
 
 // ObserveLeave handles a leave request of the backend server, see
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -88,13 +88,18 @@
 
 // observeForeignHeartbeat handles a heartbeat of another service, which names the address of
 // the backend server. It may be that of a server that has got the address, late, or false.
-func (n *Node) observeForeignHeartbeat(h beat.Heartbeat) {
+func (n *Node) observeForeignHeartbeat(ctx context.Context, h beat.Heartbeat) {
 	if !n.hasService(h.Service) {
 		n.ObserveMalformedHeartbeat(h.ID, fmt.Errorf("service %q is not in the version in force", h.Service))
 		return
 	}
 	n.journal.Add(event.Event{At: time.Now(), Kind: event.HeartbeatForeign, Subject: h.ID, Cause: fmt.Sprintf(
 		"sequence %d with start time %d is of service %s at %s", h.Sequence, h.StartMs, h.Service, h.Address)})
+	if !n.gate.Contradicts(h) {
+		n.gate.ObserveForeign(h, owner.Answer{ID: h.ID})
+		return
+	}
+	n.gate.ObserveForeign(h, n.askServer(ctx))
 }
 
 // ObserveMalformedHeartbeat records a heartbeat, or a report that a server has stopped, which
