beat, owner: a server is known again that started after the clock was set back

Cause: processes of a server were ordered by their start times. The upstream had started again under its id after the clock had been set back, so that all it said was taken for late messages of an earlier process; id and address were the same, so that it went on getting requests. A server with another id and an earlier start time was never used at all.

Evidence: heartbeat_stale for each of its heartbeats and for its leave.

Fix: the order is what the node sees for itself. A server that has ended sends no more, and one that runs does not fall silent, so that the third heartbeat in a row of a process with an earlier start time replaces the known one (upstream_clock_set_back), but not within 15 s after that one has said that it leaves. With another id the server at the address has to answer under it as well. The replaced process does not come back while its heartbeats may be late; that it leaves is heeded.

--- a/core/beat/doc.go
+++ b/core/beat/doc.go
@@ -4,8 +4,10 @@
 // from a process that has ended, after another one has taken its address. A
 // Tracker accepts a heartbeat only if it comes from a later incarnation (start
 // of the server process), or has a higher sequence number or a later state from
-// the same one. An incarnation that announced its stop never becomes ready
-// again.
+// the same one. The clock that gives the start times may be set back, so that an
+// incarnation with an earlier start is accepted as well when several of its
+// heartbeats have arrived in a row. An incarnation that announced its stop does
+// not become ready again.
 //
 // # Usage
 //
--- a/core/beat/tracker.go
+++ b/core/beat/tracker.go
@@ -1,6 +1,9 @@
 package beat
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // State is the state that a backend server announces.
 type State int
@@ -47,14 +50,36 @@
 // Tracker tracks the heartbeats of the backend server at one address. The zero
 // Tracker has accepted none. It is not safe for concurrent use.
 //
-// Invariant: the incarnation of the last accepted heartbeat never decreases, nor
-// does the state within an incarnation.
+// Incarnations are ordered by their start times, which the clock of the instance gave. If
+// it was set back between two starts, the later incarnation seems to be the earlier one. It
+// is told from an earlier one, whose heartbeats are late, by their arrival: a server that has
+// ended sends no more, and one that runs does not fall silent.
+//
+// Invariant: an incarnation that has announced its stop does not become ready again, nor
+// does an incarnation that another one has replaced within MaxDelay.
 type Tracker struct {
 	last                Heartbeat
 	hasLast             bool
+	leftAt              time.Time // arrival of the announcement that last leaves, zero if there is none
 	unidentifiedLeaveAt time.Time // arrival of a leave request without an incarnation, before any heartbeat
+	rival               Heartbeat // the latest of rivalBeats of an incarnation that seems to be earlier than last
+	rivalBeats          int       // in a row, without one of another incarnation between
+	replaced            []replacement
+}
+
+// replacement is an incarnation that another one has replaced.
+type replacement struct {
+	id      string
+	startMs int64
+	until   time.Time // until when its heartbeats may still arrive
+	// byEarlier is set if the other one has the earlier start time.
+	byEarlier bool
 }
 
+// rivalBeatsNeeded is the number of heartbeats in a row after which an incarnation replaces one
+// that has a later start time.
+const rivalBeatsNeeded = 3
+
 // MaxDelay is the longest delay with which a heartbeat is expected to arrive.
 const MaxDelay = 15 * time.Second
 
@@ -67,17 +92,63 @@
 	case !t.hasLast:
 	case t.startedBeforeLeave(now, h):
 		return Stale
-	case h.StartMs < t.last.StartMs:
-		return Stale
 	case h.StartMs == t.last.StartMs && h.ID == t.last.ID:
-		return t.observeSameIncarnation(h)
-	case h.StartMs == t.last.StartMs && t.last.State != Gone:
-		return Stale // two servers can't share the address, and the known one still uses it
+		return t.observeSameIncarnation(now, h)
+	case t.isReplaced(now, h):
+		return Stale
+	case h.StartMs > t.last.StartMs:
+	case h.StartMs == t.last.StartMs && t.last.State == Gone:
+	case !t.outlastsLast(now, h):
+		return Stale
 	}
-	t.last, t.hasLast, t.unidentifiedLeaveAt = h, true, time.Time{}
+	t.accept(now, h)
 	return Fresh
 }
 
+// accept replaces the last accepted heartbeat by one of another incarnation.
+func (t *Tracker) accept(now time.Time, h Heartbeat) {
+	t.replaced = slices.DeleteFunc(t.replaced, func(r replacement) bool {
+		return !now.Before(r.until) || r.id == h.ID && r.startMs == h.StartMs
+	})
+	if t.hasLast {
+		t.replaced = append(t.replaced, replacement{t.last.ID, t.last.StartMs, now.Add(MaxDelay), h.StartMs < t.last.StartMs})
+	}
+	t.last, t.hasLast = h, true
+	t.leftAt, t.unidentifiedLeaveAt = time.Time{}, time.Time{}
+	t.rivalBeats = 0
+	if h.State != Ready {
+		t.leftAt = now
+	}
+}
+
+// isReplaced reports whether h is of an incarnation that another one has replaced, so that it is
+// late. One that was replaced against the order of start times may still say that it leaves.
+func (t *Tracker) isReplaced(now time.Time, h Heartbeat) bool {
+	return slices.ContainsFunc(t.replaced, func(r replacement) bool {
+		same := r.id == h.ID && r.startMs == h.StartMs
+		return same && now.Before(r.until) && (h.State == Ready || !r.byEarlier)
+	})
+}
+
+// outlastsLast reports whether h, whose start time is not later than that of the last accepted
+// heartbeat, shows that its incarnation runs and the other one has ended.
+func (t *Tracker) outlastsLast(now time.Time, h Heartbeat) bool {
+	if h.State != Ready || t.last.State != Ready && now.Sub(t.leftAt) < MaxDelay {
+		t.rivalBeats = 0
+		return false
+	}
+	if t.rivalBeats > 0 && h.ID == t.rival.ID && h.StartMs == t.rival.StartMs {
+		if h.Sequence <= t.rival.Sequence {
+			return false
+		}
+		t.rivalBeats++
+	} else {
+		t.rivalBeats = 1
+	}
+	t.rival = h
+	return t.rivalBeats >= rivalBeatsNeeded
+}
+
 // startedBeforeLeave reports whether h comes from a process that started before a
 // leave request without an incarnation, so that h is a late heartbeat of the
 // process that left. The times are comparable, since the node and its backend
@@ -91,7 +162,8 @@
 }
 
 // observeSameIncarnation classifies a heartbeat of the last accepted incarnation.
-func (t *Tracker) observeSameIncarnation(h Heartbeat) Verdict {
+func (t *Tracker) observeSameIncarnation(now time.Time, h Heartbeat) Verdict {
+	t.rivalBeats = 0
 	switch {
 	case h.State < t.last.State:
 		return Stale
@@ -103,6 +175,9 @@
 		return Duplicate
 	}
 	h.Sequence = max(h.Sequence, t.last.Sequence)
+	if h.State != t.last.State {
+		t.leftAt = now
+	}
 	t.last = h
 	return Fresh
 }
@@ -114,9 +189,9 @@
 	switch {
 	case !t.hasLast:
 		t.last, t.hasLast = Heartbeat{ID: id, State: Draining}, true
-		t.unidentifiedLeaveAt = at
+		t.leftAt, t.unidentifiedLeaveAt = at, at
 	case t.last.ID == id && t.last.State < Draining:
-		t.last.State = Draining
+		t.last.State, t.leftAt = Draining, at
 	}
 }
 
@@ -126,7 +201,7 @@
 func (t *Tracker) ObserveLeave(now time.Time, id string, startMs int64) Verdict {
 	switch {
 	case !t.hasLast:
-		t.last, t.hasLast = Heartbeat{ID: id, StartMs: startMs, State: Gone}, true
+		t.last, t.hasLast, t.leftAt = Heartbeat{ID: id, StartMs: startMs, State: Gone}, true, now
 		if startMs == 0 {
 			t.unidentifiedLeaveAt = now
 		}
@@ -138,8 +213,12 @@
 	case t.last.State == Gone && id == t.last.ID:
 		return Duplicate
 	}
-	t.last.ID = id
-	t.last.StartMs = max(t.last.StartMs, startMs)
-	t.last.State = Gone
+	if id != t.last.ID || startMs > t.last.StartMs {
+		h := t.last
+		h.ID, h.StartMs, h.State = id, startMs, Gone
+		t.accept(now, h)
+		return Fresh
+	}
+	t.last.State, t.leftAt = Gone, now
 	return Fresh
 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -74,17 +74,20 @@
 	StatementMalformed Kind = "upstream_statement_malformed"
 	HeartbeatStale     Kind = "heartbeat_stale" // it is older than the last one and ignored
 	HeartbeatMalformed Kind = "heartbeat_malformed"
-	HeartbeatForeign   Kind = "heartbeat_foreign" // a server of another service says that it has the address of the own backend server
-	UpstreamFailing    Kind = "upstream_failing"
-	UpstreamBack       Kind = "upstream_back"
-	UpstreamEnded      Kind = "upstream_ended"       // the own backend server ended while calls were running there
-	UpstreamEjected    Kind = "upstream_ejected"     // this node sends it no calls for a while
-	RequestRefused     Kind = "request_refused"      // by the gatekeeper, it has not run
-	RequestRejected    Kind = "request_rejected"     // by the ingress, before it was routed
-	RequestKeyInvalid  Kind = "request_unauthorized" // by the ingress, its account key is missing, malformed or not that of an account
-	RequestUnproved    Kind = "request_unproved"     // it has an account key, and the version in force has not been proved to be the newest for too long
-	KeysSuspended      Kind = "keys_suspended"       // from now on, requests with account keys are refused as unproved
-	KeysResumed        Kind = "keys_resumed"
+	// UpstreamClockSetBack is that of a server process that has an earlier start time than the one
+	// that it has replaced.
+	UpstreamClockSetBack Kind = "upstream_clock_set_back"
+	HeartbeatForeign     Kind = "heartbeat_foreign" // a server of another service says that it has the address of the own backend server
+	UpstreamFailing      Kind = "upstream_failing"
+	UpstreamBack         Kind = "upstream_back"
+	UpstreamEnded        Kind = "upstream_ended"       // the own backend server ended while calls were running there
+	UpstreamEjected      Kind = "upstream_ejected"     // this node sends it no calls for a while
+	RequestRefused       Kind = "request_refused"      // by the gatekeeper, it has not run
+	RequestRejected      Kind = "request_rejected"     // by the ingress, before it was routed
+	RequestKeyInvalid    Kind = "request_unauthorized" // by the ingress, its account key is missing, malformed or not that of an account
+	RequestUnproved      Kind = "request_unproved"     // it has an account key, and the version in force has not been proved to be the newest for too long
+	KeysSuspended        Kind = "keys_suspended"       // from now on, requests with account keys are refused as unproved
+	KeysResumed          Kind = "keys_resumed"
 
 	RequestHeld     Kind = "request_held"      // backend servers end when they run it, so that it is refused everywhere
 	RequestReleased Kind = "request_released"  // it is no longer refused everywhere
--- a/core/owner/tracker.go
+++ b/core/owner/tracker.go
@@ -114,11 +114,14 @@
 	return t.claim.StartMs != 0 && c.StartMs > t.claim.StartMs
 }
 
-// MustAsk reports whether a heartbeat of the own service may be from before the server of
-// another service that is known to have taken the address, so that the server has to be asked.
-func (t *Tracker) MustAsk(now time.Time, startMs int64) bool {
-	before := t.claim.StartMs == 0 || startMs <= t.claim.StartMs
-	return t.claim.Foreign && before && now.Before(t.foreignUntil)
+// MustAsk reports whether a heartbeat of the own service may be from before another server took
+// the address, so that the server there has to be asked.
+func (t *Tracker) MustAsk(now time.Time, id string, startMs int64) bool {
+	if t.claim.Foreign {
+		before := t.claim.StartMs == 0 || startMs <= t.claim.StartMs
+		return before && now.Before(t.foreignUntil)
+	}
+	return t.claim.Known() && id != t.claim.ID && startMs <= t.claim.StartMs
 }
 
 // Believes reports whether a heartbeat of the own service, which says that the server with the
@@ -127,7 +130,7 @@
 	switch {
 	case a.ID == id:
 		return a.Ready
-	case t.MustAsk(now, startMs):
+	case t.MustAsk(now, id, startMs):
 		return false
 	}
 	return !a.Ready // another one serves there; one that refuses may be named wrongly
--- a/io/gate/announce.go
+++ b/io/gate/announce.go
@@ -95,6 +95,10 @@
 	case h.State != beat.Ready:
 		g.markLeaving(h.ID, h.State.String())
 	default:
+		if h.StartMs < last.StartMs {
+			g.recordEvent(event.UpstreamClockSetBack, h.ID, fmt.Sprintf(
+				"heartbeats up to %d of the process started at %d, none of %s started at %d", h.Sequence, h.StartMs, last.ID, last.StartMs))
+		}
 		g.owner.Heard(time.Now(), h.ID, h.StartMs)
 		g.setBackend(Backend{Address: h.Address, Slots: h.Slots, ID: h.ID, StartMs: h.StartMs, WarmupEnd: h.WarmupEnd, Version: h.Version},
 			fmt.Sprintf("announced by heartbeat %d of the process started at %d", h.Sequence, h.StartMs))
--- a/io/gate/discover.go
+++ b/io/gate/discover.go
@@ -109,7 +109,7 @@
 func (g *Gate) MustAskServer(h beat.Heartbeat) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.owner.MustAsk(time.Now(), h.StartMs)
+	return g.owner.MustAsk(time.Now(), h.ID, h.StartMs)
 }
 
 // Believes reports whether a heartbeat that says that the backend server is ready agrees with
