census, member, node: a started node takes no part of a quota before it knows how many there are

Cause: all nodes were killed while the store was away and the leases of the records by which they find each other ran out. Each started node had met nobody and concluded that it was the only one, with the whole quota. An absence of news widened a share.

Fix: the addresses of nodes are in the store without leases (io/census). A started node keeps no quota before a member knows how many members there may be, or it has read them itself, linearizably. Those of which nothing was heard are dead members of its table: they count as missing for a minute, reach the others by gossip, end when a process is met at the address, and are tried as any dead member. Only deployments with quotas of accounts do this. A node that stops beside a backend server that has left removes its address.

What is shared otherwise is looked through in the postmortem; budgets of resends and homes of keys are suspected of the same, and not changed.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -70,6 +70,7 @@
 	UpstreamUnlimited  Kind = "upstream_unlimited" // it names no rate limit any more
 	QuotaExceeded      Kind = "quota_exceeded"     // requests of a client account are refused, see package tokens
 	QuotaUnanswered    Kind = "quota_unanswered"   // the keeper of the quota of a client account did not answer in time
+	MembersCounted     Kind = "members_counted"    // a started node has read in the store how many members there may be
 	QuotaKept          Kind = "quota_kept"         // the node is the keeper of the quota of a client account
 	StatementMalformed Kind = "upstream_statement_malformed"
 	HeartbeatStale     Kind = "heartbeat_stale" // it is older than the last one and ignored
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -57,6 +57,9 @@
 	// the member knows of none. A node that restarts learns it from the record of the process
 	// before.
 	Owner owner.Claim `json:"owner,omitzero"`
+	// Counted reports that the member knows how many members there may be, see
+	// Table.SetCounted.
+	Counted bool `json:"counted,omitempty"`
 	// LinkRate is what the link of the instance carries in each direction, in bytes a
 	// second, 0 if it is not known to be bounded.
 	LinkRate float64 `json:"link_rate,omitempty"`
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -251,6 +251,39 @@
 	return last
 }
 
+// Expect adds the members that an earlier time knew, of which nothing has been heard, as dead
+// ones: they may run where this node does not reach them.
+func (t *Table) Expect(now time.Time, expected []Record) []Action {
+	var acts []Action
+	for _, r := range expected {
+		if r.Addr == t.self.Addr || len(t.byAddr[r.Addr]) > 0 {
+			continue
+		}
+		// Any process that is met at the address is a later one.
+		r.Incarnation, r.StartMs = 1, 1
+		acts = append(acts, t.mergeRecord(now, r.WithState(Dead, t.self.ID))...)
+	}
+	return append(acts, t.flushOutbox(now)...)
+}
+
+// HasCounted reports whether this node, or one whose table it has got, knows how many members
+// there may be.
+func (t *Table) HasCounted() bool {
+	return t.self.Counted || slices.ContainsFunc(t.order, func(e *memberState) bool { return e.rec.State == Alive && e.rec.Counted })
+}
+
+// SetCounted announces that this node knows how many members there may be: all are in its table,
+// those of which nothing was heard as dead, see Expect. Until a node does, it must not conclude
+// from its table that it is alone.
+func (t *Table) SetCounted(now time.Time) []Action {
+	if t.self.Counted {
+		return nil
+	}
+	r := t.self
+	r.Counted = true
+	return t.updateSelf(now, r, "knows how many members there may be")
+}
+
 // BecomeCandidate makes this node eligible as the home of idempotency keys, and
 // announces it.
 func (t *Table) BecomeCandidate(now time.Time) []Action {
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -322,6 +322,23 @@
 	return c
 }
 
+// Expect adds members that an earlier time knew, see member.Table.Expect.
+func (f *Fleet) Expect(ctx context.Context, expected []member.Record) {
+	f.do(ctx, func(now time.Time) { f.perform(ctx, f.table.Expect(now, expected)) })
+}
+
+// HasCounted reports whether it is known how many members there may be, see
+// member.Table.HasCounted.
+func (f *Fleet) HasCounted(ctx context.Context) bool {
+	var counted bool
+	return f.do(ctx, func(time.Time) { counted = f.table.HasCounted() }) && counted
+}
+
+// SetCounted publishes that this node knows how many members there may be.
+func (f *Fleet) SetCounted(ctx context.Context) {
+	f.do(ctx, func(now time.Time) { f.perform(ctx, f.table.SetCounted(now)) })
+}
+
 // BecomeHomeCandidate publishes that this node can be the home of a key. Its tenure
 // restarts, see package homes.
 func (f *Fleet) BecomeHomeCandidate(ctx context.Context) {
--- a/io/node/boot.go
+++ b/io/node/boot.go
@@ -40,9 +40,7 @@
 		return // the node is stopping
 	}
 	n.recordEvent(event.NodeReady, "version in force")
-	if n.quotas != nil {
-		n.quotas.Join()
-	}
+	go n.joinQuotas(ctx)
 	n.booted.Store(true)
 	n.discoverBackend(ctx)
 	n.leaves.Ready()
--- a/io/node/components.go
+++ b/io/node/components.go
@@ -47,6 +47,8 @@
 		ID: n.id, Addr: s.Listen.PeerAddr(), DataCentre: s.DataCentre, Region: s.Region, Service: s.Service,
 		Incarnation: 1, StartMs: now.UnixMilli(), LinkRate: s.Link.BytesPerSecond(),
 	}
+	n.census = n.newCensus(self)
+	self.Counted = s.FirstStart || n.cfg.Store == nil
 	n.memory = n.newMemory()
 	n.taken.room = n.memory
 	n.client = peer.NewClient(peer.Config{
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -16,6 +16,7 @@
 	"tanagerchute/core/call"
 	"tanagerchute/core/event"
 	"tanagerchute/core/vers"
+	"tanagerchute/io/census"
 	"tanagerchute/io/feed"
 	"tanagerchute/io/fleet"
 	"tanagerchute/io/gate"
@@ -86,7 +87,8 @@
 	taken            takenMemory
 	leaves           *leaves.Keeper
 	owners           *owners.Keeper
-	booted           atomic.Bool // what the other nodes knew at the start is known, and a version is in force
+	census           *census.Register // nil without quotas or without a store
+	booted           atomic.Bool      // what the other nodes knew at the start is known, and a version is in force
 	vars             *expvar.Map
 	attached         []attachedHandler
 	settings         atomic.Pointer[settingsState]
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -120,6 +120,9 @@
 	wg.Go(func() { n.gate.Run(ctx) })
 	wg.Go(func() { n.relay.Run(ctx) })
 	wg.Go(func() { n.rollouts.Run(ctx) })
+	if n.census != nil {
+		wg.Go(func() { n.census.Run(ctx) })
+	}
 	if n.quotas != nil {
 		wg.Go(func() { n.quotas.Run(ctx) })
 	}
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -70,7 +70,7 @@
 	n.proxy.RefuseNewRecords()
 	n.gate.StartDrain()
 	n.fleet.Leave(ctx)
-	seedRemoved := n.removeSeedRecord(ctx)
+	seedRemoved, censusLeft := n.removeSeedRecord(ctx), n.leaveCensus(ctx)
 
 	drainCtx, cancelDrain := context.WithDeadline(ctx, startedAt.Add(drain.Timeout.Std()))
 	defer cancelDrain()
@@ -102,6 +102,7 @@
 	defer cancelEnd()
 	n.otherCloser.End(endCtx)
 	<-seedRemoved
+	<-censusLeft
 	<-answersDelivered
 	return closeBy
 }
--- a/io/owners/keeper.go
+++ b/io/owners/keeper.go
@@ -104,10 +104,8 @@
 			return
 		case <-k.changed:
 		}
-		for pause := firstPause; !k.save(ctx); pause = min(2*pause, lastPause) {
-			if !timer.Sleep(ctx, pause) {
-				return
-			}
+		if !timer.Retry(ctx, firstPause, lastPause, func() bool { return k.save(ctx) }) {
+			return
 		}
 	}
 }
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -37,7 +37,7 @@
 			Incarnation: r.Incarnation, State: int32(r.State), Ready: r.Ready,
 			Slots: int32(r.Slots), Since: r.StartMs, Accuser: r.Accuser, Left: r.Left, Keeper: r.CanBeHome, HomeUntil: toNanos(r.HomeUntil),
 			Region: r.Region, WarmLeft: warmupLeft(r), LeftServer: r.LeftServer.ID, LeftServerStart: r.LeftServer.StartMs,
-			LinkRate: r.LinkRate, ServerVersion: r.ServerVersion, Owner: toOwner(r.Owner),
+			LinkRate: r.LinkRate, ServerVersion: r.ServerVersion, Owner: toOwner(r.Owner), Counted: r.Counted,
 		}
 	})
 }
@@ -96,7 +96,7 @@
 			Slots: int(m.GetSlots()), StartMs: m.GetSince(), Accuser: m.GetAccuser(), Left: m.GetLeft(), CanBeHome: m.GetKeeper(), HomeUntil: fromNanos(m.GetHomeUntil()),
 			Region: m.GetRegion(), WarmupEnd: warmupEnd(m.GetWarmLeft()),
 			LeftServer: member.ServerID{ID: m.GetLeftServer(), StartMs: m.GetLeftServerStart()},
-			LinkRate:   m.GetLinkRate(), ServerVersion: m.GetServerVersion(), Owner: fromOwner(m.GetOwner()),
+			LinkRate:   m.GetLinkRate(), ServerVersion: m.GetServerVersion(), Owner: fromOwner(m.GetOwner()), Counted: m.GetCounted(),
 		}
 	})
 }
--- a/io/timer/timer.go
+++ b/io/timer/timer.go
@@ -26,6 +26,17 @@
 	}
 }
 
+// Retry calls try until it returns true. It waits for first after the first failure, and then
+// for pauses that double up to last. It returns false if ctx ended first.
+func Retry(ctx context.Context, first, last time.Duration, try func() bool) bool {
+	for pause := first; !try(); pause = min(2*pause, last) {
+		if !Sleep(ctx, pause) {
+			return false
+		}
+	}
+	return true
+}
+
 // NewStopped returns a timer that is not running. After a Reset it calls f in a goroutine of
 // its own.
 func NewStopped(f func()) *time.Timer {
