stop, gate: a stopping node starts no call of another node that may last beyond its end

Cause: the first node started lookups of other nodes by how long calls of their class had lasted of late, and gave them up at its end, counting on the sender to send them elsewhere. The sender stopped as well and had no time left for it.

Evidence: in TestStopStartsNoCallOfOtherNodeBeyondItsEnd the lookup was started before.

They are refused as not run, while the sender can still go elsewhere.

--- a/core/stop/plan.go
+++ b/core/stop/plan.go
@@ -39,10 +39,10 @@
 	return by.IsZero() || !at.After(by)
 }
 
-// MayStartOnce reports whether a call that must not be repeated may be started for a sender that
-// can still go elsewhere. How long calls of its class have lasted of late promises nothing, so
-// that only its deadline counts.
-func (p Plan) MayStartOnce(deadline time.Time) bool { return p.endsInTime(deadline) }
+// MayStartForOther reports whether a call may be started for another node, which can still send it
+// elsewhere. How long calls of its class have lasted of late promises nothing, so that only its
+// deadline counts.
+func (p Plan) MayStartForOther(deadline time.Time) bool { return p.endsInTime(deadline) }
 
 // endsInTime reports whether a call with the given deadline ends before the stop does.
 func (p Plan) endsInTime(deadline time.Time) bool {
--- a/core/stop/stop_test.go
+++ b/core/stop/stop_test.go
@@ -70,21 +70,21 @@
 	})
 }
 
-// TestNoCallOfOtherNodeIsCut replays calls of other nodes that must not be repeated, whose work
+// TestNoCallOfOtherNodeIsCut replays calls of other nodes whose work
 // lasts for as long as their deadline permits, whatever was seen before.
 func TestNoCallOfOtherNodeIsCut(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		at := epoch.Add(time.Duration(rapid.IntRange(0, 6000).Draw(t, "at, ms")) * time.Millisecond)
 		deadline := at.Add(time.Duration(rapid.IntRange(1, 9000).Draw(t, "time left, ms")) * time.Millisecond)
-		if plan.MayStartOnce(deadline) && deadline.After(plan.End) {
+		if plan.MayStartForOther(deadline) && deadline.After(plan.End) {
 			t.Fatalf("a call that arrives at %v and may last until %v is started", at.Sub(epoch), deadline.Sub(epoch))
 		}
-		if !plan.MayStartOnce(deadline) && !deadline.After(plan.End) {
+		if !plan.MayStartForOther(deadline) && !deadline.After(plan.End) {
 			t.Fatalf("a call that ends at %v is refused", deadline.Sub(epoch))
 		}
 	})
 	var running stop.Plan
-	if !running.MayStartOnce(epoch) {
+	if !running.MayStartForOther(epoch) {
 		t.Error("a node that does not stop refuses the call")
 	}
 }
--- a/io/gate/drain.go
+++ b/io/gate/drain.go
@@ -21,14 +21,15 @@
 }
 
 // refuseIfOutlastsStop returns the refusal of a call that might still run at the end of a
-// planned stop if it started now, nil for any other call. The caller holds mu. A call that must
-// not be repeated is looked at more closely if another node sent it. For one of a caller of this
-// node that would not help, since its answer has to pass through here.
+// planned stop if it started now, nil for any other call. The caller holds mu. A call of another
+// node is looked at more closely: the sender may stop as well, and have no time left to send it
+// elsewhere when it is given up here. For one of a caller of this node that would not help, since
+// its answer has to pass through here.
 func (g *Gate) refuseIfOutlastsStop(now time.Time, c call.Call) *call.Reply {
 	longest := g.durations.Longest(now, c.Class)
 	mayStart := g.stopPlan.MayStart(now, c.Deadline, longest)
-	if c.AtMostOnce && c.From != g.cfg.Node {
-		mayStart = mayStart && g.stopPlan.MayStartOnce(c.Deadline)
+	if c.From != g.cfg.Node {
+		mayStart = mayStart && g.stopPlan.MayStartForOther(c.Deadline)
 	}
 	if mayStart {
 		return nil
--- a/io/gate/drain_test.go
+++ b/io/gate/drain_test.go
@@ -13,9 +13,46 @@
 	"tanagerchute/core/call"
 	"tanagerchute/core/dedup"
 	"tanagerchute/core/event"
+	"tanagerchute/core/stop"
 	"tanagerchute/io/native"
 )
 
+// TestStopStartsNoCallOfOtherNodeBeyondItsEnd guards against a lookup that a stopping node starts for
+// another one, which stops too, and gives up at its own end, when the sender has no time left to
+// send it elsewhere: its caller got 502 while the server worked.
+func TestStopStartsNoCallOfOtherNodeBeyondItsEnd(t *testing.T) {
+	now := time.Now()
+	end := now.Add(4 * time.Second)
+	for _, c := range []struct {
+		name       string
+		from       string
+		atMostOnce bool
+		deadline   time.Time
+		want       bool // it is started
+	}{
+		{"lookup of another node, beyond the end", "m", false, end.Add(time.Second), false},
+		{"lookup of another node, in time", "m", false, end.Add(-time.Second), true},
+		{"booking of another node, beyond the end", "m", true, end.Add(time.Second), false},
+		{"lookup of a caller of this node", "n", false, end.Add(time.Second), true},
+		{"booking of a caller of this node", "n", true, end.Add(time.Second), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := New(Config{Node: "n", Service: "s", Dialect: native.Dialect{}, Journal: event.NewJournal(event.Config{Capacity: 16})})
+			g.Announce(Backend{Address: "127.0.0.1:1", Slots: 1})
+			g.PrepareStop(stop.Plan{LastArrival: now.Add(2 * time.Second), LastStart: now.Add(3 * time.Second), End: end})
+			_, _, refusal := g.requestAdmission("a", call.Call{
+				ID: "a", Attempt: "a", Service: "s", Method: "GET", Path: "/", From: c.from, AtMostOnce: c.atMostOnce, Deadline: c.deadline, WaitUntil: c.deadline,
+			})
+			if started := refusal == nil; started != c.want {
+				t.Fatalf("started: %v, want %v", started, c.want)
+			}
+			if refusal != nil && (refusal.Fate != call.NotRun || refusal.Cause != call.CauseDraining) {
+				t.Fatalf("refused as %v, %s", refusal.Fate, refusal.Cause)
+			}
+		})
+	}
+}
+
 // TestDrainAwaitsStartedCall guards against a drain that ends while a call runs: the call
 // was started from the queue, and its goroutine had not run by the time the drain began.
 func TestDrainAwaitsStartedCall(t *testing.T) {
