--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -45,7 +45,7 @@
 // answered.
 func (n *Node) discoverBackend(ctx context.Context) {
 	path := n.healthPath()
-	if s := n.cfg.Settings; s.Backend == "" || s.FirstStart || path == "" {
+	if s := n.cfg.Settings; s.Backend == "" || s.FirstStart || path == "" || n.gate.InUse() {
 		return
 	}
 	n.gate.LearnOwner(n.fleet.FormerOwner(ctx), owner.FromMembers)
@@ -95,11 +95,11 @@
 	}
 	n.journal.Add(event.Event{At: time.Now(), Kind: event.HeartbeatForeign, Subject: h.ID, Cause: fmt.Sprintf(
 		"sequence %d with start time %d is of service %s at %s", h.Sequence, h.StartMs, h.Service, h.Address)})
-	if !n.gate.Contradicts(h) {
-		n.gate.ObserveForeign(h, owner.Answer{ID: h.ID})
-		return
+	var answer owner.Answer
+	if n.gate.Contradicts(h) {
+		answer = n.askServer(ctx)
 	}
-	n.gate.ObserveForeign(h, n.askServer(ctx))
+	n.gate.ObserveForeign(h, answer)
 }
 
 // ObserveMalformedHeartbeat records a heartbeat, or a report that a server has stopped, which
