census: one record in the store for each data centre, in place of two for each node

The store had a record of each node's claim about the address of its backend server, and with quotas one of its address.

Now the node that ranks first in a data centre writes one record of all nodes there and of what they have heard, from the member table that it has anyway, at most each 5 s while it changes. Nodes that it has not met stay in it; one that has stopped as planned beside a server that has left is taken out. What is kept is decided in core/census.

io/owners and the former io/census are gone, their tests with them: io/census TestLearn has their cases, TestWrite and core/census TestWithMembers what is written.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -58,7 +58,7 @@
 	UpstreamLeaving    Kind = "upstream_leaving"
 	UpstreamUnproved   Kind = "upstream_unproved"  // the server that answers at the address of the backend server is not used
 	UpstreamReplaced   Kind = "upstream_replaced"  // a server of another service has the address of the own backend server
-	OwnerSaved         Kind = "owner_saved"        // the store holds who was heard at the address of the backend server
+	CensusSaved        Kind = "census_saved"       // the store holds which nodes there are in the data centre, and who was heard at the addresses of their backend servers
 	OwnerLearned       Kind = "owner_learned"      // what an earlier process had heard there was read from the store
 	OwnerUnknown       Kind = "owner_unknown"      // the store did not answer a starting node in time
 	LeaveSaved         Kind = "leave_saved"        // the leave of the own backend server is in the store
--- a/io/census/doc.go
+++ b/io/census/doc.go
@@ -1,14 +1,15 @@
-// Package census keeps in the store where nodes of the deployment run, so that nodes that are
-// all started again know how many others there may be before they have met them.
+// Package census keeps the census of the nodes in the store, one record for each data centre, see
+// package core/census.
 //
-// There is one record for each address. It has no lease: it is written when a node runs there
-// for the first time, and removed when the node stops for good. A started node that has met
-// nobody who knows reads them all.
+// The node that ranks first in its data centre writes the record when it has changed, at most
+// each few seconds. A node that starts reads it, to learn which server an earlier process has heard
+// at the address of its backend server. That read may be out of date: a claim about a server that
+// has ended does no harm. A node that must know how many others there may be reads the records of
+// all data centres, and that read is linearizable.
 //
 // # Usage
 //
-//	r := census.New(census.Config{Store: store, Prefix: prefix, Self: record})
-//	go r.Run(ctx)
-//	members, err := r.Read(ctx)
-//	r.Remove(ctx)
+//	k := census.New(census.Config{Store: store, Prefix: prefix, Self: record, Members: f, IsWriter: g, OnLearned: h, …})
+//	go k.Run(ctx)
+//	members, err := k.Read(ctx)
 package census
--- a/io/node/census.go
+++ b/io/node/census.go
@@ -12,15 +12,15 @@
 	"tanagerchute/io/timer"
 )
 
-// newCensus returns the list of the addresses of nodes, nil if nothing depends on it or there is
-// no store.
-func (n *Node) newCensus(self member.Record) *census.Register {
+// newCensus returns the keeper of the census of the nodes.
+func (n *Node) newCensus(self member.Record) *census.Keeper {
 	s := n.cfg.Settings
-	if n.cfg.Store == nil || s.Quota.Window <= 0 {
-		return nil
-	}
 	return census.New(census.Config{
-		Store: n.cfg.Store, Prefix: ledger.Prefix(s.Deployment) + "nodes/", Self: self, FirstStart: s.FirstStart,
+		Store: n.cfg.Store, Prefix: ledger.Prefix(s.Deployment) + "census/", Self: self, FirstStart: s.FirstStart, Journal: n.journal,
+		Members:   func() []member.Record { return n.fleet.View().Members },
+		IsWriter:  func() bool { return n.fleet.View().ReaderRank(1) == 0 },
+		OnLearned: n.learnStoredOwner,
+		Wanted:    func() bool { return !n.gate.InUse() },
 	})
 }
 
@@ -45,7 +45,7 @@
 // countMembers reports whether it is known how many members there may be: from a member, or
 // from the store.
 func (n *Node) countMembers(ctx context.Context, began time.Time) bool {
-	if n.census == nil || n.fleet.HasCounted(ctx) {
+	if n.fleet.HasCounted(ctx) {
 		return true
 	}
 	expected, err := n.census.Read(ctx)
@@ -58,16 +58,3 @@
 		len(expected), time.Since(began).Round(time.Millisecond)))
 	return true
 }
-
-// leaveCensus starts to remove the address of this node, if its backend server has ended, since
-// the instance is taken away then. The returned channel is closed when that is done.
-func (n *Node) leaveCensus(ctx context.Context) <-chan struct{} {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		if n.census != nil && n.gate.LeftServer().ID != "" {
-			n.census.Remove(ctx)
-		}
-	}()
-	return done
-}
--- a/io/node/components.go
+++ b/io/node/components.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"hash/fnv"
 	"math/rand/v2"
 	"slices"
@@ -63,7 +64,6 @@
 		OnPeerProof: func(s vers.Stamp, age time.Duration, sentAt time.Time) { n.feed.ObserveProof(s, age, sentAt) },
 	})
 	n.leaves = n.newLeaves()
-	n.owners = n.newOwners()
 	n.buildSeedsAndFeed()
 	n.rollouts = stage.New(n.rolloutConfig())
 	n.gate = gate.New(gate.Config{
@@ -72,7 +72,7 @@
 		Service:    s.Service, Dialect: n.cfg.Dialect, NoProbe: s.TrustHeartbeats, NestedCallsUntraced: s.LocalCallers,
 		Crashes:          n.fleet.Crashes(),
 		Rollouts:         n.gateRollouts(),
-		OnUpstreamChange: n.publishUpstream,
+		OnUpstreamChange: func(u member.Upstream) { n.fleet.SetUpstream(context.Background(), u) },
 	})
 	n.relay = relay.New(relay.Config{
 		DataCentre: s.Group(), DataCentres: s.Groups(), Seeds: s.Seeds,
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -27,7 +27,6 @@
 	"tanagerchute/io/memory"
 	"tanagerchute/io/metric"
 	"tanagerchute/io/native"
-	"tanagerchute/io/owners"
 	"tanagerchute/io/peer"
 	"tanagerchute/io/proxy"
 	"tanagerchute/io/quotas"
@@ -86,9 +85,8 @@
 	memory           *memory.Room
 	taken            takenMemory
 	leaves           *leaves.Keeper
-	owners           *owners.Keeper
-	census           *census.Register // nil without quotas or without a store
-	booted           atomic.Bool      // what the other nodes knew at the start is known, and a version is in force
+	census           *census.Keeper
+	booted           atomic.Bool // what the other nodes knew at the start is known, and a version is in force
 	vars             *expvar.Map
 	attached         []attachedHandler
 	settings         atomic.Pointer[settingsState]
--- a/io/node/owner.go
+++ b/io/node/owner.go
@@ -7,30 +7,10 @@
 
 	"tanagerchute/core/beat"
 	"tanagerchute/core/event"
-	"tanagerchute/core/member"
 	"tanagerchute/core/owner"
 	"tanagerchute/io/gate"
-	"tanagerchute/io/ledger"
-	"tanagerchute/io/owners"
 )
 
-// newOwners returns the keeper of what is heard at the address of the backend server.
-func (n *Node) newOwners() *owners.Keeper {
-	s := n.cfg.Settings
-	return owners.New(owners.Config{
-		Store: n.cfg.Store, Key: ledger.Prefix(s.Deployment) + "owners/" + s.Name + "/server", Service: s.Service,
-		FirstStart: s.FirstStart, Journal: n.journal,
-		OnLearned: n.learnStoredOwner,
-		Wanted:    func() bool { return !n.gate.InUse() },
-	})
-}
-
-// publishUpstream tells the other nodes and the store about the backend server.
-func (n *Node) publishUpstream(u member.Upstream) {
-	n.fleet.SetUpstream(context.Background(), u)
-	n.owners.Save(u.Owner)
-}
-
 // learnStoredOwner records what an earlier process has heard, as the store holds it, and looks
 // for that server if the node had to wait for the store.
 func (n *Node) learnStoredOwner(c owner.Claim) {
@@ -49,7 +29,7 @@
 		return
 	}
 	n.gate.LearnOwner(n.fleet.FormerOwner(ctx), owner.FromMembers)
-	if !n.gate.KnowsOwner() && n.owners.Pending() {
+	if !n.gate.KnowsOwner() && n.census.Pending() {
 		return
 	}
 	n.gate.DiscoverBackend(ctx, path, n.previousBackend(ctx))
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -115,14 +115,11 @@
 	wg.Go(func() { n.watchMemory().Run(ctx) })
 	wg.Go(func() { n.fleet.Run(ctx) })
 	wg.Go(func() { n.leaves.Run(ctx) })
-	wg.Go(func() { n.owners.Run(ctx) })
+	wg.Go(func() { n.census.Run(ctx) })
 	wg.Go(func() { n.feed.Run(ctx) })
 	wg.Go(func() { n.gate.Run(ctx) })
 	wg.Go(func() { n.relay.Run(ctx) })
 	wg.Go(func() { n.rollouts.Run(ctx) })
-	if n.census != nil {
-		wg.Go(func() { n.census.Run(ctx) })
-	}
 	if n.quotas != nil {
 		wg.Go(func() { n.quotas.Run(ctx) })
 	}
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -70,7 +70,7 @@
 	n.proxy.RefuseNewRecords()
 	n.gate.StartDrain()
 	n.fleet.Leave(ctx)
-	seedRemoved, censusLeft := n.removeSeedRecord(ctx), n.leaveCensus(ctx)
+	seedRemoved := n.removeSeedRecord(ctx)
 
 	drainCtx, cancelDrain := context.WithDeadline(ctx, startedAt.Add(drain.Timeout.Std()))
 	defer cancelDrain()
@@ -102,7 +102,6 @@
 	defer cancelEnd()
 	n.otherCloser.End(endCtx)
 	<-seedRemoved
-	<-censusLeft
 	<-answersDelivered
 	return closeBy
 }
