--- a/io/timer/timer.go
+++ b/io/timer/timer.go
@@ -1,5 +1,5 @@
-// Package timer provides a sleep that ends early when a context ends, and timers that start
-// stopped.
+// Package timer provides a sleep that ends early when a context ends, repeated attempts, and
+// timers that start stopped.
 //
 // # Usage
 //
